--- /dev/null
+++ b/lib/Config/Settings.cpp
@@ -0,0 +1,103 @@
+#include "basilpoint/Config/Settings.h"
+
+#include "basilpoint/Support/Error.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <cxxopts.hpp>
+
+namespace basilpoint {
+
+static std::string variableOf(const std::string& flag)
+{
+    std::string name = "BASILPOINT_" + flag;
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return c == '-' ? '_' : static_cast<char>(std::toupper(c)); });
+    return name;
+}
+
+static std::int64_t parseNumber(const std::string& flag, const std::string& text, const std::string& allowed)
+{
+    std::int64_t n = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size())
+        throw InvalidInputError("--" + flag, text, allowed);
+    return n;
+}
+
+static void checkRange(const SettingSpec& spec, const std::string& value)
+{
+    if (!spec.range)
+        return;
+    std::int64_t n = parseNumber(spec.name, value, spec.allowed);
+    if (n < spec.range->first || n > spec.range->second)
+        throw InvalidInputError("--" + spec.name, value, spec.allowed);
+}
+
+static cxxopts::Options optionsFor(const std::string& program, const std::string& summary, const std::vector<SettingSpec>& specs)
+{
+    cxxopts::Options options(program, summary);
+    for (const SettingSpec& spec : specs) {
+        std::string help = spec.help + " Allowed: " + spec.allowed + ". Also " + variableOf(spec.name) + ".";
+        options.add_options()(spec.name, help, cxxopts::value<std::string>()->default_value(spec.defaultValue));
+    }
+    options.add_options()("help", "Print this text.");
+    return options;
+}
+
+std::int64_t SettingValues::number(const std::string& name) const
+{
+    return parseNumber(name, text(name), "a whole number");
+}
+
+Endpoint SettingValues::endpoint(const std::string& name) const
+{
+    return parseEndpoint("--" + name, text(name));
+}
+
+std::vector<Endpoint> SettingValues::endpoints(const std::string& name) const
+{
+    std::vector<Endpoint> result;
+    std::string rest = text(name);
+    while (!rest.empty()) {
+        auto comma = rest.find(',');
+        result.push_back(parseEndpoint("--" + name, rest.substr(0, comma)));
+        rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
+    }
+    return result;
+}
+
+std::optional<std::string> processEnvironment(const std::string& name)
+{
+    const char* value = std::getenv(name.c_str());
+    return value ? std::optional<std::string>(value) : std::nullopt;
+}
+
+SettingValues resolveSettings(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments, const EnvironmentReader& environment)
+{
+    std::vector<const char*> argv { "basilpoint" };
+    for (const std::string& argument : arguments)
+        argv.push_back(argument.c_str());
+    std::map<std::string, std::string> values;
+    try {
+        auto parsed = optionsFor("basilpoint", "", specs).parse(static_cast<int>(argv.size()), argv.data());
+        if (!parsed.unmatched().empty())
+            throw InvalidInputError("argument", parsed.unmatched().front(), "flags as --help lists them");
+        for (const SettingSpec& spec : specs) {
+            std::optional<std::string> variable = environment(variableOf(spec.name));
+            bool given = parsed.count(spec.name) > 0;
+            values[spec.name] = given || !variable ? parsed[spec.name].as<std::string>() : *variable;
+            checkRange(spec, values[spec.name]);
+        }
+    } catch (const cxxopts::exceptions::exception& error) {
+        throw InvalidInputError("arguments", error.what(), "flags as --help lists them");
+    }
+    return SettingValues(std::move(values));
+}
+
+std::string settingsHelp(const std::string& program, const std::string& summary, const std::vector<SettingSpec>& specs)
+{
+    return optionsFor(program, summary, specs).help();
+}
+
+} // namespace basilpoint
