--- /dev/null
+++ b/include/basilpoint/Net/HttpTypes.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "basilpoint/Support/Clock.h"
+#include "basilpoint/Support/Endpoint.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace basilpoint {
+
+/// Header names in lower case.
+using HttpHeaders = std::map<std::string, std::string, std::less<>>;
+
+/// One request with its whole body.
+struct HttpRequest {
+    std::string method;
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+
+    /// Value of header \p name (lower case), or empty.
+    std::string_view header(std::string_view name) const;
+    /// Path of the target without its query.
+    std::string_view path() const;
+};
+
+/// One answer with its whole body.
+struct HttpResponse {
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// Limits that a listener imposes on callers.
+struct HttpLimits {
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxConnections = 4096;
+    Milliseconds idleTimeout { 60'000 };
+    Milliseconds writeTimeout { 30'000 };
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/include/basilpoint/Net/KeyValueStore.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "basilpoint/Support/Error.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace basilpoint {
+
+/// One key with its value and the store's revision of its last change.
+struct KeyValue {
+    std::string key;
+    std::string value;
+    /// Revision of the store at which the key was last written; 0 if the key does not exist.
+    std::int64_t modRevision = 0;
+
+    bool operator==(const KeyValue&) const = default;
+};
+
+/// The service did not answer, or answered with a failure. A write may have taken effect.
+class KeyValueUnavailableError final : public Error {
+public:
+    explicit KeyValueUnavailableError(const std::string& reason);
+};
+
+/// The platform's key-value service. Calls suspend the calling fiber.
+class KeyValueStore {
+public:
+    virtual ~KeyValueStore() = default;
+
+    /// \throws KeyValueUnavailableError. All calls do.
+    virtual std::optional<KeyValue> get(const std::string& key) = 0;
+
+    /// Keys that begin with \p prefix, in order.
+    virtual std::vector<KeyValue> list(const std::string& prefix) = 0;
+
+    /// Writes \p value if the key's revision is still \p expectedRevision (0: does not exist).
+    /// \returns the new revision, or empty if another write came first.
+    virtual std::optional<std::int64_t> compareAndSwap(const std::string& key, std::int64_t expectedRevision, const std::string& value, std::int64_t lease = 0) = 0;
+
+    /// Grants a lease. \returns its id.
+    virtual std::int64_t grantLease(std::chrono::seconds ttl) = 0;
+
+    /// Renews a lease. \returns false if it has lapsed.
+    virtual bool keepAlive(std::int64_t lease) = 0;
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Net/HttpKeyValueStore.cpp
@@ -0,0 +1,102 @@
+#include "basilpoint/Net/HttpKeyValueStore.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Support/Base64.h"
+
+#include <nlohmann/json.hpp>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+static constexpr Milliseconds connectTimeout { 500 };
+static constexpr Milliseconds answerTimeout { 2'000 };
+
+KeyValueUnavailableError::KeyValueUnavailableError(const std::string& reason)
+    : Error({ "key-value-unavailable", 503, Executed::Unknown }, { { "reason", reason } })
+{
+}
+
+// The gateway writes 64-bit numbers as strings.
+static std::int64_t numberFrom(const Json& json, const char* name)
+{
+    auto it = json.find(name);
+    if (it == json.end())
+        return 0;
+    return it->is_string() ? std::stoll(it->get<std::string>()) : it->get<std::int64_t>();
+}
+
+static KeyValue pairFrom(const Json& json)
+{
+    return { decodeBase64(json.at("key").get<std::string>()), decodeBase64(json.value("value", "")), numberFrom(json, "mod_revision") };
+}
+
+static std::string endOfPrefix(std::string prefix)
+{
+    assert(!prefix.empty() && "a prefix names at least its first byte");
+    ++prefix.back();
+    return prefix;
+}
+
+HttpKeyValueStore::HttpKeyValueStore(HttpClient& client, Endpoint endpoint)
+    : m_client(client)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+Json HttpKeyValueStore::post(const std::string& path, const Json& body)
+{
+    HttpCallOptions options;
+    options.connectTimeout = connectTimeout;
+    options.readTimeout = answerTimeout;
+    try {
+        HttpResponse response = m_client.call(m_endpoint, { "POST", path, { { "content-type", "application/json" } }, body.dump() }, options);
+        if (response.status != 200)
+            throw KeyValueUnavailableError("status " + std::to_string(response.status));
+        return Json::parse(response.body);
+    } catch (const TargetError& error) {
+        throw KeyValueUnavailableError(error.what());
+    } catch (const Json::exception&) {
+        throw KeyValueUnavailableError("answer is not JSON");
+    }
+}
+
+std::optional<KeyValue> HttpKeyValueStore::get(const std::string& key)
+{
+    Json answer = post("/v3/kv/range", { { "key", encodeBase64(key) } });
+    if (!answer.contains("kvs") || answer["kvs"].empty())
+        return std::nullopt;
+    return pairFrom(answer["kvs"][0]);
+}
+
+std::vector<KeyValue> HttpKeyValueStore::list(const std::string& prefix)
+{
+    Json answer = post("/v3/kv/range", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } });
+    std::vector<KeyValue> result;
+    for (const Json& pair : answer.value("kvs", Json::array()))
+        result.push_back(pairFrom(pair));
+    return result;
+}
+
+std::optional<std::int64_t> HttpKeyValueStore::compareAndSwap(const std::string& key, std::int64_t expectedRevision, const std::string& value, std::int64_t lease)
+{
+    Json compare { { "key", encodeBase64(key) }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expectedRevision) } };
+    Json put { { "key", encodeBase64(key) }, { "value", encodeBase64(value) }, { "lease", std::to_string(lease) } };
+    Json answer = post("/v3/kv/txn", { { "compare", Json::array({ compare }) }, { "success", Json::array({ { { "request_put", put } } }) } });
+    if (!answer.value("succeeded", false))
+        return std::nullopt;
+    return numberFrom(answer.at("header"), "revision");
+}
+
+std::int64_t HttpKeyValueStore::grantLease(std::chrono::seconds ttl)
+{
+    return numberFrom(post("/v3/lease/grant", { { "TTL", std::to_string(ttl.count()) } }), "ID");
+}
+
+bool HttpKeyValueStore::keepAlive(std::int64_t lease)
+{
+    Json answer = post("/v3/lease/keepalive", { { "ID", std::to_string(lease) } });
+    return answer.contains("result") && numberFrom(answer["result"], "TTL") > 0;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Net/HttpServer.cpp
@@ -0,0 +1,292 @@
+#include "basilpoint/Net/HttpServer.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Net/FiberAwait.h"
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <set>
+
+namespace basilpoint {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+static constexpr Milliseconds acceptRetryDelay { 50 };
+
+struct HttpServer::State {
+    State(asio::io_context& context, const Endpoint& address, HttpLimits limits, Handler handler)
+        : io(context)
+        , acceptor(context)
+        , limits(limits)
+        , handler(std::move(handler))
+    {
+        bind(address);
+    }
+
+    void bind(const Endpoint& address)
+    {
+        boost::system::error_code ec;
+        Tcp::endpoint endpoint(asio::ip::make_address(address.host, ec), address.port);
+        if (!ec)
+            acceptor.open(endpoint.protocol(), ec);
+        if (!ec)
+            acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+        if (!ec)
+            acceptor.bind(endpoint, ec);
+        if (!ec)
+            acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        if (ec)
+            throw ListenError(address, ec.message());
+    }
+
+    asio::io_context& io;
+    Tcp::acceptor acceptor;
+    HttpLimits limits;
+    Handler handler;
+    std::set<beast::tcp_stream*> idleStreams;
+    std::size_t connections = 0;
+    std::size_t activeRequests = 0;
+    bool stopped = false;
+};
+
+namespace {
+
+    class StreamWriter final : public ResponseWriter {
+    public:
+        StreamWriter(beast::tcp_stream& stream, unsigned version, bool keepAlive, Milliseconds timeout)
+            : m_stream(stream)
+            , m_timeout(timeout)
+            , m_version(version)
+            , m_keepAlive(keepAlive)
+        {
+        }
+
+        void send(const HttpResponse& response) override
+        {
+            assert(!m_started && "one answer per request");
+            m_started = true;
+            http::response<http::string_body> message(static_cast<http::status>(response.status), m_version);
+            setHeaders(message, response.headers);
+            message.body() = response.body;
+            message.prepare_payload();
+            m_stream.expires_after(m_timeout);
+            auto result = awaitIo([&](auto handler) { http::async_write(m_stream, message, std::move(handler)); });
+            check(result.ec);
+        }
+
+        void begin(int status, const HttpHeaders& headers) override
+        {
+            assert(!m_started && "one answer per request");
+            m_started = true;
+            m_streaming = true;
+            http::response<http::empty_body> message(static_cast<http::status>(status), m_version);
+            setHeaders(message, headers);
+            message.chunked(true);
+            http::response_serializer<http::empty_body> serializer(message);
+            m_stream.expires_after(m_timeout);
+            auto result = awaitIo([&](auto handler) { http::async_write_header(m_stream, serializer, std::move(handler)); });
+            check(result.ec);
+        }
+
+        void write(std::string_view chunk) override
+        {
+            assert(m_streaming && "write() follows begin()");
+            if (chunk.empty())
+                return;
+            writeAll(fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk));
+        }
+
+        void end() override
+        {
+            assert(m_streaming && "end() follows begin()");
+            m_streaming = false;
+            writeAll("0\r\n\r\n");
+        }
+
+        bool started() const override { return m_started; }
+        bool complete() const { return m_started && !m_streaming && !m_lost; }
+        bool keepAlive() const { return m_keepAlive && complete(); }
+
+    private:
+        template <typename Message>
+        void setHeaders(Message& message, const HttpHeaders& headers)
+        {
+            for (const auto& [name, value] : headers)
+                message.set(name, value);
+            message.keep_alive(m_keepAlive);
+        }
+
+        void writeAll(const std::string& buf)
+        {
+            m_stream.expires_after(m_timeout);
+            auto result = awaitIo([&](auto handler) { asio::async_write(m_stream, asio::buffer(buf), std::move(handler)); });
+            check(result.ec);
+        }
+
+        void check(boost::system::error_code ec)
+        {
+            if (!ec)
+                return;
+            m_lost = true;
+            throw ConnectionLostError(ec.message());
+        }
+
+        beast::tcp_stream& m_stream;
+        Milliseconds m_timeout;
+        unsigned m_version;
+        bool m_keepAlive;
+        bool m_started = false;
+        bool m_streaming = false;
+        bool m_lost = false;
+    };
+
+} // namespace
+
+static HttpRequest toRequest(http::request<http::string_body>& message)
+{
+    HttpRequest request { std::string(message.method_string()), std::string(message.target()), {}, std::move(message.body()) };
+    for (const auto& field : message) {
+        std::string name(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        request.headers[name] = std::string(field.value());
+    }
+    return request;
+}
+
+static void answer(const HttpServer::Handler& handler, const HttpRequest& request, StreamWriter& writer)
+{
+    try {
+        handler(request, writer);
+    } catch (const ConnectionLostError&) {
+        return;
+    } catch (const Error& error) {
+        // A stream that broke off is closed without its last chunk, so the caller sees that it is not whole.
+        if (!writer.started())
+            writer.send(toProblem(error));
+    }
+}
+
+// Sends a problem document for a request that could not be read, where the caller can still take one.
+static void refuseUnreadable(beast::tcp_stream& stream, boost::system::error_code ec, const HttpLimits& limits)
+{
+    StreamWriter writer(stream, 11, false, limits.writeTimeout);
+    try {
+        if (ec == http::error::body_limit)
+            writer.send(toProblem(TooLargeError("body", limits.maxBodyBytes)));
+        else if (ec == http::error::header_limit)
+            writer.send(toProblem(TooLargeError("header", limits.maxHeaderBytes)));
+        else if (ec.category() == make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream && ec != http::error::partial_message)
+            writer.send(toProblem(InvalidInputError("request", ec.message(), "HTTP/1.1")));
+    } catch (const ConnectionLostError&) {
+        return;
+    }
+}
+
+template <typename ServerState>
+static bool serveOne(ServerState& state, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
+    parser.body_limit(state.limits.maxBodyBytes);
+    stream.expires_after(state.limits.idleTimeout);
+    state.idleStreams.insert(&stream);
+    auto result = awaitIo([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+    state.idleStreams.erase(&stream);
+    if (result.ec) {
+        refuseUnreadable(stream, result.ec, state.limits);
+        return false;
+    }
+    auto message = parser.release();
+    StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped, state.limits.writeTimeout);
+    HttpRequest request = toRequest(message);
+    ++state.activeRequests;
+    try {
+        answer(state.handler, request, writer);
+    } catch (const ConnectionLostError&) {
+        --state.activeRequests;
+        return false;
+    }
+    --state.activeRequests;
+    return writer.keepAlive() && !state.stopped;
+}
+
+template <typename ServerState>
+static void serveConnection(const std::shared_ptr<ServerState>& state, Tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    boost::system::error_code ec;
+    stream.socket().set_option(Tcp::no_delay(true), ec);
+    beast::flat_buffer buffer;
+    ++state->connections;
+    while (serveOne(*state, stream, buffer)) {
+    }
+    --state->connections;
+    stream.socket().shutdown(Tcp::socket::shutdown_both, ec);
+}
+
+template <typename ServerState>
+static void acceptLoop(const std::shared_ptr<ServerState>& state)
+{
+    while (!state->stopped) {
+        Tcp::socket socket(state->io);
+        auto result = awaitIo([&](auto handler) { state->acceptor.async_accept(socket, std::move(handler)); });
+        if (state->stopped)
+            return;
+        if (result.ec || state->connections >= state->limits.maxConnections) {
+            // Out of descriptors or connections: leave the backlog to the kernel for a moment.
+            asio::steady_timer timer(state->io, acceptRetryDelay);
+            awaitIo([&](auto handler) { timer.async_wait(std::move(handler)); });
+            continue;
+        }
+        auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+        spawnFiber([state, shared] { serveConnection(state, std::move(*shared)); });
+    }
+}
+
+HttpServer::HttpServer(asio::io_context& io, const Endpoint& endpoint, HttpLimits limits, Handler handler)
+    : m_state(std::make_shared<State>(io, endpoint, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+void HttpServer::start()
+{
+    spawnFiber([state = m_state] { acceptLoop(state); });
+}
+
+void HttpServer::stop()
+{
+    if (m_state->stopped)
+        return;
+    m_state->stopped = true;
+    boost::system::error_code ec;
+    m_state->acceptor.close(ec);
+    for (auto* stream : m_state->idleStreams)
+        stream->cancel();
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    auto endpoint = m_state->acceptor.local_endpoint();
+    return { endpoint.address().to_string(), endpoint.port() };
+}
+
+std::size_t HttpServer::activeRequests() const
+{
+    return m_state->activeRequests;
+}
+
+} // namespace basilpoint
