--- /dev/null
+++ b/tools/basilpoint-standin/KeyValueState.cpp
@@ -0,0 +1,112 @@
+#include "KeyValueState.h"
+
+namespace basilpoint::standin {
+
+static constexpr std::size_t maxLoggedChanges = 100'000;
+
+static bool inRange(const std::string& key, const std::string& begin, const std::string& end)
+{
+    if (end.empty())
+        return key == begin;
+    return key >= begin && (end == std::string(1, '\0') || key < end);
+}
+
+std::map<std::string, StoredValue> KeyValueState::range(const std::string& begin, const std::string& end) const
+{
+    std::map<std::string, StoredValue> result;
+    for (auto it = m_values.lower_bound(begin); it != m_values.end() && inRange(it->first, begin, end); ++it)
+        result.insert(*it);
+    return result;
+}
+
+const StoredValue* KeyValueState::find(const std::string& key) const
+{
+    auto it = m_values.find(key);
+    return it == m_values.end() ? nullptr : &it->second;
+}
+
+bool KeyValueState::put(const std::string& key, const std::string& value, std::int64_t lease)
+{
+    if (lease != 0 && !m_leases.contains(lease))
+        return false;
+    ++m_revision;
+    StoredValue& stored = m_values[key];
+    if (stored.version == 0)
+        stored.createRevision = m_revision;
+    ++stored.version;
+    stored.value = value;
+    stored.modRevision = m_revision;
+    stored.lease = lease;
+    log(key, stored);
+    return true;
+}
+
+std::size_t KeyValueState::remove(const std::string& begin, const std::string& end)
+{
+    auto victims = range(begin, end);
+    if (victims.empty())
+        return 0;
+    ++m_revision;
+    for (const auto& [key, value] : victims) {
+        m_values.erase(key);
+        log(key, std::nullopt);
+    }
+    return victims.size();
+}
+
+std::int64_t KeyValueState::grantLease(std::chrono::seconds ttl, TimePoint now)
+{
+    m_leases[++m_nextLease] = { ttl, now + ttl };
+    return m_nextLease;
+}
+
+std::chrono::seconds KeyValueState::keepAlive(std::int64_t lease, TimePoint now)
+{
+    auto it = m_leases.find(lease);
+    if (it == m_leases.end())
+        return std::chrono::seconds(0);
+    it->second.expiresAt = now + it->second.ttl;
+    return it->second.ttl;
+}
+
+void KeyValueState::revokeLease(std::int64_t lease)
+{
+    m_leases.erase(lease);
+    std::vector<std::string> victims;
+    for (const auto& [key, value] : m_values) {
+        if (value.lease == lease)
+            victims.push_back(key);
+    }
+    for (const std::string& key : victims)
+        remove(key, "");
+}
+
+void KeyValueState::expire(TimePoint now)
+{
+    std::vector<std::int64_t> lapsed;
+    for (const auto& [id, lease] : m_leases) {
+        if (lease.expiresAt <= now)
+            lapsed.push_back(id);
+    }
+    for (std::int64_t id : lapsed)
+        revokeLease(id);
+}
+
+std::vector<ChangeEvent> KeyValueState::changesAfter(std::int64_t revision, const std::string& begin, const std::string& end) const
+{
+    std::vector<ChangeEvent> result;
+    for (const ChangeEvent& event : m_changes) {
+        if (event.revision > revision && inRange(event.key, begin, end))
+            result.push_back(event);
+    }
+    return result;
+}
+
+void KeyValueState::log(const std::string& key, std::optional<StoredValue> value)
+{
+    m_changes.push_back({ key, std::move(value), m_revision });
+    if (m_changes.size() > maxLoggedChanges)
+        m_changes.pop_front();
+}
+
+} // namespace basilpoint::standin
