--- /dev/null
+++ b/lib/Daemon/ChatStream.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "basilpoint/Support/Ids.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace basilpoint {
+
+/// Reads a streamed chat completion and assembles the assistant's message from its parts.
+class ChatStream {
+public:
+    /// Receives each event's data but the closing one, as it comes.
+    using EventHandler = std::function<void(std::string_view data)>;
+
+    explicit ChatStream(EventHandler);
+
+    /// Takes the next bytes of the body.
+    /// \throws InvalidInputError if an event is not JSON or too long.
+    void feed(std::string_view bytes);
+
+    /// Whether the closing event came.
+    bool done() const { return m_done; }
+
+    /// JSON object: the assistant's message so far.
+    std::string message() const;
+
+    /// Tokens as the engine counted them, input and output; empty if it did not say.
+    std::optional<TokenCount> totalTokens() const { return m_totalTokens; }
+
+    /// Number of content parts that came.
+    std::size_t parts() const { return m_parts; }
+
+    const std::string& finishReason() const { return m_finishReason; }
+
+private:
+    struct ToolCallPart {
+        std::string id;
+        std::string name;
+        std::string arguments;
+    };
+
+    void takeEvent(std::string_view data);
+
+    EventHandler m_onEvent;
+    std::string m_line;
+    std::string m_content;
+    std::map<int, ToolCallPart> m_toolCalls;
+    std::string m_finishReason;
+    std::optional<TokenCount> m_totalTokens;
+    std::size_t m_parts = 0;
+    bool m_done = false;
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Daemon/EnvironmentController.cpp
@@ -0,0 +1,35 @@
+#include "EnvironmentController.h"
+
+namespace basilpoint {
+
+EnvironmentNotFoundError::EnvironmentNotFoundError(const EnvironmentId& id)
+    : Error({ "environment-not-found", 404, Executed::No }, { { "environment", id.text() } })
+{
+}
+
+bool EnvironmentController::accept(const StoredEnvironment& stored)
+{
+    auto environment = std::make_shared<const Environment>(parseEnvironment(stored.document));
+    auto it = m_stored.find(environment->id);
+    if (it != m_stored.end() && it->second.revision >= stored.revision)
+        return false;
+    m_stored.insert_or_assign(environment->id, stored);
+    m_environments.insert_or_assign(environment->id, environment);
+    return true;
+}
+
+void EnvironmentController::refresh(KeyValueStore& store)
+{
+    for (const KeyValue& pair : store.list(environmentKeyPrefix))
+        accept(decodeStoredEnvironment(pair.value));
+}
+
+std::shared_ptr<const Environment> EnvironmentController::find(const EnvironmentId& id) const
+{
+    auto it = m_environments.find(id);
+    if (it == m_environments.end())
+        throw EnvironmentNotFoundError(id);
+    return it->second;
+}
+
+} // namespace basilpoint
