--- /dev/null
+++ b/include/basilpoint/Journal/JournalStore.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "basilpoint/Shard/JournalHolder.h"
+
+#include <filesystem>
+#include <functional>
+#include <memory>
+
+namespace basilpoint {
+
+/// How a journal folder is laid out.
+struct JournalStoreSettings {
+    std::filesystem::path folder;
+    std::uint64_t segmentBytes = 64 * 1024 * 1024;
+    /// Appends are refused while the disk has less than this left.
+    std::uint64_t minFreeBytes = 256 * 1024 * 1024;
+};
+
+/// Files of one holder under one folder.
+///
+/// Operations of all shards share segments; a thread of its own writes and syncs them in groups.
+/// A folder has a random id that names the holder: an emptied folder is another holder.
+class JournalStore {
+public:
+    /// Called on the store's thread once the operation is on disk, or with the failure.
+    using Done = std::function<void(std::exception_ptr)>;
+
+    /// Opens or creates the folder. \throws JournalFolderError, JournalCorruptError.
+    explicit JournalStore(const JournalStoreSettings&);
+    ~JournalStore();
+
+    const HolderId& holder() const;
+
+    /// Calls \p replay with every operation on disk, in order. Once, before the first write().
+    /// A torn tail is cut. \throws JournalCorruptError on a bad operation before the tail.
+    void load(const std::function<void(const StorageOp&)>& replay);
+
+    /// Queues \p op; several are synced together. After a failed sync every write fails.
+    void write(const StorageOp& op, Done done);
+
+    /// Writes \p snapshot into a new segment and drops older ones once it is on disk.
+    void compact(const std::vector<StorageOp>& snapshot, Done done);
+
+    /// Bytes in all segments; tells when to compact.
+    std::uint64_t bytes() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/include/basilpoint/Net/PeerLink.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "basilpoint/Net/HttpTypes.h"
+#include "basilpoint/Support/Error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace basilpoint {
+
+/// The peer did not answer, or the link broke before it did.
+class PeerUnreachableError final : public Error {
+public:
+    PeerUnreachableError(const Endpoint&, const std::string& reason);
+};
+
+/// What a peer message is about; the first byte of its frame after the version.
+enum class PeerChannel : std::uint8_t {
+    Membership = 1,
+    Configuration = 2,
+    Journal = 3,
+    Quarantine = 4,
+};
+
+/// Certificates for mutual TLS; without them only loopback addresses are allowed.
+struct PeerKeys {
+    std::string certificateFile;
+    std::string privateKeyFile;
+    std::string authorityFile;
+
+    bool empty() const { return certificateFile.empty(); }
+};
+
+struct PeerLinkSettings {
+    Endpoint listen;
+    PeerKeys keys;
+    std::size_t maxMessageBytes = 4 * 1024 * 1024;
+    /// Bytes that may wait for one peer before messages to it are dropped.
+    std::size_t maxQueuedBytes = 16 * 1024 * 1024;
+    Milliseconds idleTimeout { 60'000 };
+};
+
+/// Counters for metrics and benchmarks.
+struct PeerLinkCounters {
+    std::uint64_t messagesSent = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t messagesReceived = 0;
+    std::uint64_t bytesReceived = 0;
+    std::uint64_t dropped = 0;
+};
+
+/// Links to other daemons: WebSocket with CBOR bodies, opened on demand, closed when idle.
+/// Runs on the daemon's event loop; all calls are made from its thread.
+class PeerLinks {
+public:
+    /// A one-way message came.
+    using MessageHandler = std::function<void(PeerChannel, const std::string& body)>;
+    /// A call came; runs in a fiber of its own and returns the answer's body.
+    using CallHandler = std::function<std::string(PeerChannel, const std::string& body)>;
+
+    /// \throws ListenError, and InvalidInputError if keys are missing off loopback or cannot be read.
+    PeerLinks(boost::asio::io_context&, const PeerLinkSettings&, MessageHandler, CallHandler);
+    ~PeerLinks();
+
+    /// Sends \p body without waiting; drops it if the queue is full or the peer cannot be reached.
+    void send(const Endpoint& to, PeerChannel, std::string body);
+
+    /// Sends \p body and suspends the fiber until the answer comes.
+    /// \throws PeerUnreachableError after \p timeout or when the link breaks.
+    std::string call(const Endpoint& to, PeerChannel, std::string body, Milliseconds timeout);
+
+    /// Closes the listener and all links.
+    void stop();
+
+    Endpoint endpoint() const;
+    const PeerLinkCounters& counters() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/include/basilpoint/Shard/JournalHolder.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "basilpoint/Shard/Types.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace basilpoint {
+
+/// What a holder must make last before it answers. Replaying all of them rebuilds its state.
+struct StorageOp {
+    ShardId shard;
+    /// Highest tag from here on.
+    OwnerTag seal;
+    bool member = false;
+    LogPosition position;
+    std::set<HolderSet> pairs;
+    /// Cuts the log to this many entries first, if set.
+    std::optional<std::uint64_t> truncateTo;
+    /// Then adds these at the end.
+    std::vector<std::string> entries;
+
+    bool operator==(const StorageOp&) const = default;
+};
+
+/// CBOR forms for the journal's files.
+std::string encodeStorageOp(const StorageOp&);
+StorageOp decodeStorageOp(std::string_view bytes);
+
+/// Decision of one holder: a request is answered only after the returned operation is on storage.
+struct HolderDecision {
+    HolderReply reply;
+    /// Empty if nothing changed.
+    std::optional<StorageOp> op;
+};
+
+/// Holder's side of all its shards' journals.
+class JournalHolder {
+public:
+    explicit JournalHolder(HolderId);
+
+    const HolderId& id() const { return m_id; }
+
+    /// Decides on \p request and changes the state in memory at once.
+    HolderDecision handle(ShardId, const HolderRequest& request);
+
+    /// Takes over an operation that storage has, at start.
+    void replay(const StorageOp&);
+
+    /// Operations that rebuild the present state, for a snapshot.
+    std::vector<StorageOp> snapshot() const;
+
+    std::size_t shardCount() const { return m_shards.size(); }
+
+private:
+    struct ShardLog {
+        OwnerTag seal;
+        bool member = false;
+        LogPosition position;
+        std::set<HolderSet> pairs;
+        std::vector<std::string> entries;
+    };
+
+    HolderId m_id;
+    std::unordered_map<ShardId, ShardLog> m_shards;
+};
+
+} // namespace basilpoint
