--- a/include/basilpoint/Net/HttpClient.h
+++ b/include/basilpoint/Net/HttpClient.h
@@ -17,6 +17,8 @@
     /// Kept-alive connections are used only if the request may be sent twice: one that closes
     /// as the request goes out leaves open whether the target has run it.
     bool reuseConnection = true;
+    /// Receives status and headers of the answer before its body, if set.
+    std::function<void(const HttpResponse&)> onHeader = nullptr;
 };
 
 /// Handle by which another fiber ends a call early.
--- a/include/basilpoint/Net/KeyValueStore.h
+++ b/include/basilpoint/Net/KeyValueStore.h
@@ -3,6 +3,7 @@
 #include "basilpoint/Support/Error.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +41,12 @@
     /// \returns the new revision, or empty if another write came first.
     virtual std::optional<std::int64_t> compareAndSwap(const std::string& key, std::int64_t expectedRevision, const std::string& value, std::int64_t lease = 0) = 0;
 
+    /// Receives a key's new value; empty if the key was removed.
+    using ChangeHandler = std::function<void(const std::string& key, const std::optional<KeyValue>&)>;
+
+    /// Waits for changes of keys that begin with \p prefix, from revision \p from on, until the watch breaks.
+    virtual void watch(const std::string& prefix, std::int64_t from, const ChangeHandler& onChange) = 0;
+
     /// Grants a lease. \returns its id.
     virtual std::int64_t grantLease(std::chrono::seconds ttl) = 0;
 
--- a/include/basilpoint/Net/PeerLink.h
+++ b/include/basilpoint/Net/PeerLink.h
@@ -22,6 +22,7 @@
     Configuration = 2,
     Journal = 3,
     Quarantine = 4,
+    Ownership = 5,
 };
 
 /// Certificates for mutual TLS; without them only loopback addresses are allowed.
--- a/include/basilpoint/Program/ProgramTable.h
+++ b/include/basilpoint/Program/ProgramTable.h
@@ -106,6 +106,12 @@
     /// Messages that the open model call sends to the engine: history and what the call adds.
     std::string promptOfOpenTurn(const ProgramId&) const;
 
+    /// How \p program was opened. \throws ProgramNotFoundError.
+    const ProgramOpened& opening(const ProgramId& program) const;
+
+    /// Tokens of the program's context as the engine counted them last.
+    TokenCount contextTokens(const ProgramId&) const;
+
     ProgramSummary summary(const ProgramId&) const;
     std::vector<ProgramSummary> summaries() const;
     std::size_t size() const { return m_programs.size(); }
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -163,6 +163,8 @@
         throw TargetError(endpoint, Executed::Unknown, header.ec.message());
 
     HttpResponse response { static_cast<int>(parser.get().result_int()), headersOf(parser.get()), {} };
+    if (options.onHeader)
+        options.onHeader(response);
     std::string buf(streamBufferBytes, '\0');
     while (!parser.is_done()) {
         parser.get().body().data = buf.data();
--- a/lib/Net/HttpKeyValueStore.cpp
+++ b/lib/Net/HttpKeyValueStore.cpp
@@ -11,6 +11,8 @@
 
 static constexpr Milliseconds connectTimeout { 500 };
 static constexpr Milliseconds answerTimeout { 2'000 };
+// The service sends progress more often than this.
+static constexpr Milliseconds watchSilence { 30'000 };
 
 KeyValueUnavailableError::KeyValueUnavailableError(const std::string& reason)
     : Error({ "key-value-unavailable", 503, Executed::Unknown }, { { "reason", reason } })
@@ -55,14 +57,17 @@
             throw KeyValueUnavailableError("status " + std::to_string(response.status));
         return Json::parse(response.body);
     } catch (const TargetError& error) {
+        ++m_counters.failures;
         throw KeyValueUnavailableError(error.what());
     } catch (const Json::exception&) {
+        ++m_counters.failures;
         throw KeyValueUnavailableError("answer is not JSON");
     }
 }
 
 std::optional<KeyValue> HttpKeyValueStore::get(const std::string& key)
 {
+    ++m_counters.reads;
     Json answer = post("/v3/kv/range", { { "key", encodeBase64(key) } });
     if (!answer.contains("kvs") || answer["kvs"].empty())
         return std::nullopt;
@@ -71,6 +76,7 @@
 
 std::vector<KeyValue> HttpKeyValueStore::list(const std::string& prefix)
 {
+    ++m_counters.reads;
     Json answer = post("/v3/kv/range", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } });
     std::vector<KeyValue> result;
     for (const Json& pair : answer.value("kvs", Json::array()))
@@ -80,6 +86,7 @@
 
 std::optional<std::int64_t> HttpKeyValueStore::compareAndSwap(const std::string& key, std::int64_t expectedRevision, const std::string& value, std::int64_t lease)
 {
+    ++m_counters.writes;
     Json compare { { "key", encodeBase64(key) }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expectedRevision) } };
     Json put { { "key", encodeBase64(key) }, { "value", encodeBase64(value) }, { "lease", std::to_string(lease) } };
     Json answer = post("/v3/kv/txn", { { "compare", Json::array({ compare }) }, { "success", Json::array({ { { "request_put", put } } }) } });
@@ -88,13 +95,57 @@
     return numberFrom(answer.at("header"), "revision");
 }
 
+static void deliverChanges(const std::string& line, const KeyValueStore::ChangeHandler& onChange)
+{
+    Json message = Json::parse(line);
+    if (!message.contains("result"))
+        return;
+    for (const Json& event : message["result"].value("events", Json::array())) {
+        KeyValue pair = pairFrom(event.at("kv"));
+        bool removed = event.value("type", "PUT") == "DELETE";
+        onChange(pair.key, removed ? std::nullopt : std::optional(pair));
+    }
+}
+
+void HttpKeyValueStore::watch(const std::string& prefix, std::int64_t from, const ChangeHandler& onChange)
+{
+    ++m_counters.watches;
+    Json create { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) }, { "start_revision", std::to_string(from) } };
+    HttpRequest request { "POST", "/v3/watch", { { "content-type", "application/json" } }, Json { { "create_request", create } }.dump() };
+    HttpCallOptions options;
+    options.connectTimeout = connectTimeout;
+    options.readTimeout = watchSilence;
+    options.maxBodyBytes = std::numeric_limits<std::size_t>::max();
+    options.reuseConnection = false;
+    std::string buf;
+    try {
+        m_client.stream(
+            m_endpoint, request, [&](std::string_view bytes) {
+                buf.append(bytes);
+                for (auto end = buf.find('\n'); end != std::string::npos; end = buf.find('\n')) {
+                    deliverChanges(buf.substr(0, end), onChange);
+                    buf.erase(0, end + 1);
+                }
+            },
+            options);
+    } catch (const TargetError& error) {
+        ++m_counters.failures;
+        throw KeyValueUnavailableError(error.what());
+    } catch (const Json::exception&) {
+        ++m_counters.failures;
+        throw KeyValueUnavailableError("answer is not JSON");
+    }
+}
+
 std::int64_t HttpKeyValueStore::grantLease(std::chrono::seconds ttl)
 {
+    ++m_counters.leases;
     return numberFrom(post("/v3/lease/grant", { { "TTL", std::to_string(ttl.count()) } }), "ID");
 }
 
 bool HttpKeyValueStore::keepAlive(std::int64_t lease)
 {
+    ++m_counters.leases;
     Json answer = post("/v3/lease/keepalive", { { "ID", std::to_string(lease) } });
     return answer.contains("result") && numberFrom(answer["result"], "TTL") > 0;
 }
--- a/lib/Program/ProgramTable.cpp
+++ b/lib/Program/ProgramTable.cpp
@@ -273,6 +273,17 @@
     return joinMessages(messages);
 }
 
+const ProgramOpened& ProgramTable::opening(const ProgramId& program) const
+{
+    return knownProgram(program).opened;
+}
+
+TokenCount ProgramTable::contextTokens(const ProgramId& program) const
+{
+    const Program& state = knownProgram(program);
+    return state.lastTurn ? state.lastTurn->used : 0;
+}
+
 ProgramSummary ProgramTable::summary(const ProgramId& program) const
 {
     const Program& state = knownProgram(program);
--- a/utils/lint.sh
+++ b/utils/lint.sh
@@ -2,7 +2,7 @@
 # Checks format and lint. "utils/lint.sh format" rewrites the sources instead.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files -co --exclude-standard -- '*.h' '*.cpp')
+mapfile -t sources < <(git ls-files -co --exclude-standard -- '*.h' '*.cpp' | while read -r it; do [ -e "$it" ] && echo "$it"; done)
 if [ "${1:-}" = format ]; then
     clang-format -i "${sources[@]}"
     exit 0
