Harden ProgramTable: history, budget, ledger, guards, recovery

Cause: the first version merged a foreign message list as an increment, recognized only the last keyed turn, crashed on malformed or deep JSON, let a parent close before its sub-agents, and had no way to recover open calls, to compact, or to forget.

Change: - History is one canonical string; a whole list must continue it, else HistoryConflictError. A caller may show turns and chain digest; an owner behind them says so by a retryable error. - Every keyed turn is recognized again by 32 bytes and answered from the history; a key with other messages is a conflict. - Limits, deadline clamp and digest of the opening request are in ProgramOpened. closeTree, closeOverdue, recoverAfterTakeOver, expired and compactRecords return records; ProgramEndedError tells its reason. - apply() refuses a record that does not follow, by RecordMismatchError, before it changes anything.

TurnRequest and the close call keep their shape; new fields and arguments have defaults. finishTurn takes its answer by reference and stores it in canonical form.

--- a/lib/Program/Errors.cpp
+++ b/lib/Program/Errors.cpp
@@ -5,6 +5,7 @@
 namespace basilpoint {
 
 static constexpr Milliseconds busyRetryDelay { 100 };
+static constexpr Milliseconds behindRetryDelay { 500 };
 
 static std::string toText(CloseReason reason)
 {
@@ -45,6 +46,17 @@
 {
 }
 
+HistoryConflictError::HistoryConflictError(const ProgramId& program, std::uint64_t turns, const Digest& chain)
+    : Error({ "history-conflict", 409, Executed::No }, { { "program", program.text() }, { "turns", std::to_string(turns) }, { "chain", chain.text() } })
+{
+}
+
+HistoryBehindError::HistoryBehindError(const ProgramId& program, std::uint64_t turns, std::uint64_t turnsSeen)
+    : Error({ "history-behind", 503, Executed::No }, { { "program", program.text() }, { "turns", std::to_string(turns) }, { "turnsSeen", std::to_string(turnsSeen) } })
+{
+    setRetryAfter(behindRetryDelay);
+}
+
 OutcomeUnknownError::OutcomeUnknownError(const ProgramId& program, const RequestKey& key)
     : Error({ "outcome-unknown", 502, Executed::Unknown }, { { "program", program.text() }, { "key", key.text() } })
 {
@@ -52,6 +64,12 @@
 
 ProgramEndedError::ProgramEndedError(const ProgramId& program, CloseReason reason)
     : Error({ "program-ended", 410, Executed::No }, { { "program", program.text() }, { "reason", toText(reason) } })
+    , m_reason(reason)
+{
+}
+
+RecordMismatchError::RecordMismatchError(const ProgramId& program, const char* rule)
+    : Error({ "record-mismatch", 500, Executed::Unknown }, { { "program", program.text() }, { "rule", rule } })
 {
 }
 
--- a/lib/Program/Records.cpp
+++ b/lib/Program/Records.cpp
@@ -1,32 +1,25 @@
 #include "basilpoint/Program/Records.h"
 
+#include "StateCodec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace basilpoint {
 
 using Json = nlohmann::json;
 
-static Json timeToJson(WallTimePoint time)
-{
-    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
-}
-
-static WallTimePoint timeFromJson(const Json& json)
-{
-    return WallTimePoint(Milliseconds(json.get<std::int64_t>()));
-}
-
 static Json encode(const ProgramOpened& record)
 {
-    Json json { { "t", "open" }, { "p", record.program.text() }, { "env", record.environment.text() }, { "op", record.owner.text() }, { "key", record.openKey.text() }, { "parent", record.parent.text() }, { "budget", record.budget }, { "at", timeToJson(record.openedAt) } };
-    if (record.deadline)
-        json["deadline"] = timeToJson(*record.deadline);
+    Json json = encodeOpened(record);
+    json["t"] = "open";
     return json;
 }
 
 static Json encode(const TurnStarted& record)
 {
-    return { { "t", "start" }, { "p", record.program.text() }, { "n", record.turn.value() }, { "key", record.key.text() }, { "digest", record.request.text() }, { "messages", record.messages }, { "reserved", record.reserved } };
+    Json json = encodeTurnStarted(record);
+    json["t"] = "start";
+    return json;
 }
 
 static Json encode(const TurnFinished& record)
@@ -46,29 +39,22 @@
 
 static Json encode(const OutcomeRecorded& record)
 {
-    return { { "t", "outcome" }, { "p", record.program.text() }, { "key", record.key.text() }, { "executed", static_cast<int>(record.executed) }, { "status", record.status }, { "body", Json::binary(std::vector<std::uint8_t>(record.body.begin(), record.body.end())) } };
+    return { { "t", "outcome" }, { "p", record.program.text() }, { "key", record.key.text() }, { "executed", static_cast<int>(record.executed) }, { "status", record.status }, { "body", bytesToJson(record.body) } };
 }
 
 static Json encode(const ProgramClosed& record)
 {
-    return { { "t", "close" }, { "p", record.program.text() }, { "reason", static_cast<int>(record.reason) } };
+    return { { "t", "close" }, { "p", record.program.text() }, { "reason", static_cast<int>(record.reason) }, { "at", timeToJson(record.closedAt) } };
 }
 
-template <typename Enum>
-static Enum enumFromJson(const Json& json, Enum last)
+static Json encode(const ProgramForgotten& record)
 {
-    auto n = json.get<int>();
-    if (n < 0 || n > static_cast<int>(last))
-        throw InvalidInputError("journal record", std::to_string(n), "a known enumerator");
-    return static_cast<Enum>(n);
+    return { { "t", "forget" }, { "p", record.program.text() }, { "scope", static_cast<int>(record.scope) } };
 }
 
-static ProgramOpened decodeOpened(const Json& json)
+static Json encode(const ProgramRestored& record)
 {
-    ProgramOpened record { ProgramId(json.at("p")), EnvironmentId(json.at("env")), OperatorId(json.at("op")), RequestKey(json.at("key")), ProgramId(json.at("parent")), json.at("budget"), timeFromJson(json.at("at")), {} };
-    if (json.contains("deadline"))
-        record.deadline = timeFromJson(json["deadline"]);
-    return record;
+    return { { "t", "state" }, { "p", record.program.text() }, { "state", encodeState(record.state) } };
 }
 
 static ProgramRecord decodeJson(const Json& json)
@@ -78,19 +64,21 @@
         return decodeOpened(json);
     ProgramId program(json.at("p").get<std::string>());
     if (type == "start")
-        return TurnStarted { program, TurnNumber(json.at("n")), RequestKey(json.at("key")), parseDigest(json.at("digest").get<std::string>()), json.at("messages"), json.at("reserved") };
+        return decodeTurnStarted(json);
     if (type == "finish")
         return TurnFinished { program, TurnNumber(json.at("n")), json.at("answer"), json.at("used") };
     if (type == "fail")
         return TurnFailed { program, TurnNumber(json.at("n")), json.at("charged") };
     if (type == "intent")
         return IntentRecorded { program, RequestKey(json.at("key")), json.at("tool"), parseDigest(json.at("digest").get<std::string>()) };
-    if (type == "outcome") {
-        const auto& body = json.at("body").get_binary();
-        return OutcomeRecorded { program, RequestKey(json.at("key")), enumFromJson(json.at("executed"), Executed::Unknown), json.at("status"), std::string(body.begin(), body.end()) };
-    }
+    if (type == "outcome")
+        return OutcomeRecorded { program, RequestKey(json.at("key")), enumFromJson(json.at("executed"), Executed::Unknown), json.at("status"), bytesFromJson(json.at("body")) };
     if (type == "close")
-        return ProgramClosed { program, enumFromJson(json.at("reason"), CloseReason::HistoryUnavailable) };
+        return ProgramClosed { program, enumFromJson(json.at("reason"), CloseReason::HistoryUnavailable), timeFromJson(json.at("at")) };
+    if (type == "forget")
+        return ProgramForgotten { program, enumFromJson(json.at("scope"), ForgetScope::Everything) };
+    if (type == "state")
+        return ProgramRestored { program, decodeState(json.at("state")) };
     throw InvalidInputError("journal record", type, "a known record type");
 }
 
