Add the model scheduler: queue, routing, retention, admission, quarantine

Cause: calls went to targets without order, limits or regard to caches. Change: ModelScheduler composes small decision classes: queue by deadline slack and attained service with an aging bound and fair shares, routing by load and uncached tokens over sampled replicas, cache holdings with owner and time limit, admission of new programs by measured waits, and quarantine of requests that kill replicas. SuspectAction is new beside QuarantineAction, so that other daemons run a suspect alone as well. Conclusion: the daemon can be wired to it.

--- a/include/basilpoint/Policy/ModelScheduler.h
+++ b/include/basilpoint/Policy/ModelScheduler.h
@@ -78,7 +78,12 @@
     Digest content;
 };
 
-using SchedulerAction = std::variant<DispatchAction, RefuseAction, ReleaseCacheAction, MoveCacheAction, QuarantineAction>;
+/// Tell all daemons that requests with this digest may run only alone.
+struct SuspectAction {
+    Digest content;
+};
+
+using SchedulerAction = std::variant<DispatchAction, RefuseAction, ReleaseCacheAction, MoveCacheAction, QuarantineAction, SuspectAction>;
 using SchedulerActions = std::vector<SchedulerAction>;
 
 /// How a dispatched call ended.
@@ -110,6 +115,12 @@
     std::size_t maxWaiting = 4'096;
     /// No call waits longer than this behind others that came later.
     Milliseconds agingBound { 10'000 };
+    /// A call this close to its deadline goes before calls that have time.
+    Milliseconds urgentSlack { 5'000 };
+    /// Mean wait of a call above which no further programs are begun.
+    Milliseconds targetWait { 1'000 };
+    /// A program's cache is released after this time without a call.
+    Milliseconds maxCacheIdle { 300'000 };
 };
 
 /// Decides which model call runs where and when: queue order, routing, cache retention,
@@ -142,6 +153,14 @@
     /// Everything held for the program is released.
     SchedulerActions programEnded(const ProgramId&, TimePoint now);
 
+    /// Calls that an environment or an operator may have under way at once; unlimited unless set.
+    void setEnvironmentLimit(const EnvironmentId&, unsigned maxRunning);
+    void setOperatorLimit(const OperatorId&, unsigned maxRunning);
+    /// Weight of the operator's share of the replicas while calls wait; 1 unless set.
+    void setOperatorWeight(const OperatorId&, double weight);
+
+    /// Another daemon saw a replica die with the digest in flight.
+    SchedulerActions suspected(const Digest&, TimePoint now);
     /// Another daemon quarantined the digest.
     SchedulerActions quarantined(const Digest&, TimePoint now);
 
@@ -149,6 +168,10 @@
     SchedulerActions tick(TimePoint now);
 
     std::size_t waiting() const;
+    /// Calls under way.
+    std::size_t running() const;
+    /// Caches that are believed held.
+    std::size_t heldCaches() const;
 
 private:
     struct Impl;
--- /dev/null
+++ b/lib/Policy/ConcurrencyShares.cpp
@@ -0,0 +1,39 @@
+#include "basilpoint/Policy/ConcurrencyShares.h"
+
+namespace basilpoint {
+
+template <typename Id>
+bool ConcurrencyShares::hasRoom(const std::unordered_map<Id, Usage>& usages, const Id& id)
+{
+    auto it = usages.find(id);
+    return it == usages.end() || it->second.running < it->second.limit;
+}
+
+template <typename Id>
+void ConcurrencyShares::release(std::unordered_map<Id, Usage>& usages, const Id& id)
+{
+    auto it = usages.find(id);
+    if (it == usages.end() || it->second.running == 0)
+        return;
+    if (--it->second.running == 0 && it->second.limit == unlimited)
+        usages.erase(it);
+}
+
+bool ConcurrencyShares::admits(const EnvironmentId& environment, const OperatorId& owner) const
+{
+    return hasRoom(m_environments, environment) && hasRoom(m_operators, owner);
+}
+
+void ConcurrencyShares::started(const EnvironmentId& environment, const OperatorId& owner)
+{
+    ++m_environments[environment].running;
+    ++m_operators[owner].running;
+}
+
+void ConcurrencyShares::ended(const EnvironmentId& environment, const OperatorId& owner)
+{
+    release(m_environments, environment);
+    release(m_operators, owner);
+}
+
+} // namespace basilpoint
