--- /dev/null
+++ b/unittests/Net/PeerLinkTest.cpp
@@ -0,0 +1,313 @@
+#include "basilpoint/Net/PeerLink.h"
+
+#include "TestKeys.h"
+#include "TestRuntime.h"
+
+#include "basilpoint/Net/Errors.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+using namespace std::chrono_literals;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto channel = PeerChannel::Journal;
+
+// One daemon's links; calls are answered by their body, prefixed, after the delay that the body names.
+struct Node {
+    explicit Node(const PeerLinkSettings& settings = {})
+        : links(
+            testRuntime().io(), local(settings), [this](PeerChannel, const std::string& body) { messages.push_back(body); }, [](PeerChannel, const std::string& body) { return answer(body); })
+    {
+    }
+
+    static PeerLinkSettings local(PeerLinkSettings settings)
+    {
+        settings.listen.host = settings.listen.host.empty() ? "127.0.0.1" : settings.listen.host;
+        return settings;
+    }
+
+    static std::string answer(const std::string& body)
+    {
+        if (body == "refuse")
+            throw InvalidInputError("body", body, "another");
+        if (body.starts_with("delay "))
+            pause(std::chrono::milliseconds(std::stoi(body.substr(6))));
+        if (body == "hold")
+            waitUntil([] { return isReleased; });
+        return "re:" + body;
+    }
+
+    std::string call(const Node& to, std::string body, Milliseconds timeout = 10s) { return links.call(to.links.endpoint(), channel, std::move(body), timeout); }
+
+    /// Ends the calls that hold.
+    static inline bool isReleased = false;
+    std::vector<std::string> messages;
+    PeerLinks links;
+};
+
+} // namespace
+
+// Runs \p body in a fiber of the event loop.
+static void inFiber(const std::function<void()>& body)
+{
+    testRuntime().run(body);
+}
+
+BOOST_AUTO_TEST_SUITE(PeerLinkTest)
+
+BOOST_AUTO_TEST_CASE(crossingCallsGetTheirOwnAnswers)
+{
+    inFiber([] {
+        Node a, b;
+        unsigned correct = 0;
+        constexpr unsigned count = 200;
+        for (unsigned n = 0; n < count; ++n) {
+            spawnFiber([&, n] {
+                // Later calls are answered first.
+                std::string body = "delay " + std::to_string((count - n) / 4);
+                Node& from = n % 2 ? a : b;
+                correct += from.call(n % 2 ? b : a, body) == "re:" + body;
+            });
+        }
+        BOOST_TEST(waitUntil([&] { return correct == count; }));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(oneWayMessagesArriveInOrder)
+{
+    inFiber([] {
+        Node a, b;
+        for (int n = 0; n < 100; ++n)
+            a.links.send(b.links.endpoint(), channel, std::to_string(n));
+        BOOST_TEST(waitUntil([&] { return b.messages.size() == 100; }));
+        for (int n = 0; n < 100; ++n)
+            BOOST_TEST(b.messages[n] == std::to_string(n));
+        BOOST_TEST(a.links.counters().linksOpened == 1U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(failureOfTheHandlerReachesTheCaller)
+{
+    inFiber([] {
+        Node a, b;
+        BOOST_CHECK_EXCEPTION(a.call(b, "refuse"), PeerUnreachableError, [](const auto& error) { return std::string(error.what()).find("invalid-input") != std::string::npos; });
+        BOOST_TEST(a.call(b, "after") == "re:after");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(messageAboveTheLimitIsRefusedAndTheLinkLives)
+{
+    inFiber([] {
+        PeerLinkSettings settings;
+        settings.maxMessageBytes = 100'000;
+        Node a(settings), b(settings);
+        BOOST_TEST(a.call(b, std::string(99'000, 'x')).size() == 99'003U);
+        BOOST_CHECK_THROW(a.call(b, std::string(100'001, 'x')), TooLargeError);
+        BOOST_CHECK_THROW(a.call(b, std::string(99'999, 'x')), PeerUnreachableError);
+        a.links.send(b.links.endpoint(), channel, std::string(100'001, 'x'));
+        BOOST_TEST(a.links.counters().dropped == 1U);
+        // A peer with larger limits loses its link only.
+        settings.maxMessageBytes = 1'000'000;
+        Node large(settings);
+        BOOST_CHECK_THROW(large.call(b, std::string(200'000, 'x')), PeerUnreachableError);
+        BOOST_TEST(a.call(b, "after") == "re:after");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(fullQueueDropsMessages)
+{
+    inFiber([] {
+        PeerLinkSettings settings;
+        settings.maxQueuedBytes = 10'000;
+        Node a(settings), b;
+        for (int n = 0; n < 20; ++n)
+            a.links.send(b.links.endpoint(), channel, std::string(1'000, 'x'));
+        BOOST_TEST(a.links.counters().dropped == 11U);
+        BOOST_CHECK_THROW(a.call(b, std::string(2'000, 'x')), PeerUnreachableError);
+        BOOST_TEST(waitUntil([&] { return b.messages.size() == 9; }));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(brokenLinkAndStopWakeTheCall)
+{
+    inFiber([] {
+        Node a;
+        auto b = std::make_unique<Node>();
+        Endpoint address = b->links.endpoint();
+        unsigned failed = 0;
+        for (int n = 0; n < 10; ++n) {
+            spawnFiber([&] {
+                try {
+                    a.call(*b, "hold", 1h);
+                } catch (const PeerUnreachableError& error) {
+                    failed += error.executed() == Executed::Unknown;
+                }
+            });
+        }
+        BOOST_TEST(waitUntil([&] { return b->links.counters().messagesReceived == 10; }));
+        b->links.stop();
+        BOOST_TEST(waitUntil([&] { return failed == 10; }));
+        BOOST_CHECK_THROW(a.links.call(address, channel, "gone", 1h), PeerUnreachableError);
+
+        Node c;
+        bool woken = false;
+        spawnFiber([&] {
+            try {
+                a.call(c, "hold", 1h);
+            } catch (const PeerUnreachableError&) {
+                woken = true;
+            }
+        });
+        BOOST_TEST(waitUntil([&] { return c.links.counters().messagesReceived == 1; }));
+        a.links.stop();
+        BOOST_TEST(waitUntil([&] { return woken; }));
+        BOOST_CHECK_THROW(a.call(c, "late"), PeerUnreachableError);
+        Node::isReleased = true;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(timeoutEndsTheCallAndTheLateAnswerIsIgnored)
+{
+    inFiber([] {
+        Node a, b;
+        BOOST_CHECK_THROW(a.call(b, "delay 100", 20ms), PeerUnreachableError);
+        BOOST_TEST(a.call(b, "delay 150") == "re:delay 150");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(linkOpensAgainAfterThePeerReturns)
+{
+    inFiber([] {
+        Node a;
+        PeerLinkSettings settings;
+        auto b = std::make_unique<Node>();
+        settings.listen = b->links.endpoint();
+        BOOST_TEST(a.call(*b, "1") == "re:1");
+        b.reset();
+        // Until the listener is back every call fails as not sent.
+        BOOST_TEST(waitUntil([&] {
+            try {
+                a.links.call(settings.listen, channel, "2", 1h);
+            } catch (const PeerUnreachableError& error) {
+                return error.executed() == Executed::No;
+            }
+            return false;
+        }));
+        b = std::make_unique<Node>(settings);
+        BOOST_TEST(waitUntil([&] {
+            try {
+                return a.call(*b, "3") == "re:3";
+            } catch (const PeerUnreachableError&) {
+                return false;
+            }
+        }));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(idleLinkIsClosedAndOpensOnDemand)
+{
+    inFiber([] {
+        PeerLinkSettings settings;
+        settings.idleTimeout = 50ms;
+        Node a(settings), b;
+        BOOST_TEST(a.call(b, "1") == "re:1");
+        BOOST_TEST(waitUntil([&] { return a.links.counters().linksBroken == 1; }));
+        BOOST_TEST(a.call(b, "2") == "re:2");
+        BOOST_TEST(a.links.counters().linksOpened == 2U);
+    });
+}
+
+// Sends \p bytes on a plain socket and reads until the other side closes.
+static std::string exchangeRaw(const Endpoint& to, const std::string& bytes)
+{
+    Tcp::socket socket(testRuntime().io());
+    Tcp::endpoint address(boost::asio::ip::make_address(to.host), to.port);
+    awaitIo([&](auto handler) { socket.async_connect(address, std::move(handler)); });
+    awaitIo([&](auto handler) { boost::asio::async_write(socket, boost::asio::buffer(bytes), std::move(handler)); });
+    std::string answer;
+    std::array<char, 4'096> buf;
+    for (;;) {
+        IoResult result = awaitIo([&](auto handler) { socket.async_read_some(boost::asio::buffer(buf), std::move(handler)); });
+        answer.append(buf.data(), result.size);
+        if (result.ec)
+            return answer;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(garbageFromRawSocketsHarmsNobodyElse)
+{
+    inFiber([] {
+        Node a, b;
+        const std::string upgrade = "GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n";
+        // A masked binary frame of 5 bytes that is no CBOR list, then a close frame.
+        std::string frame { "\x82\x85\0\0\0\0hello\x88\x80\0\0\0\0", 17 };
+        BOOST_TEST(exchangeRaw(b.links.endpoint(), upgrade + "\r\n" + frame).starts_with("HTTP/1.1 101"));
+        BOOST_TEST(b.links.counters().rejected == 1U);
+        BOOST_TEST(!exchangeRaw(b.links.endpoint(), upgrade + "Origin: http://page\r\n\r\n").starts_with("HTTP/1.1 101"));
+        BOOST_TEST(!exchangeRaw(b.links.endpoint(), "GET /other HTTP/1.1\r\nHost: x\r\n\r\n").starts_with("HTTP/1.1 101"));
+        exchangeRaw(b.links.endpoint(), std::string(100'000, '\xff'));
+        BOOST_TEST(a.call(b, "after") == "re:after");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(linksUseMutualTls)
+{
+    inFiber([] {
+        TemporaryFolder folder;
+        PeerLinkSettings settings;
+        settings.keys = makeTestKeys(folder.path(), "cluster");
+        Node a(settings), b(settings);
+        BOOST_TEST(a.call(b, std::string(500'000, 'x')).size() == 500'003U);
+
+        Node plain;
+        BOOST_CHECK_THROW(plain.call(a, "in the clear"), PeerUnreachableError);
+        settings.keys = makeTestKeys(folder.path(), "stranger");
+        Node stranger(settings);
+        BOOST_CHECK_THROW(stranger.call(a, "unknown authority"), PeerUnreachableError);
+        BOOST_CHECK_THROW(a.call(stranger, "unknown authority"), PeerUnreachableError);
+        BOOST_TEST(a.call(b, "after") == "re:after");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(newLinksUseReplacedKeys)
+{
+    inFiber([] {
+        TemporaryFolder folder;
+        PeerLinkSettings settings;
+        settings.keys = makeTestKeys(folder.path(), "cluster");
+        Node a(settings);
+        makeTestKeys(folder.path(), "cluster");
+        Node b(settings);
+        // The connection that the listener waits with may still hold the keys before.
+        BOOST_TEST(waitUntil([&] {
+            try {
+                return b.call(a, "1") == "re:1" && a.call(b, "2") == "re:2";
+            } catch (const PeerUnreachableError&) {
+                return false;
+            }
+        }));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(clearTextIsRefusedOffLoopback)
+{
+    inFiber([] {
+        PeerLinkSettings settings;
+        settings.listen = { "0.0.0.0", 0 };
+        BOOST_CHECK_THROW(Node { settings }, InvalidInputError);
+        Node a;
+        BOOST_CHECK_THROW(a.links.call({ "192.0.2.1", 9 }, channel, "x", 1h), PeerUnreachableError);
+        settings.listen = a.links.endpoint();
+        BOOST_CHECK_THROW(Node { settings }, ListenError);
+        settings.listen = { "127.0.0.1", 0 };
+        settings.keys = { "/nonexistent", "/nonexistent", "/nonexistent" };
+        BOOST_CHECK_THROW(Node { settings }, InvalidInputError);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
