Add Shard: ownership, replicated appends and holder changes

Cause: programs must outlive their daemon, and two daemons must never both act for one program.

Change: ShardOwner takes a shard over by compare-and-swap with read-back of the write id, seals, reads the best log, synchronizes the holders and acknowledges appends only once all counting holders have them. Change of holders, compaction, release, degraded state, loss of all holders and the take-over without the service (off by default) are in as well. JournalHolder is the holder's side. Interface changes, each for a reason found on the way: SyncRequest names how many entries stay and stages its chunks, so that a copy that breaks off leaves the old log whole; AppendRequest carries the position instead of the tag, as a late append from before a compaction could fit by its index alone; acknowledgements say whether they are durable; an unreachable holder is reported.

Tests: directed cases of the design, a fuzzer over three owners, five holders and the service, and a history check that finds eight planted faults.

--- a/include/basilpoint/Shard/JournalHolder.h
+++ b/include/basilpoint/Shard/JournalHolder.h
@@ -2,7 +2,6 @@
 
 #include "basilpoint/Shard/Types.h"
 
-#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -31,14 +30,16 @@
 /// Decision of one holder: a request is answered only after the returned operation is on storage.
 struct HolderDecision {
     HolderReply reply;
-    /// Empty if nothing changed.
+    /// Empty if the reply promises nothing. A repeated request gets an operation without change, as the
+    /// first one may not be on storage yet; operations reach storage in order.
     std::optional<StorageOp> op;
 };
 
 /// Holder's side of all its shards' journals.
 class JournalHolder {
 public:
-    explicit JournalHolder(HolderId);
+    /// \param replyBytes entries in the answer to one read take about this much.
+    explicit JournalHolder(HolderId, std::size_t replyBytes = 256 * 1024);
 
     const HolderId& id() const { return m_id; }
 
@@ -54,15 +55,35 @@
     std::size_t shardCount() const { return m_shards.size(); }
 
 private:
+    /// Chunks of a synchronization that is not complete; in memory alone.
+    struct StagedLog {
+        LogPosition position;
+        std::uint64_t keep = 0;
+        std::vector<std::string> entries;
+    };
+
     struct ShardLog {
         OwnerTag seal;
         bool member = false;
         LogPosition position;
         std::set<HolderSet> pairs;
         std::vector<std::string> entries;
+        std::optional<StagedLog> staged;
     };
 
+    HolderDecision decide(ShardId, ShardLog&, const SealRequest&);
+    HolderDecision decide(ShardId, ShardLog&, const ReadRequest&) const;
+    HolderDecision decide(ShardId, ShardLog&, const SyncRequest&);
+    HolderDecision decide(ShardId, ShardLog&, const AppendRequest&);
+    HolderDecision decide(ShardId, ShardLog&, const MarkRequest&);
+
+    static bool stage(ShardLog&, const SyncRequest&);
+    static HolderDecision completeSync(ShardId, ShardLog&, const SyncRequest&);
+    static HolderReply reply(const ShardLog&, bool accepted);
+    static StorageOp operation(ShardId, const ShardLog&);
+
     HolderId m_id;
+    std::size_t m_replyBytes;
     std::unordered_map<ShardId, ShardLog> m_shards;
 };
 
--- a/include/basilpoint/Shard/Types.h
+++ b/include/basilpoint/Shard/Types.h
@@ -68,10 +68,14 @@
     bool operator==(const ReadRequest&) const = default;
 };
 
-/// Replaces the log from \p from on; the log counts as synchronized once \p last was taken.
+/// Keeps the first \p keep entries of the log and replaces the rest, in one or more chunks.
+///
+/// Chunks are kept apart until \p last was taken: a copy that breaks off leaves the log as it was.
 struct SyncRequest {
     OwnerTag tag;
     LogPosition position;
+    std::uint64_t keep = 0;
+    /// Index of the first entry of this chunk; equal to \p keep in the first one.
     std::uint64_t from = 0;
     std::vector<std::string> entries;
     /// Pairs that a candidate without the key-value service must reach as well.
@@ -81,12 +85,11 @@
     bool operator==(const SyncRequest&) const = default;
 };
 
-/// Adds entries at \p index, which must be the end of the log.
+/// Adds entries from \p index on to a log that is at \p position; what the log has already is skipped.
 struct AppendRequest {
-    OwnerTag tag;
+    LogPosition position;
     std::uint64_t index = 0;
     std::vector<std::string> entries;
-    std::set<HolderSet> pairs;
 
     bool operator==(const AppendRequest&) const = default;
 };
--- /dev/null
+++ b/unittests/Shard/ShardCluster.cpp
@@ -0,0 +1,324 @@
+#include "ShardCluster.h"
+
+#include <algorithm>
+
+namespace basilpoint::test {
+
+static constexpr std::size_t placeCount = 5;
+static constexpr std::size_t processCount = 3;
+static constexpr ShardId shard { 7 };
+
+ClusterCounts& ClusterCounts::operator+=(const ClusterCounts& other)
+{
+    takeOvers += other.takeOvers;
+    withoutService += other.withoutService;
+    changes += other.changes;
+    losses += other.losses;
+    degraded += other.degraded;
+    compactions += other.compactions;
+    lasting += other.lasting;
+    effects += other.effects;
+    writes += other.writes;
+    reads += other.reads;
+    return *this;
+}
+
+ShardCluster::ShardCluster(const ClusterSettings& settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_places(placeCount)
+    , m_processes(processCount)
+{
+    for (std::size_t n = 0; n < placeCount; ++n)
+        m_places[n].holder = std::make_unique<JournalHolder>(HolderId(std::string(1, static_cast<char>('A' + n)) + "0"), 64);
+    for (std::size_t n = 0; n < processCount; ++n)
+        restart(n);
+}
+
+bool ShardCluster::chance(double probability)
+{
+    return m_settings.isFaulty && std::uniform_real_distribution(0.0, 1.0)(m_random) < probability;
+}
+
+std::size_t ShardCluster::draw(std::size_t n)
+{
+    return std::uniform_int_distribution<std::size_t>(0, n - 1)(m_random);
+}
+
+Milliseconds ShardCluster::messageDelay()
+{
+    return Milliseconds(1 + (m_settings.isFaulty ? draw(chance(.05) ? 150 : 6) : 0));
+}
+
+void ShardCluster::after(Milliseconds delay, std::function<void()> run)
+{
+    m_timers.push({ m_now + delay, ++m_lastOrder, std::move(run) });
+}
+
+void ShardCluster::run(Milliseconds span)
+{
+    TimePoint end = m_now + span;
+    while (!m_timers.empty() && m_timers.top().time <= end) {
+        Timer timer = m_timers.top();
+        m_timers.pop();
+        m_now = timer.time;
+        timer.run();
+    }
+    m_now = end;
+}
+
+void ShardCluster::restart(std::size_t n)
+{
+    Process fresh;
+    fresh.id = InstanceId(std::string(1, static_cast<char>('m' + n)) + std::to_string(++m_lastProcess));
+    ShardOwnerSettings settings { Milliseconds(30), Milliseconds(15), Milliseconds(300), Milliseconds(100), 48, m_settings.allowWithoutService };
+    fresh.owner = std::make_unique<ShardOwner>(shard, fresh.id, settings);
+    m_processes[n] = std::move(fresh);
+}
+
+void ShardCluster::crash(std::size_t n)
+{
+    m_processes[n].isUp = false;
+}
+
+void ShardCluster::pause(std::size_t n, Milliseconds span)
+{
+    m_processes[n].pausedUntil = m_now + span;
+}
+
+void ShardCluster::restartHolder(std::size_t n)
+{
+    Place& place = m_places[n];
+    auto rebuilt = std::make_unique<JournalHolder>(place.holder->id(), 64);
+    for (const StorageOp& op : place.stored)
+        rebuilt->replay(decodeStorageOp(encodeStorageOp(op)));
+    place.holder = std::move(rebuilt);
+}
+
+void ShardCluster::emptyHolder(std::size_t n)
+{
+    Place& place = m_places[n];
+    HolderId old = place.holder->id();
+    HolderId fresh(std::string(1, old.text().front()) + std::to_string(++place.generation));
+    bool keepsId = m_settings.mutation == Mutation::EmptiedHolderCounted;
+    if (!keepsId)
+        m_gone.insert(old);
+    place.holder = std::make_unique<JournalHolder>(keepsId ? old : fresh, 64);
+    place.stored.clear();
+}
+
+void ShardCluster::deliver(std::size_t n, std::function<ShardActions(ShardOwner&)> event)
+{
+    Process& process = m_processes[n];
+    if (!process.isUp)
+        return;
+    if (process.pausedUntil > m_now) {
+        auto wait = std::chrono::ceil<Milliseconds>(process.pausedUntil - m_now);
+        after(wait, [this, n, id = process.id, event = std::move(event)] {
+            if (m_processes[n].id == id)
+                deliver(n, event);
+        });
+        return;
+    }
+    perform(n, event(*process.owner));
+}
+
+void ShardCluster::perform(std::size_t n, const ShardActions& actions)
+{
+    for (const ShardAction& action : actions)
+        std::visit([&](const auto& it) { perform(n, it); }, action);
+}
+
+void ShardCluster::perform(std::size_t n, const ReadRecordAction&)
+{
+    ++m_counts.reads;
+    after(messageDelay(), [this, n, id = m_processes[n].id] {
+        bool isAnswered = m_isServiceUp && !chance(.08);
+        auto answer = [this, isAnswered, record = m_record, revision = m_revision](ShardOwner& owner) {
+            return isAnswered ? owner.recordRead(record, revision, m_random, m_now) : owner.serviceFailed(m_random, m_now);
+        };
+        after(messageDelay(), [this, n, id, answer] {
+            if (m_processes[n].id == id)
+                deliver(n, answer);
+        });
+    });
+}
+
+bool ShardCluster::compareAndSwap(const WriteRecordAction& action)
+{
+    if (!m_isServiceUp || action.expectedRevision != m_revision)
+        return false;
+    m_counts.changes += m_record && m_record->holders != action.record.holders;
+    m_counts.losses += m_record && m_record->lostThrough != action.record.lostThrough;
+    m_record = decodeShardRecord(encodeShardRecord(action.record));
+    ++m_revision;
+    ++m_counts.writes;
+    return true;
+}
+
+void ShardCluster::perform(std::size_t n, const WriteRecordAction& action)
+{
+    bool isLate = chance(.05);
+    if (isLate)
+        after(Milliseconds(draw(200)), [this, action] { compareAndSwap(action); });
+    after(messageDelay(), [this, n, id = m_processes[n].id, action, isLate] {
+        bool succeeded = !isLate && compareAndSwap(action);
+        bool isAnswered = m_isServiceUp && !isLate && !std::exchange(m_loseNextAnswer, false) && !chance(.15);
+        auto answer = [this, succeeded, isAnswered, revision = m_revision](ShardOwner& owner) {
+            return isAnswered ? owner.recordWritten(succeeded, revision, m_random, m_now) : owner.serviceFailed(m_random, m_now);
+        };
+        after(messageDelay(), [this, n, id, answer] {
+            if (m_processes[n].id == id)
+                deliver(n, answer);
+        });
+    });
+}
+
+void ShardCluster::perform(std::size_t n, const SendToHolderAction& action)
+{
+    for (bool again = true; again; again = chance(.08)) {
+        if (!chance(.05))
+            after(messageDelay(), [this, n, action, id = m_processes[n].id] {
+                // The process that sent it may be another one by now; the request is on its way all the same.
+                if (m_processes[n].id == id)
+                    return arrive(n, action);
+                arrive(processCount, action);
+            });
+    }
+}
+
+void ShardCluster::arrive(std::size_t n, const SendToHolderAction& action)
+{
+    auto place = std::find_if(m_places.begin(), m_places.end(), [&](const Place& it) { return it.holder->id() == action.holder; });
+    bool isReached = place != m_places.end() && place->isUp;
+    if (!isReached && n < processCount && draw(2) == 0)
+        deliver(n, [this, action](ShardOwner& owner) { return owner.holderFailed(action.requestId, m_random, m_now); });
+    if (!isReached)
+        return;
+    auto request = decodeHolderRequest(encodeHolderRequest(shard, action.request)).second;
+    auto reply = ask(*place, request);
+    if (!reply || n >= processCount || chance(.05))
+        return;
+    after(messageDelay(), [this, n, action, reply = decodeHolderReply(encodeHolderReply(*reply)), id = m_processes[n].id] {
+        if (m_processes[n].id == id)
+            deliver(n, [this, action, reply](ShardOwner& owner) { return owner.holderAnswered(action.requestId, reply, m_random, m_now); });
+    });
+}
+
+std::optional<HolderReply> ShardCluster::ask(Place& place, HolderRequest request)
+{
+    if (auto reply = fabricate(place, request))
+        return *reply;
+    mutateRequest(place, request);
+    HolderDecision decision = place.holder->handle(shard, request);
+    // A crash between the decision and the storage loses both the operation and the reply.
+    if (decision.op && chance(.005)) {
+        restartHolder(static_cast<std::size_t>(&place - m_places.data()));
+        return {};
+    }
+    if (decision.op)
+        place.stored.push_back(*decision.op);
+    return mutateReply(request, decision.reply);
+}
+
+void ShardCluster::perform(std::size_t n, const BecameOwnerAction& action)
+{
+    Process& process = m_processes[n];
+    process.log = decodeLog(action.entries);
+    process.lostThrough = action.lostThrough;
+    process.sequence = 0;
+    process.waiting.clear();
+    m_history.emplace_back(Acting { { action.epoch, process.id }, action.lostThrough, process.log });
+    ++m_counts.takeOvers;
+    m_counts.withoutService += !process.owner->isRegistered();
+    m_counts.degraded += process.owner->state() == ShardOwner::State::Degraded;
+}
+
+void ShardCluster::perform(std::size_t n, const AcknowledgedAction& action)
+{
+    Process& process = m_processes[n];
+    auto it = process.waiting.find(action.ticket);
+    if (it == process.waiting.end())
+        return;
+    LedgerEntry entry = it->second;
+    process.waiting.erase(it);
+    if (!action.durable)
+        return;
+    m_history.emplace_back(Lasting { entry });
+    ++m_counts.lasting;
+    // The owner may be paused here for any length of time.
+    if (m_settings.mutation != Mutation::DispatchBeforeAcknowledgement)
+        after(messageDelay(), [this, n, entry, id = process.id] {
+            if (m_processes[n].id == id)
+                dispatch(n, entry);
+        });
+}
+
+void ShardCluster::dispatch(std::size_t n, const LedgerEntry& entry)
+{
+    if (!m_processes[n].isUp)
+        return;
+    m_history.emplace_back(Dispatched { entry.key });
+    ++m_counts.effects;
+}
+
+void ShardCluster::perform(std::size_t n, const LostShardAction&)
+{
+    m_processes[n].waiting.clear();
+}
+
+void ShardCluster::perform(std::size_t, const HolderUnreachableAction&)
+{
+}
+
+void ShardCluster::perform(std::size_t n, const WakeAtAction& action)
+{
+    after(std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(action.time - m_now)), [this, n, id = m_processes[n].id] {
+        if (m_processes[n].id == id)
+            deliver(n, [this](ShardOwner& owner) { return owner.tick(m_random, m_now); });
+    });
+}
+
+void ShardCluster::takeOver(std::size_t n, const HolderSet& candidates)
+{
+    deliver(n, [this, candidates](ShardOwner& owner) {
+        owner.declareLost(m_gone);
+        return owner.takeOver(candidates, m_random, m_now);
+    });
+}
+
+void ShardCluster::request(std::size_t n, const std::string& key)
+{
+    deliver(n, [this, n, key](ShardOwner& owner) -> ShardActions {
+        Process& process = m_processes[n];
+        bool isKnown = std::any_of(process.log.begin(), process.log.end(), [&](const LedgerEntry& it) { return it.key == key; });
+        bool isLost = std::stoull(key) <= process.lostThrough.value();
+        bool acts = owner.state() == ShardOwner::State::Owning || owner.state() == ShardOwner::State::Degraded;
+        if (!acts || isKnown || isLost)
+            return {};
+        LedgerEntry entry { { owner.epoch(), process.id }, ++process.sequence, key };
+        process.log.push_back(entry);
+        process.waiting[++m_lastTicket] = entry;
+        if (m_settings.mutation == Mutation::DispatchBeforeAcknowledgement)
+            dispatch(n, entry);
+        return owner.append(m_lastTicket, { encodeEntry(entry) }, m_now);
+    });
+}
+
+void ShardCluster::replace(std::size_t n, const HolderId& lost, const HolderId& added)
+{
+    deliver(n, [this, lost, added](ShardOwner& owner) { return owner.replaceHolder(lost, added, m_random, m_now); });
+}
+
+void ShardCluster::compact(std::size_t n)
+{
+    ++m_counts.compactions;
+    deliver(n, [this, n](ShardOwner& owner) { return owner.compact({ encodeSnapshot(m_processes[n].log) }, m_now); });
+}
+
+void ShardCluster::release(std::size_t n)
+{
+    deliver(n, [this](ShardOwner& owner) { return owner.release(m_now); });
+}
+
+} // namespace basilpoint::test
--- /dev/null
+++ b/unittests/Shard/ShardFuzzTest.cpp
@@ -0,0 +1,62 @@
+#include "ShardCluster.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+using namespace basilpoint::test;
+
+namespace {
+
+constexpr std::uint64_t seeds = 1'500;
+constexpr std::uint64_t seedsForMutation = 1'500;
+constexpr Milliseconds runSpan { 2'000 };
+
+std::optional<std::string> violationOf(std::uint64_t seed, bool allowWithoutService, Mutation mutation)
+{
+    ShardCluster cluster({ seed, allowWithoutService, mutation });
+    cluster.runFuzz(runSpan);
+    return findViolation(cluster.history());
+}
+
+constexpr Mutation mutations[] = {
+    Mutation::SealingSkipped,
+    Mutation::DispatchBeforeAcknowledgement,
+    Mutation::OneHolderEnough,
+    Mutation::EpochNotCompared,
+    Mutation::NoMark,
+    Mutation::NoClosure,
+    Mutation::EmptiedHolderCounted,
+    Mutation::LengthAlone,
+};
+
+} // namespace
+
+namespace basilpoint::test {
+
+static std::ostream& operator<<(std::ostream& out, Mutation mutation)
+{
+    return out << static_cast<int>(mutation);
+}
+
+} // namespace basilpoint::test
+
+BOOST_AUTO_TEST_SUITE(ShardFuzzTest)
+
+BOOST_DATA_TEST_CASE(randomRunsKeepTheInvariants, boost::unit_test::data::make({ false, true }), allowWithoutService)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto violation = violationOf(seed, allowWithoutService, Mutation::None);
+        BOOST_TEST(!violation, "seed " << seed << ": " << violation.value_or(""));
+    }
+}
+
+BOOST_DATA_TEST_CASE(historyCheckFindsPlantedFaults, boost::unit_test::data::make(mutations), mutation)
+{
+    std::optional<std::string> violation;
+    for (std::uint64_t seed = 1; seed <= seedsForMutation && !violation; ++seed)
+        violation = violationOf(seed, true, mutation);
+    BOOST_TEST(violation.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
