--- a/lib/Program/ProgramTable.cpp
+++ b/lib/Program/ProgramTable.cpp
@@ -177,8 +177,7 @@
 
 TokenCount ProgramTable::contextTokens(const ProgramId& program) const
 {
-    const Program& state = knownProgram(program);
-    return state.lastTurn ? state.lastTurn->used : 0;
+    return knownProgram(program).contextTokens;
 }
 
 ProgramSummary ProgramTable::summary(const ProgramId& program) const
