--- a/unittests/Journal/GroupCommitterTest.cpp
+++ b/unittests/Journal/GroupCommitterTest.cpp
@@ -87,7 +87,7 @@
     open();
     failSync = true;
     committer->write("a", count());
-    while (failed == 0)
+    while (failed + done == 0)
         std::this_thread::yield();
     failSync = false;
     committer->write("b", count());
--- a/unittests/Journal/SegmentLogTest.cpp
+++ b/unittests/Journal/SegmentLogTest.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <fstream>
+#include <map>
+#include <sys/stat.h>
 
 using namespace basilpoint;
 
@@ -13,7 +15,7 @@
 
 using Operations = std::vector<std::string>;
 
-/// A disk that fails when told to. Counts the calls that change it.
+/// A disk that fails when told to, and forgets what was not synced. Counts the calls that change it.
 struct FaultyDisk {
     FileHooks hooks()
     {
@@ -25,10 +27,30 @@
             ++failingCall;
             return system.write(fd, data, size / 2);
         };
-        auto sync = [this, system](int fd) { return calls++ == failingCall ? -1 : system.sync(fd); };
+        auto sync = [this](int fd) {
+            if (calls++ == failingCall)
+                return -1;
+            struct stat status { };
+            ::fstat(fd, &status);
+            syncedSizes[status.st_ino] = status.st_size;
+            return 0;
+        };
         return { write, sync, [this](const std::filesystem::path&) { return freeBytes; } };
     }
 
+    /// Takes half of what was written since a file's last sync.
+    void losePower(const std::filesystem::path& folder) const
+    {
+        for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+            struct stat status { };
+            ::stat(entry.path().c_str(), &status);
+            auto synced = syncedSizes.find(status.st_ino);
+            off_t kept = synced == syncedSizes.end() ? 0 : synced->second;
+            std::filesystem::resize_file(entry.path(), static_cast<std::uintmax_t>(kept + (status.st_size - kept) / 2));
+        }
+    }
+
+    std::map<ino_t, off_t> syncedSizes;
     std::uint64_t freeBytes = 1 << 30;
     int calls = 0;
     int failingCall = -1;
@@ -68,6 +90,14 @@
         log.append({ "dddd" });
     }
 
+    void writeSegments() const
+    {
+        SegmentLog log(settings());
+        read(log);
+        for (int n = 0; n < 30; ++n)
+            appendMarked(log, { std::string(40, 'x') });
+    }
+
     std::filesystem::path segment(unsigned number) const
     {
         std::string digits = std::to_string(number);
@@ -127,7 +157,14 @@
         Operations kept = load();
         BOOST_TEST(isPrefix(kept, all));
         BOOST_TEST(kept.size() != 1U, "groups are kept or cut as a whole");
+        {
+            SegmentLog log(settings());
+            BOOST_TEST(read(log) == kept);
+            log.append({ "after" });
+        }
+        kept.emplace_back("after");
         BOOST_TEST(load() == kept);
+        kept.pop_back();
         // A hole as well as a missing end: the system writes pages in any order.
         setContent(segment(1), whole.substr(0, size) + std::string(whole.size() - size, '\0'));
         BOOST_TEST(load() == kept);
@@ -155,20 +192,24 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(groupCountsOnlyWhereItWasWritten)
+{
+    writeGroups();
+    const std::string whole = contentOf(segment(1));
+    const std::size_t groupSize = encodeFrame(1, 0, { "dddd" }).size();
+    setContent(segment(1), whole + whole.substr(whole.size() - groupSize));
+    BOOST_TEST(load() == Operations({ "a", "bb", "ccc", "dddd" }));
+}
+
 BOOST_AUTO_TEST_CASE(missingOrForeignSegmentIsFound)
 {
-    {
-        SegmentLog log(settings());
-        read(log);
-        for (int n = 0; n < 30; ++n)
-            appendMarked(log, { std::string(40, 'x') });
-    }
-    std::string second = contentOf(segment(2));
+    writeSegments();
+    const std::string second = contentOf(segment(2));
     std::filesystem::remove(segment(2));
     BOOST_CHECK_THROW(load(), JournalCorruptError);
     Folder other;
-    other.writeGroups();
-    setContent(segment(2), contentOf(other.segment(1)));
+    other.writeSegments();
+    setContent(segment(2), contentOf(other.segment(2)));
     BOOST_CHECK_THROW(load(), JournalCorruptError);
     setContent(segment(2), second);
     BOOST_TEST(load().size() == 30U);
@@ -236,20 +277,22 @@
         SegmentLog log(scratch.settings(sound.hooks()));
         work(log, acknowledged);
     }
-    for (int call = 0; call < sound.calls; ++call) {
+    for (int call = 0; call < 2 * sound.calls; ++call) {
         Folder scratch;
         FaultyDisk disk;
-        disk.failingCall = call;
+        disk.failingCall = call / 2;
         Operations acknowledged;
         auto run = [&] {
             SegmentLog log(scratch.settings(disk.hooks()));
             work(log, acknowledged);
         };
         BOOST_CHECK_THROW(run(), JournalWriteError);
+        if (call % 2 == 1)
+            disk.losePower(scratch.folder.path());
         Operations kept = scratch.load();
         // The failed step itself may have reached the disk or not.
         bool compacted = kept == Operations { "snapshot" };
-        BOOST_TEST((isPrefix(acknowledged, kept) || (compacted && acknowledged.size() == 9)), "failing call " << call);
+        BOOST_TEST((isPrefix(acknowledged, kept) || (compacted && acknowledged.size() == 9)), "failing call " << call / 2);
     }
 }
 
