--- /dev/null
+++ b/benchmarks/Policy/ProgramDriver.cpp
@@ -0,0 +1,231 @@
+#include "ProgramDriver.h"
+
+#include <algorithm>
+
+namespace basilpoint::bench {
+
+// How soon a call lost with its replica is sent again, and how often a crash request comes again.
+static constexpr double resendSeconds = 0.2;
+static constexpr double crashResendSeconds = 2;
+static constexpr unsigned maxCrashResends = 10;
+
+ProgramDriver::ProgramDriver(EventQueue& events, Policy& policy, RandomEngine::result_type seed)
+    : m_events(events)
+    , m_policy(policy)
+    , m_random(seed)
+{
+}
+
+ProgramDriver::Run& ProgramDriver::create(const ProgramShape& shape, Run* parent)
+{
+    Run& run = m_runs.emplace_back();
+    run.shape = &shape;
+    run.id = ProgramId("program-" + std::to_string(m_runs.size()));
+    run.parent = parent;
+    run.root = parent ? parent->root : &run;
+    run.arrivedAt = m_events.seconds();
+    run.contextTokens = shape.promptTokens;
+    m_byId[run.id] = &run;
+    return run;
+}
+
+void ProgramDriver::begin(const ProgramShape& shape)
+{
+    Run& run = create(shape, nullptr);
+    m_events.after(shape.deadlineSeconds, [this, &run] { expire(run); });
+    submit(run);
+}
+
+void ProgramDriver::submit(Run& run)
+{
+    if (run.over)
+        return;
+    const Turn& turn = run.shape->turns[run.turn];
+    ModelCall call;
+    call.id = CallId(m_nextCall++);
+    call.program = run.id;
+    call.root = run.root->id;
+    call.owner = OperatorId(run.root->shape->owner);
+    call.environment = EnvironmentId(run.root->shape->owner);
+    call.model = "shared-model";
+    call.promptTokens = run.contextTokens;
+    call.maxOutput = 2'000;
+    call.content = digestOf(run.id.text() + "/" + std::to_string(run.turn));
+    call.deadline = EventQueue::at(run.root->arrivedAt + run.root->shape->deadlineSeconds);
+    call.latencyWeight = run.root->shape->latencyWeight;
+    call.cacheWeight = run.root->shape->cacheWeight;
+    static_cast<void>(turn);
+    run.call = call.id;
+    run.target.reset();
+    m_byCall[call.id] = &run;
+    apply(m_policy.submit(call, m_events.now()));
+}
+
+void ProgramDriver::submitAfter(Run& run, double seconds)
+{
+    m_events.after(seconds, [this, &run] { submit(run); });
+}
+
+ProgramDriver::Run* ProgramDriver::runOf(CallId id)
+{
+    auto it = m_byCall.find(id);
+    return it == m_byCall.end() ? nullptr : it->second;
+}
+
+void ProgramDriver::firstToken(CallId id)
+{
+    if (runOf(id))
+        apply(m_policy.firstToken(id, m_events.now()));
+}
+
+void ProgramDriver::finished(CallId id)
+{
+    Run* run = runOf(id);
+    if (!run)
+        return;
+    m_byCall.erase(id);
+    run->call.reset();
+    const Turn& turn = run->shape->turns[run->turn];
+    run->contextTokens += turn.outputTokens;
+    run->computedTokens = run->contextTokens;
+    apply(m_policy.callEnded(id, CallEnd::Finished, turn.outputTokens, m_events.now()));
+    answered(*run);
+}
+
+void ProgramDriver::answered(Run& run)
+{
+    if (run.turn + 1 == run.shape->turns.size())
+        return end(run, true);
+    const Turn& turn = run.shape->turns[run.turn];
+    if (turn.subAgents.empty())
+        return pause(run);
+    run.openSubAgents = static_cast<unsigned>(turn.subAgents.size());
+    apply(m_policy.toolStarted(run.id, "sub-agent", m_events.now()));
+    for (const ProgramShape& shape : turn.subAgents)
+        submit(create(shape, &run));
+}
+
+void ProgramDriver::pause(Run& run)
+{
+    const Turn& turn = run.shape->turns[run.turn];
+    if (!turn.tool.empty())
+        apply(m_policy.toolStarted(run.id, turn.tool, m_events.now()));
+    m_events.after(turn.pauseSeconds, [this, &run, tool = !turn.tool.empty()] {
+        if (run.over)
+            return;
+        if (tool)
+            apply(m_policy.toolEnded(run.id, m_events.now()));
+        turnDone(run);
+    });
+}
+
+void ProgramDriver::turnDone(Run& run)
+{
+    run.contextTokens += run.shape->turns[run.turn].addedTokens;
+    ++run.turn;
+    submit(run);
+}
+
+void ProgramDriver::subAgentEnded(Run& parent)
+{
+    if (parent.over || --parent.openSubAgents > 0)
+        return;
+    apply(m_policy.toolEnded(parent.id, m_events.now()));
+    turnDone(parent);
+}
+
+void ProgramDriver::end(Run& run, bool finished)
+{
+    if (run.over)
+        return;
+    run.over = true;
+    m_byId.erase(run.id);
+    apply(m_policy.programEnded(run.id, m_events.now()));
+    if (run.parent)
+        return subAgentEnded(*run.parent);
+    double latency = finished ? m_events.seconds() - run.arrivedAt : run.shape->deadlineSeconds;
+    m_outcomes.push_back({ run.shape, run.arrivedAt, latency, finished });
+}
+
+void ProgramDriver::expire(Run& root)
+{
+    if (root.over)
+        return;
+    for (auto& entry : std::unordered_map<ProgramId, Run*>(m_byId)) {
+        Run& run = *entry.second;
+        if (run.root != &root || &run == &root)
+            continue;
+        run.parent = &root;
+        expire(run);
+    }
+    if (root.call) {
+        CallId id = *root.call;
+        m_byCall.erase(id);
+        root.call.reset();
+        if (root.target) {
+            m_engines->cancel(*root.target, id);
+            apply(m_policy.callEnded(id, CallEnd::Cancelled, 0, m_events.now()));
+        } else {
+            apply(m_policy.cancelWaiting(id, m_events.now()));
+        }
+    }
+    end(root, false);
+}
+
+void ProgramDriver::targetDied(const std::vector<CallId>& calls)
+{
+    for (CallId id : calls) {
+        Run* run = runOf(id);
+        if (!run)
+            continue;
+        m_byCall.erase(id);
+        run->call.reset();
+        run->target.reset();
+        apply(m_policy.callEnded(id, CallEnd::TargetDied, 0, m_events.now()));
+        if (run->shape->crashes && ++run->crashes > maxCrashResends)
+            end(*run, false);
+        else
+            submitAfter(*run, run->shape->crashes ? crashResendSeconds : resendSeconds);
+    }
+}
+
+void ProgramDriver::apply(const SchedulerActions& actions)
+{
+    for (const SchedulerAction& action : actions)
+        std::visit([&](const auto& typed) { carryOut(typed); }, action);
+}
+
+void ProgramDriver::carryOut(const DispatchAction& action)
+{
+    Run& run = *m_byCall.at(action.call);
+    run.target = action.target;
+    const Turn& turn = run.shape->turns[run.turn];
+    m_engines->send(action.target, { action.call, run.id, run.contextTokens, turn.outputTokens, run.computedTokens, action.priority });
+    if (run.shape->crashes && onCrashSent)
+        onCrashSent(action.target);
+}
+
+void ProgramDriver::carryOut(const RefuseAction& action)
+{
+    ++m_refusals;
+    Run& run = *m_byCall.at(action.call);
+    m_byCall.erase(action.call);
+    run.call.reset();
+    bool final = action.reason == RefusalReason::Quarantined || action.reason == RefusalReason::DeadlineUnreachable || !action.retryAfter;
+    if (final)
+        return end(run, false);
+    double seconds = std::chrono::duration<double>(*action.retryAfter).count();
+    submitAfter(run, seconds * std::uniform_real_distribution<double>(1, 1.5)(m_random));
+}
+
+void ProgramDriver::carryOut(const ReleaseCacheAction& action)
+{
+    m_engines->release(action.target, action.program);
+}
+
+void ProgramDriver::carryOut(const MoveCacheAction& action)
+{
+    m_engines->move(action.program, action.from, action.to);
+}
+
+} // namespace basilpoint::bench
