Add Fleet: membership, shard placement and the spread of configuration

Cause: daemons must agree who is there, where shards belong and which configuration is in force, within 3 KB/s and without a service of their own.

Change: Membership (SWIM with indirect probes, suspicion, incarnations, changes under a byte bound, exchange of all members at joining and when views differ, bursts for deaths and planned stops). ShardPlacement (rendezvous hashing, at most 125% of the average per daemon by deferred acceptance). ConfigurationSpread (rising revisions, gossip of a summary hash and recent revisions, comparison by 256 hash buckets, pull of documents, readiness).

--- a/include/basilpoint/Fleet/Membership.h
+++ b/include/basilpoint/Fleet/Membership.h
@@ -38,11 +38,17 @@
     bool operator==(const MemberInfo&) const = default;
 };
 
-/// Are you there? Carries changes that the sender has heard of.
+/// Are you there? Carries the sender itself and changes that it has heard of.
 struct PingMessage {
     std::uint64_t sequence = 0;
     InstanceId from;
     std::vector<MemberInfo> changes;
+    /// Whether the answer shall carry all members instead of the latest changes.
+    bool exchange = false;
+    /// Hash of the members that the sender holds for running; tells a difference that gossip left behind.
+    std::uint64_t viewHash = 0;
+
+    bool operator==(const PingMessage&) const = default;
 };
 
 /// Yes. Answer to PingMessage, or to PingRequestMessage on behalf of \p subject.
@@ -51,6 +57,10 @@
     InstanceId from;
     InstanceId subject;
     std::vector<MemberInfo> changes;
+    /// Whether \p changes holds all members.
+    bool exchange = false;
+
+    bool operator==(const AckMessage&) const = default;
 };
 
 /// Probe \p subject for me.
@@ -59,11 +69,14 @@
     InstanceId from;
     InstanceId subject;
     std::vector<MemberInfo> changes;
+
+    bool operator==(const PingRequestMessage&) const = default;
 };
 
 using MembershipMessage = std::variant<PingMessage, AckMessage, PingRequestMessage>;
 
 /// CBOR forms for peer links. \throws InvalidInputError on input of another shape.
+/// A suspect or dead member is sent as id, incarnation and state alone.
 std::string encodeMembershipMessage(const MembershipMessage&);
 MembershipMessage decodeMembershipMessage(std::string_view bytes);
 
@@ -90,6 +103,12 @@
     Milliseconds suspicionTimeout { 4'000 };
     /// Bytes of changes carried by one message.
     std::size_t piggybackBytes = 600;
+    /// Probe periods between two attempts to reach a dead member or a listed address that has not answered.
+    unsigned contactPeriods = 2;
+    /// A dead member is forgotten after this; longer than a region stays apart.
+    std::chrono::minutes deadRetention { 120 };
+    /// Least time between two exchanges of all members that a view hash asks for.
+    Milliseconds exchangePause { 10'000 };
 };
 
 /// Who is there: the platform's lagging list plus own probing (after the published SWIM protocol).
--- /dev/null
+++ b/lib/Fleet/Cbor.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "basilpoint/Support/Endpoint.h"
+#include "basilpoint/Support/Error.h"
+#include "basilpoint/Support/Ids.h"
+
+#include <nlohmann/json.hpp>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+inline std::string toCbor(const Json& json)
+{
+    std::string buf;
+    Json::to_cbor(json, buf);
+    return buf;
+}
+
+/// Decodes \p bytes by \p decode, which takes the parsed JSON.
+/// \throws InvalidInputError naming \p what if the bytes have another shape.
+template <typename Decode>
+auto fromCbor(std::string_view bytes, const char* what, const Decode& decode)
+{
+    try {
+        return decode(Json::from_cbor(bytes));
+    } catch (const Json::exception&) {
+        throw InvalidInputError(what, std::to_string(bytes.size()) + " bytes", "CBOR of a known message");
+    }
+}
+
+template <typename Id>
+Id textIdFromJson(const Json& json)
+{
+    return Id(json.get<std::string>());
+}
+
+template <typename Enum>
+Enum enumFromJson(const Json& json, Enum last, const char* what)
+{
+    auto n = json.get<unsigned>();
+    if (n > static_cast<unsigned>(last))
+        throw InvalidInputError(what, std::to_string(n), "a known enumerator");
+    return static_cast<Enum>(n);
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Fleet/ShardPlacement.cpp
@@ -0,0 +1,164 @@
+#include "basilpoint/Fleet/ShardPlacement.h"
+
+#include "basilpoint/Support/Hash.h"
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+
+namespace basilpoint {
+
+/// Shards of a daemon may exceed the average by this; more room moves fewer shards when members change.
+static constexpr std::uint64_t slackPercent = 25;
+
+namespace {
+
+    /// A daemon or a holder in the ranking of a shard.
+    struct Candidate {
+        const MemberInfo* member;
+        std::uint64_t hash;
+    };
+
+    struct Proposal {
+        std::uint64_t weight;
+        std::uint64_t shard;
+
+        auto operator<=>(const Proposal&) const = default;
+    };
+
+    /// One shard's candidates for owner, best first; sorted only as far as asked for.
+    class Ranking {
+    public:
+        Ranking(const std::vector<Candidate>& owners, std::uint64_t shard);
+
+        /// Index of the next best owner and the shard's weight there.
+        std::pair<std::size_t, std::uint64_t> next();
+
+    private:
+        static constexpr std::size_t sortStep = 16;
+
+        std::vector<std::pair<std::uint64_t, std::size_t>> m_weights;
+        std::size_t m_taken = 0;
+        std::size_t m_sorted = 0;
+    };
+
+} // namespace
+
+static std::uint64_t weightOf(std::uint64_t candidateHash, std::uint64_t shard)
+{
+    char buf[sizeof shard];
+    std::memcpy(buf, &shard, sizeof shard);
+    return hash64({ buf, sizeof buf }, candidateHash);
+}
+
+Ranking::Ranking(const std::vector<Candidate>& owners, std::uint64_t shard)
+{
+    m_weights.reserve(owners.size());
+    for (std::size_t n = 0; n < owners.size(); ++n)
+        m_weights.emplace_back(weightOf(owners[n].hash, shard), n);
+}
+
+std::pair<std::size_t, std::uint64_t> Ranking::next()
+{
+    if (m_taken == m_sorted) {
+        m_sorted = std::min(m_sorted + sortStep, m_weights.size());
+        std::partial_sort(m_weights.begin() + static_cast<std::ptrdiff_t>(m_taken), m_weights.begin() + static_cast<std::ptrdiff_t>(m_sorted), m_weights.end(), std::greater<>());
+    }
+    auto [weight, owner] = m_weights[m_taken++];
+    return { owner, weight };
+}
+
+static std::uint64_t ownerBound(std::uint64_t shards, std::uint64_t owners)
+{
+    return (shards * (100 + slackPercent) + 100 * owners - 1) / (100 * owners);
+}
+
+/// Assigns each shard an owner's index by deferred acceptance: a shard asks its owners from the best
+/// on, and an owner that is full gives up the shard of least weight. The result does not depend on
+/// the order, and a change of one member reaches only shards that compete for its places.
+static std::vector<std::size_t> assignOwners(const std::vector<Candidate>& owners, std::uint64_t shardCount)
+{
+    std::uint64_t bound = ownerBound(shardCount, owners.size());
+    std::vector<Ranking> rankings;
+    std::vector<std::size_t> assigned(shardCount);
+    std::vector<std::set<Proposal>> accepted(owners.size());
+    for (std::uint64_t shard = 0; shard < shardCount; ++shard)
+        rankings.emplace_back(owners, shard);
+    for (std::uint64_t first = 0; first < shardCount; ++first) {
+        std::uint64_t waiting = first;
+        bool displaced = true;
+        while (displaced) {
+            auto [owner, weight] = rankings[waiting].next();
+            assigned[waiting] = owner;
+            accepted[owner].insert({ weight, waiting });
+            displaced = accepted[owner].size() > bound;
+            if (displaced)
+                waiting = accepted[owner].extract(accepted[owner].begin()).value().shard;
+        }
+    }
+    return assigned;
+}
+
+/// Best holder that satisfies \p allowed; a disk goes before memory.
+template <typename Allowed>
+static const MemberInfo* bestHolder(const std::vector<Candidate>& holders, std::uint64_t shard, const Allowed& allowed)
+{
+    const MemberInfo* best = nullptr;
+    std::pair<bool, std::uint64_t> bestRank;
+    for (const Candidate& it : holders) {
+        std::pair rank(it.member->durable, weightOf(it.hash, shard));
+        if (!allowed(*it.member) || (best && rank < bestRank))
+            continue;
+        best = it.member;
+        bestRank = rank;
+    }
+    return best;
+}
+
+/// Two holders, best first. Another data centre goes before a disk, and both before the owner's own
+/// instance, whose loss would take the owner and a copy at once.
+static std::vector<HolderId> chooseHolders(const std::vector<Candidate>& holders, std::uint64_t shard, const MemberInfo& owner)
+{
+    auto notOwner = [&](const MemberInfo& it) { return it.id != owner.id; };
+    const MemberInfo* first = bestHolder(holders, shard, notOwner);
+    if (!first)
+        first = bestHolder(holders, shard, [](const MemberInfo&) { return true; });
+    if (!first)
+        return {};
+    auto elsewhere = [&](const MemberInfo& it) { return it.dataCentre != first->dataCentre; };
+    const MemberInfo* second = bestHolder(holders, shard, [&](const MemberInfo& it) { return elsewhere(it) && notOwner(it); });
+    if (!second)
+        second = bestHolder(holders, shard, elsewhere);
+    if (!second)
+        second = bestHolder(holders, shard, [&](const MemberInfo& it) { return it.id != first->id && notOwner(it); });
+    if (!second)
+        second = bestHolder(holders, shard, [&](const MemberInfo& it) { return it.id != first->id; });
+    if (!second)
+        return { first->holder };
+    return { first->holder, second->holder };
+}
+
+std::map<ShardId, ShardPlace> placeShards(const std::vector<MemberInfo>& members, std::uint64_t shardCount)
+{
+    std::vector<Candidate> owners;
+    std::vector<Candidate> holders;
+    for (const MemberInfo& member : members) {
+        // A suspected member keeps its shards: most suspicions are refuted within seconds.
+        if (member.state == MemberState::Dead || member.state == MemberState::Leaving)
+            continue;
+        owners.push_back({ &member, hash64(member.id.text()) });
+        if (!member.holder.empty())
+            holders.push_back({ &member, hash64(member.holder.text()) });
+    }
+    std::map<ShardId, ShardPlace> places;
+    if (owners.empty())
+        return places;
+    std::vector<std::size_t> assigned = assignOwners(owners, shardCount);
+    for (std::uint64_t shard = 0; shard < shardCount; ++shard) {
+        const MemberInfo& owner = *owners[assigned[shard]].member;
+        places.emplace(ShardId(shard), ShardPlace { owner.id, chooseHolders(holders, shard, owner) });
+    }
+    return places;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/unittests/Fleet/ShardPlacementTest.cpp
@@ -0,0 +1,122 @@
+#include "basilpoint/Fleet/ShardPlacement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace basilpoint;
+
+/// Members of \p dataCentres data centres, every \p diskEvery-th with a disk.
+static std::vector<MemberInfo> makeMembers(std::size_t count, std::size_t dataCentres, std::size_t diskEvery)
+{
+    std::vector<MemberInfo> members(count);
+    for (std::size_t n = 0; n < count; ++n) {
+        members[n].id = InstanceId("i-" + std::to_string(n));
+        members[n].dataCentre = DataCentreId("dc" + std::to_string(n % dataCentres));
+        members[n].holder = HolderId("h-" + std::to_string(n));
+        members[n].durable = diskEvery != 0 && n % diskEvery == 0;
+    }
+    return members;
+}
+
+static std::map<InstanceId, std::uint64_t> loadOf(const std::map<ShardId, ShardPlace>& places)
+{
+    std::map<InstanceId, std::uint64_t> load;
+    for (const auto& [shard, place] : places)
+        ++load[place.owner];
+    return load;
+}
+
+/// Shards whose owner changed although the old owner still takes shards.
+static std::uint64_t movedWithoutNeed(const std::map<ShardId, ShardPlace>& before, const std::map<ShardId, ShardPlace>& after, const std::set<InstanceId>& joined)
+{
+    auto load = loadOf(after);
+    std::uint64_t moved = 0;
+    for (const auto& [shard, place] : before) {
+        const InstanceId& owner = after.at(shard).owner;
+        moved += owner != place.owner && load.contains(place.owner) && !joined.contains(owner);
+    }
+    return moved;
+}
+
+BOOST_AUTO_TEST_SUITE(ShardPlacementTest)
+
+BOOST_AUTO_TEST_CASE(everyShardHasAnOwnerWithinTheBoundAndHoldersInTwoDataCentres)
+{
+    BOOST_TEST(rc::check("bound, holders, determinism", [] {
+        auto members = makeMembers(*rc::gen::inRange<std::size_t>(1, 60), *rc::gen::inRange<std::size_t>(1, 5), *rc::gen::inRange<std::size_t>(0, 4));
+        for (MemberInfo& member : members)
+            member.state = *rc::gen::weightedElement<MemberState>({ { 6, MemberState::Alive }, { 1, MemberState::Suspect }, { 1, MemberState::Leaving }, { 1, MemberState::Dead } });
+        auto shards = *rc::gen::inRange<std::uint64_t>(1, 512);
+        auto places = placeShards(members, shards);
+        std::map<InstanceId, MemberInfo> usable;
+        std::map<HolderId, MemberInfo> holders;
+        std::set<DataCentreId> dataCentres;
+        for (const MemberInfo& member : members) {
+            if (member.state != MemberState::Alive && member.state != MemberState::Suspect)
+                continue;
+            usable[member.id] = member;
+            holders[member.holder] = member;
+            dataCentres.insert(member.dataCentre);
+        }
+        RC_ASSERT(places.size() == (usable.empty() ? 0 : shards));
+        for (const auto& [owner, load] : loadOf(places)) {
+            RC_ASSERT(usable.contains(owner));
+            RC_ASSERT(load <= shards * 5 / (usable.size() * 4) + 1);
+        }
+        for (const auto& [shard, place] : places) {
+            RC_ASSERT(place.holders.size() == std::min<std::size_t>(2, usable.size()));
+            if (place.holders.size() < 2)
+                continue;
+            const MemberInfo& first = holders.at(place.holders[0]);
+            const MemberInfo& second = holders.at(place.holders[1]);
+            RC_ASSERT(first.id != second.id);
+            RC_ASSERT((first.dataCentre != second.dataCentre || dataCentres.size() == 1));
+            RC_ASSERT((first.durable || !second.durable));
+            if (usable.size() > 2 && dataCentres.size() == 1)
+                RC_ASSERT(first.id != place.owner && second.id != place.owner);
+        }
+        std::reverse(members.begin(), members.end());
+        RC_ASSERT(placeShards(members, shards) == places);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(oneMemberMoreOrLessMovesFewShards)
+{
+    for (std::size_t count : { 7, 30, 100, 340 }) {
+        std::uint64_t shards = count == 340 ? 4'096 : 64;
+        auto members = makeMembers(count, 9, 10);
+        auto before = placeShards(members, shards);
+        auto average = shards / count + 1;
+        for (std::size_t n = 0; n < 5; ++n) {
+            auto fewer = members;
+            fewer[n].state = MemberState::Leaving;
+            auto after = placeShards(fewer, shards);
+            BOOST_TEST(movedWithoutNeed(before, after, {}) <= average);
+            BOOST_TEST(movedWithoutNeed(after, before, { members[n].id }) <= average);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aLostDataCentreMovesFewShardsOfTheOthers)
+{
+    auto members = makeMembers(340, 9, 10);
+    auto before = placeShards(members, 4'096);
+    for (MemberInfo& member : members) {
+        if (member.dataCentre == DataCentreId("dc4"))
+            member.state = MemberState::Dead;
+    }
+    BOOST_TEST(movedWithoutNeed(before, placeShards(members, 4'096), {}) <= 4'096U / 9);
+}
+
+BOOST_AUTO_TEST_CASE(memoryInAnotherDataCentreGoesBeforeASecondDiskNearby)
+{
+    auto members = makeMembers(6, 2, 2);
+    auto places = placeShards(members, 32);
+    for (const auto& [shard, place] : places) {
+        BOOST_TEST(std::stoul(place.holders[0].text().substr(2)) % 2 == 0U);
+        BOOST_TEST(std::stoul(place.holders[1].text().substr(2)) % 2 == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Fleet/SimulatedFleet.h
@@ -0,0 +1,265 @@
+#pragma once
+
+#include "basilpoint/Fleet/ConfigurationSpread.h"
+#include "basilpoint/Fleet/Membership.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <tuple>
+
+namespace basilpoint {
+
+/// What a simulated fleet has sent.
+struct TrafficCounters {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// Daemons' decision classes in one process on a manual clock, joined by a counting transport that
+/// encodes, delays, loses and decodes every message.
+class SimulatedFleet {
+public:
+    struct Daemon {
+        std::unique_ptr<Membership> membership;
+        std::unique_ptr<ConfigurationSpread> configuration;
+        bool up = true;
+        bool paused = false;
+        TimePoint nextTick;
+        TrafficCounters sent;
+    };
+
+    /// A member's state as one daemon saw it.
+    struct Observation {
+        TimePoint time;
+        std::size_t observer;
+        MemberInfo member;
+    };
+
+    struct Options {
+        double loss = 0;
+        unsigned dataCentres = 3;
+        Milliseconds tickPeriod { 50 };
+        MembershipSettings membership = {};
+        bool withConfiguration = false;
+    };
+
+    SimulatedFleet(const Options& options, std::uint64_t seed)
+        : m_options(options)
+        , m_random(seed)
+    {
+    }
+
+    /// Starts a daemon that is given the addresses of all daemons so far.
+    std::size_t start()
+    {
+        std::size_t n = m_daemons.size();
+        MemberInfo self;
+        self.id = idOf(n);
+        self.dataCentre = DataCentreId("dc" + std::to_string(n % m_options.dataCentres));
+        self.peer = addressOf(n);
+        self.callers = { addressOf(n).host, 8080 };
+        self.holder = HolderId("holder-" + std::to_string(n));
+        self.durable = n % 10 < 2;
+        m_addresses.push_back(self.peer);
+        m_daemons.push_back({});
+        Daemon& daemon = m_daemons.back();
+        daemon.membership = std::make_unique<Membership>(self, m_options.membership, m_random());
+        daemon.membership->listed(m_addresses, m_now);
+        if (m_options.withConfiguration)
+            daemon.configuration = std::make_unique<ConfigurationSpread>(self.id, m_random());
+        daemon.nextTick = m_now + Milliseconds(m_random() % static_cast<std::uint64_t>(m_options.tickPeriod.count()));
+        return n;
+    }
+
+    void start(std::size_t count)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+            start();
+    }
+
+    /// Starts \p count daemons that know each other already, as in a fleet that has run for long.
+    void startIntroduced(std::size_t count)
+    {
+        start(count);
+        AckMessage introduction { 0, idOf(0), idOf(0), {}, true };
+        for (const Daemon& daemon : m_daemons)
+            introduction.changes.push_back(daemon.membership->self());
+        for (std::size_t n = 0; n < m_daemons.size(); ++n)
+            carryOut(n, m_daemons[n].membership->received(introduction, m_now));
+    }
+
+    void stop(std::size_t n) { m_daemons[n].up = false; }
+    void leave(std::size_t n) { carryOut(n, m_daemons[n].membership->leave(m_now)); }
+    void setPaused(std::size_t n, bool paused) { m_daemons[n].paused = paused; }
+
+    void run(std::chrono::nanoseconds duration)
+    {
+        TimePoint end = m_now + duration;
+        while (m_now < end) {
+            m_now += Milliseconds(1);
+            deliver();
+            for (std::size_t n = 0; n < m_daemons.size(); ++n)
+                tick(n);
+        }
+    }
+
+    /// \returns the time until \p condition held, checked every 100 ms, or \p limit.
+    std::chrono::nanoseconds runUntil(const std::function<bool()>& condition, std::chrono::nanoseconds limit)
+    {
+        TimePoint begin = m_now;
+        while (!condition() && m_now < begin + limit)
+            run(Milliseconds(100));
+        return m_now - begin;
+    }
+
+    void carryOut(std::size_t n, const MembershipActions& actions)
+    {
+        bool changed = false;
+        for (const MembershipAction& action : actions) {
+            if (const auto* it = std::get_if<MemberChangedAction>(&action)) {
+                changed = true;
+                if (observe)
+                    observe({ m_now, n, it->member });
+            } else {
+                const auto& message = std::get<SendMembershipAction>(action);
+                send(n, indexOf(message.address), true, encodeMembershipMessage(message.message));
+            }
+        }
+        if (changed)
+            updatePeers(n);
+    }
+
+    void carryOut(std::size_t n, const ConfigurationActions& actions)
+    {
+        for (const ConfigurationAction& action : actions) {
+            if (const auto* it = std::get_if<SendConfigurationAction>(&action))
+                send(n, indexOf(it->to), false, encodeConfigurationMessage(it->message));
+            else if (inForce)
+                inForce(n, std::get<EnvironmentInForceAction>(action));
+        }
+    }
+
+    /// Whether every running daemon holds exactly the running daemons for not dead.
+    bool agreed() const
+    {
+        for (const Daemon& daemon : m_daemons) {
+            if (daemon.up && !sees(daemon))
+                return false;
+        }
+        return true;
+    }
+
+    static InstanceId idOf(std::size_t n) { return InstanceId("i-" + std::to_string(100'000 + n)); }
+
+    std::vector<Daemon>& daemons() { return m_daemons; }
+    TimePoint now() const { return m_now; }
+    std::size_t upCount() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](const Daemon& it) { return it.up; }));
+    }
+    TrafficCounters traffic() const
+    {
+        TrafficCounters sum;
+        for (const Daemon& daemon : m_daemons) {
+            sum.messages += daemon.sent.messages;
+            sum.bytes += daemon.sent.bytes;
+        }
+        return sum;
+    }
+
+    /// Hook: whether a message from one daemon to another is lost, beside random loss.
+    std::function<bool(std::size_t from, std::size_t to)> cut;
+    std::function<void(const Observation&)> observe;
+    std::function<void(std::size_t daemon, const EnvironmentInForceAction&)> inForce;
+
+private:
+    struct Message {
+        TimePoint arrival;
+        std::uint64_t order;
+        std::size_t to;
+        bool membership;
+        std::string bytes;
+
+        bool operator<(const Message& other) const { return std::tie(arrival, order) > std::tie(other.arrival, other.order); }
+    };
+
+    static Endpoint addressOf(std::size_t n) { return { "10.0." + std::to_string(n / 200) + "." + std::to_string(n % 200 + 1), 7946 }; }
+    static std::size_t indexOf(const InstanceId& id) { return std::stoul(id.text().substr(2)) - 100'000; }
+    std::size_t indexOf(const Endpoint& address) const
+    {
+        return static_cast<std::size_t>(std::find(m_addresses.begin(), m_addresses.end(), address) - m_addresses.begin());
+    }
+
+    bool sees(const Daemon& daemon) const
+    {
+        std::size_t live = 0;
+        for (const MemberInfo& member : daemon.membership->members()) {
+            if (member.state == MemberState::Dead)
+                continue;
+            if (!m_daemons[indexOf(member.id)].up)
+                return false;
+            ++live;
+        }
+        return live == upCount();
+    }
+
+    void updatePeers(std::size_t n)
+    {
+        Daemon& daemon = m_daemons[n];
+        if (!daemon.configuration)
+            return;
+        std::vector<InstanceId> peers;
+        for (const MemberInfo& member : daemon.membership->members()) {
+            if (member.state != MemberState::Dead)
+                peers.push_back(member.id);
+        }
+        daemon.configuration->setPeers(std::move(peers));
+    }
+
+    void tick(std::size_t n)
+    {
+        Daemon& daemon = m_daemons[n];
+        if (!daemon.up || daemon.paused || m_now < daemon.nextTick)
+            return;
+        daemon.nextTick = m_now + m_options.tickPeriod;
+        carryOut(n, daemon.membership->tick(m_now));
+        if (daemon.configuration)
+            carryOut(n, daemon.configuration->tick(m_now));
+    }
+
+    void send(std::size_t from, std::size_t to, bool membership, std::string bytes)
+    {
+        m_daemons[from].sent.messages += 1;
+        m_daemons[from].sent.bytes += bytes.size();
+        if (to >= m_daemons.size() || (cut && cut(from, to)) || std::bernoulli_distribution(m_options.loss)(m_random))
+            return;
+        auto delay = std::chrono::microseconds(1'500 + m_random() % 1'000);
+        m_messages.push({ m_now + delay, ++m_order, to, membership, std::move(bytes) });
+    }
+
+    void deliver()
+    {
+        while (!m_messages.empty() && m_messages.top().arrival <= m_now) {
+            Message message = m_messages.top();
+            m_messages.pop();
+            Daemon& daemon = m_daemons[message.to];
+            if (!daemon.up || daemon.paused)
+                continue;
+            if (message.membership)
+                carryOut(message.to, daemon.membership->received(decodeMembershipMessage(message.bytes), m_now));
+            else if (daemon.configuration)
+                carryOut(message.to, daemon.configuration->received(decodeConfigurationMessage(message.bytes), m_now));
+        }
+    }
+
+    Options m_options;
+    RandomEngine m_random;
+    TimePoint m_now { std::chrono::hours(1) };
+    std::vector<Daemon> m_daemons;
+    std::vector<Endpoint> m_addresses;
+    std::priority_queue<Message> m_messages;
+    std::uint64_t m_order = 0;
+};
+
+} // namespace basilpoint
