--- /dev/null
+++ b/lib/Fleet/KeyValueGovernor.cpp
@@ -0,0 +1,78 @@
+#include "basilpoint/Fleet/KeyValueGovernor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace basilpoint {
+
+KeyValueGovernor::KeyValueGovernor(const KeyValueGovernorSettings& settings, RandomEngine::result_type seed)
+    : m_settings(settings)
+    , m_random(seed)
+    , m_tokens(settings.burst)
+    , m_pause(settings.minPause)
+{
+}
+
+KeyValueDecision KeyValueGovernor::admit(KeyValueCallKind kind, const std::string& key, TimePoint now)
+{
+    KeyValueDecision decision = decide(kind, key, now);
+    KeyValueCallCounters& counters = m_counters[static_cast<std::size_t>(kind)];
+    counters.made += std::holds_alternative<MakeCall>(decision);
+    counters.shared += std::holds_alternative<ShareAnswer>(decision);
+    counters.refused += std::holds_alternative<RefuseCall>(decision);
+    return decision;
+}
+
+KeyValueDecision KeyValueGovernor::decide(KeyValueCallKind kind, const std::string& key, TimePoint now)
+{
+    if (kind == KeyValueCallKind::Read && m_reads.contains(key))
+        return ShareAnswer {};
+    if (isOpen()) {
+        if (now < m_trialAt)
+            return RefuseCall { std::chrono::ceil<Milliseconds>(m_trialAt - now) };
+        if (m_trialUnderWay)
+            return RefuseCall { m_pause };
+    }
+    refill(now);
+    double needed = 1 + (kind == KeyValueCallKind::LeaseRenewal ? 0 : m_settings.reservedBurst);
+    if (m_tokens < needed)
+        return RefuseCall { Milliseconds(static_cast<std::int64_t>(std::ceil((needed - m_tokens) / m_settings.callsPerSecond * 1'000))) };
+    m_tokens -= 1;
+    m_trialUnderWay = isOpen();
+    if (kind == KeyValueCallKind::Read)
+        m_reads.insert(key);
+    return MakeCall {};
+}
+
+void KeyValueGovernor::finished(KeyValueCallKind kind, const std::string& key, bool answered, TimePoint now)
+{
+    if (kind == KeyValueCallKind::Read)
+        m_reads.erase(key);
+    m_trialUnderWay = false;
+    if (answered) {
+        m_failures = 0;
+        m_pause = m_settings.minPause;
+        return;
+    }
+    ++m_counters[static_cast<std::size_t>(kind)].failed;
+    ++m_failures;
+    if (isOpen())
+        drawPause(now);
+}
+
+void KeyValueGovernor::refill(TimePoint now)
+{
+    std::chrono::duration<double> elapsed = now - m_lastRefill;
+    m_lastRefill = now;
+    m_tokens = std::min(m_settings.burst, m_tokens + elapsed.count() * m_settings.callsPerSecond);
+}
+
+void KeyValueGovernor::drawPause(TimePoint now)
+{
+    // Drawn between the least and three times the last: daemons that failed together do not return together.
+    std::uniform_int_distribution<Milliseconds::rep> draw(m_settings.minPause.count(), m_pause.count() * 3);
+    m_pause = std::min(Milliseconds(draw(m_random)), m_settings.maxPause);
+    m_trialAt = now + m_pause;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Fleet/NoticeSpread.cpp
@@ -0,0 +1,156 @@
+#include "basilpoint/Fleet/NoticeSpread.h"
+
+#include "Cbor.h"
+
+#include "basilpoint/Support/Hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace basilpoint {
+
+static constexpr auto gossipPeriod = std::chrono::milliseconds(1'000);
+static constexpr std::size_t fanOut = 3;
+/// Ticks in which news is passed on to random peers.
+static constexpr unsigned bursts = 2;
+/// Bounds a message; the rest follows in later periods.
+static constexpr std::size_t maxNotices = 64;
+/// A lifted notice is kept this long, so that no peer brings the old one back.
+static constexpr auto liftedLifetime = std::chrono::minutes(10);
+static constexpr auto messageName = "notice message";
+
+static Json toJson(const Notice& notice)
+{
+    return Json::array({ static_cast<unsigned>(notice.subject.kind), notice.subject.text, notice.revision, notice.lifted, notice.remaining.count() });
+}
+
+static Notice noticeFromJson(const Json& json)
+{
+    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::LeavingTarget, messageName), json.at(1).get<std::string>() };
+    return { subject, json.at(2).get<std::uint64_t>(), json.at(3).get<bool>(), Milliseconds(json.at(4).get<Milliseconds::rep>()) };
+}
+
+std::string encodeNoticeMessage(const NoticeMessage& message)
+{
+    Json notices = Json::array();
+    for (const Notice& notice : message.notices)
+        notices.push_back(toJson(notice));
+    return toCbor(Json::array({ message.from.text(), message.summary, std::move(notices), message.reply }));
+}
+
+NoticeMessage decodeNoticeMessage(std::string_view bytes)
+{
+    return fromCbor(bytes, messageName, [](const Json& json) {
+        NoticeMessage message { textIdFromJson<InstanceId>(json.at(0)), json.at(1).get<std::uint64_t>(), {}, json.at(3).get<bool>() };
+        for (const Json& it : json.at(2))
+            message.notices.push_back(noticeFromJson(it));
+        return message;
+    });
+}
+
+void NoticeSpread::setPeers(std::vector<InstanceId> peers)
+{
+    std::erase(peers, m_self);
+    m_peers = std::move(peers);
+}
+
+NoticeActions NoticeSpread::raise(const NoticeSubject& subject, Milliseconds lifetime, TimePoint now)
+{
+    NoticeActions actions;
+    auto it = m_entries.find(subject);
+    merge({ subject, it == m_entries.end() ? 1 : it->second.revision + 1, false, lifetime }, actions, now);
+    return actions;
+}
+
+NoticeActions NoticeSpread::lift(const NoticeSubject& subject, TimePoint now)
+{
+    NoticeActions actions;
+    auto it = m_entries.find(subject);
+    if (it != m_entries.end())
+        merge({ subject, it->second.revision + 1, true, liftedLifetime }, actions, now);
+    return actions;
+}
+
+void NoticeSpread::merge(const Notice& notice, NoticeActions& actions, TimePoint now)
+{
+    if (notice.remaining <= Milliseconds::zero())
+        return;
+    Entry& entry = m_entries[notice.subject];
+    if (std::tie(notice.revision, notice.lifted) <= std::tie(entry.revision, entry.lifted))
+        return;
+    bool changed = entry.revision == 0 || entry.lifted != notice.lifted;
+    entry = { notice.revision, notice.lifted, now + notice.remaining, bursts };
+    if (changed)
+        actions.emplace_back(NoticeChangedAction { notice });
+}
+
+NoticeActions NoticeSpread::received(const NoticeMessage& message, TimePoint now)
+{
+    NoticeActions actions;
+    for (const Notice& notice : message.notices)
+        merge(notice, actions, now);
+    if (message.summary != summary() && !message.reply) {
+        NoticeMessage answer = this->message(now, false);
+        answer.reply = true;
+        actions.emplace_back(SendNoticeAction { message.from, std::move(answer) });
+    }
+    return actions;
+}
+
+NoticeActions NoticeSpread::tick(TimePoint now)
+{
+    NoticeActions actions;
+    std::erase_if(m_entries, [&](const auto& it) { return it.second.expiresAt <= now; });
+    bool news = std::any_of(m_entries.begin(), m_entries.end(), [](const auto& it) { return it.second.burstsLeft > 0; });
+    bool periodDue = now >= m_nextPeriod;
+    if (periodDue)
+        m_nextPeriod = now + gossipPeriod;
+    if (news || (periodDue && !m_entries.empty())) {
+        for (const InstanceId& peer : randomPeers(news ? fanOut : 1))
+            actions.emplace_back(SendNoticeAction { peer, message(now, true) });
+    }
+    for (auto& [subject, entry] : m_entries)
+        entry.burstsLeft -= std::min(entry.burstsLeft, 1U);
+    return actions;
+}
+
+bool NoticeSpread::inForce(const NoticeSubject& subject, TimePoint now) const
+{
+    auto it = m_entries.find(subject);
+    return it != m_entries.end() && !it->second.lifted && now < it->second.expiresAt;
+}
+
+Notice NoticeSpread::describe(const NoticeSubject& subject, const Entry& entry, TimePoint now) const
+{
+    return { subject, entry.revision, entry.lifted, std::chrono::floor<Milliseconds>(entry.expiresAt - now) };
+}
+
+NoticeMessage NoticeSpread::message(TimePoint now, bool urgentOnly)
+{
+    std::vector<Notice> notices;
+    for (const auto& [subject, entry] : m_entries) {
+        if (!urgentOnly || entry.burstsLeft > 0)
+            notices.push_back(describe(subject, entry, now));
+    }
+    NoticeMessage message { m_self, summary(), {}, false };
+    // Drawn anew each time, so that all get through in a few periods.
+    std::sample(notices.begin(), notices.end(), std::back_inserter(message.notices), maxNotices, m_random);
+    return message;
+}
+
+std::uint64_t NoticeSpread::summary() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [subject, entry] : m_entries)
+        sum ^= hash64(subject.text, entry.revision * 4 + (entry.lifted ? 2 : 0) + static_cast<std::uint64_t>(subject.kind));
+    return sum;
+}
+
+std::vector<InstanceId> NoticeSpread::randomPeers(std::size_t n)
+{
+    std::vector<InstanceId> drawn;
+    std::sample(m_peers.begin(), m_peers.end(), std::back_inserter(drawn), n, m_random);
+    return drawn;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/unittests/Fleet/KeyValueGovernorTest.cpp
@@ -0,0 +1,76 @@
+#include "basilpoint/Fleet/KeyValueGovernor.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <rapidcheck.h>
+
+using namespace basilpoint;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(KeyValueGovernorTest)
+
+BOOST_AUTO_TEST_CASE(keepsTheRateSharesReadsAndTriesAFailingServiceOnceAtATime)
+{
+    BOOST_TEST(rc::check("rate, sharing, breaker", [] {
+        KeyValueGovernorSettings settings;
+        KeyValueGovernor governor(settings, *rc::gen::arbitrary<std::uint64_t>());
+        TimePoint now(1h);
+        std::deque<TimePoint> made;
+        std::vector<std::pair<KeyValueCallKind, std::string>> underWay;
+        unsigned failuresInARow = 0;
+        for (int n = *rc::gen::inRange(0, 400); n > 0; --n) {
+            now += Milliseconds(*rc::gen::inRange(0, 200));
+            if (*rc::gen::inRange(0, 3) > 0) {
+                auto kind = static_cast<KeyValueCallKind>(*rc::gen::inRange(0, 4));
+                std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+                bool readUnderWay = std::count(underWay.begin(), underWay.end(), std::pair(KeyValueCallKind::Read, key)) > 0;
+                bool wasOpen = governor.isOpen();
+                auto decision = governor.admit(kind, key, now);
+                RC_ASSERT(std::holds_alternative<ShareAnswer>(decision) == (kind == KeyValueCallKind::Read && readUnderWay));
+                if (const auto* refused = std::get_if<RefuseCall>(&decision))
+                    RC_ASSERT(refused->retryAfter > 0ms);
+                if (!std::holds_alternative<MakeCall>(decision))
+                    continue;
+                RC_ASSERT((!wasOpen || std::holds_alternative<RefuseCall>(governor.admit(KeyValueCallKind::Write, "other", now))));
+                made.push_back(now);
+                underWay.emplace_back(kind, key);
+            } else if (!underWay.empty()) {
+                auto [kind, key] = underWay.back();
+                underWay.pop_back();
+                bool answered = *rc::gen::inRange(0, 3) == 0;
+                failuresInARow = answered ? 0 : failuresInARow + 1;
+                governor.finished(kind, key, answered, now);
+                RC_ASSERT(governor.isOpen() == (failuresInARow >= settings.breakerFailures));
+            }
+            for (std::size_t from = 0; from < made.size(); ++from) {
+                std::chrono::duration<double> window = now - made[from];
+                RC_ASSERT(static_cast<double>(made.size() - from) <= settings.burst + window.count() * settings.callsPerSecond + 1e-6);
+            }
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(leaseRenewalsGoThroughWhenOthersHaveUsedTheBurst)
+{
+    KeyValueGovernor governor({}, 1);
+    TimePoint now(1h);
+    while (std::holds_alternative<MakeCall>(governor.admit(KeyValueCallKind::Write, "k", now))) { }
+    BOOST_TEST((governor.admit(KeyValueCallKind::LeaseRenewal, "lease", now) == KeyValueDecision(MakeCall {})));
+}
+
+BOOST_AUTO_TEST_CASE(pausesOfDaemonsThatFailTogetherDifferAndStayBounded)
+{
+    std::set<Milliseconds> pauses;
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        KeyValueGovernor governor({}, seed);
+        TimePoint now(1h);
+        for (int n = 0; n < 30; ++n)
+            governor.finished(KeyValueCallKind::Write, "k", false, now);
+        auto decision = std::get<RefuseCall>(governor.admit(KeyValueCallKind::Write, "k", now));
+        BOOST_TEST((decision.retryAfter <= KeyValueGovernorSettings {}.maxPause));
+        pauses.insert(decision.retryAfter);
+    }
+    BOOST_TEST(pauses.size() > 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Fleet/LeavingTest.cpp
@@ -0,0 +1,153 @@
+#include "basilpoint/Fleet/DrainPlan.h"
+#include "basilpoint/Fleet/NoticeSpread.h"
+#include "basilpoint/Fleet/TargetLeavingTracker.h"
+#include "basilpoint/Support/Error.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace basilpoint;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(LeavingTest)
+
+BOOST_AUTO_TEST_CASE(drainKeepsItsOrderAndNeverExitsWithWork)
+{
+    BOOST_TEST(rc::check("steps in order", [] {
+        DrainSettings settings;
+        DrainPlan plan(settings);
+        WallTimePoint now(24h);
+        WallTimePoint date = now + Milliseconds(*rc::gen::inRange(0, 3'000'000));
+        plan.stopBy(date);
+        DrainStep last = DrainStep::Serving;
+        DrainProgress progress { 5, 5 };
+        WallTimePoint notReadySince;
+        for (int n = 0; n < 200; ++n) {
+            now += Milliseconds(*rc::gen::inRange(1, 40'000));
+            progress.shards -= std::min<std::size_t>(progress.shards, *rc::gen::inRange<std::size_t>(0, 2));
+            progress.requests = *rc::gen::inRange<std::size_t>(0, 3);
+            DrainStep step = plan.update(progress, now);
+            RC_ASSERT(step == last || static_cast<int>(step) == static_cast<int>(last) + 1);
+            RC_ASSERT((step == DrainStep::Serving) == (now < *plan.beginsAt()));
+            if (step == DrainStep::NotReady && last == DrainStep::Serving)
+                notReadySince = now;
+            if (step == DrainStep::HandingOver && last == DrainStep::NotReady)
+                RC_ASSERT(now >= notReadySince + settings.noticeTime);
+            if (step == DrainStep::Finishing)
+                RC_ASSERT(progress.shards == 0);
+            if (step == DrainStep::Exit && last != DrainStep::Exit)
+                RC_ASSERT(progress.requests == 0);
+            last = step;
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(theLongestAnswerThatBeginsAtHandOverEndsBeforeTheDate)
+{
+    DrainSettings settings;
+    DrainPlan plan(settings);
+    WallTimePoint date(48h);
+    plan.stopBy(date + 1h);
+    plan.stopBy(date);
+    BOOST_TEST((*plan.beginsAt() + settings.noticeTime + settings.handOverTime + settings.longestAnswer <= date));
+    BOOST_TEST(!plan.late(*plan.beginsAt()));
+    BOOST_TEST(plan.late(date - 1s));
+    plan.cancel();
+    BOOST_TEST(!plan.beginsAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(firstNoticeWinsAndALaggingListDoesNotUndoIt)
+{
+    TargetLeavingTracker tracker;
+    TargetId target("10.0.0.9:8000");
+    TimePoint now(1h);
+    BOOST_TEST(tracker.notice(target, LeavingSource::TargetReport, now));
+    BOOST_TEST(!tracker.notice(target, LeavingSource::PlatformList, now + 10s));
+    BOOST_TEST((tracker.find(target)->source == LeavingSource::TargetReport));
+    tracker.listed({ target });
+    BOOST_TEST(!tracker.admitsWork(target));
+    tracker.listed({});
+    BOOST_TEST(!tracker.admitsWork(target));
+    tracker.listed({ target });
+    BOOST_TEST(tracker.admitsWork(target));
+}
+
+BOOST_AUTO_TEST_CASE(noticesSurviveTheirCodec)
+{
+    NoticeMessage message { InstanceId("i"), 5, { { { NoticeKind::LeavingTarget, "t" }, 2, true, 7s } }, true };
+    BOOST_TEST((decodeNoticeMessage(encodeNoticeMessage(message)) == message));
+    BOOST_CHECK_THROW(decodeNoticeMessage("no message"), InvalidInputError);
+}
+
+namespace {
+
+/// Notice classes of a fleet joined by a lossy transport with 2 ms of delay at most a tick.
+struct NoticeFleet {
+    explicit NoticeFleet(std::size_t count)
+    {
+        std::vector<InstanceId> ids;
+        for (std::size_t n = 0; n < count; ++n)
+            ids.emplace_back(std::to_string(n));
+        for (std::size_t n = 0; n < count; ++n) {
+            daemons.emplace_back(ids[n], n + 1);
+            daemons.back().setPeers(ids);
+        }
+    }
+
+    void carryOut(const NoticeActions& actions)
+    {
+        for (const NoticeAction& action : actions) {
+            const auto* send = std::get_if<SendNoticeAction>(&action);
+            if (send && !std::bernoulli_distribution(loss)(random))
+                carryOut(daemons[std::stoul(send->to.text())].received(decodeNoticeMessage(encodeNoticeMessage(send->message)), now));
+        }
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (TimePoint end = now + duration; now < end; now += 200ms) {
+            for (NoticeSpread& daemon : daemons)
+                carryOut(daemon.tick(now));
+        }
+    }
+
+    auto inForce(const NoticeSubject& subject) const
+    {
+        return std::count_if(daemons.begin(), daemons.end(), [&](const NoticeSpread& it) { return it.inForce(subject, now); });
+    }
+
+    std::vector<NoticeSpread> daemons;
+    RandomEngine random { 4 };
+    double loss = 0.05;
+    TimePoint now { 1h };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(leavingTargetIsKnownToAllDaemonsWithinThreeSeconds)
+{
+    NoticeFleet fleet(340);
+    NoticeSubject subject { NoticeKind::LeavingTarget, "10.0.0.9:8000" };
+    fleet.carryOut(fleet.daemons[17].raise(subject, 10min, fleet.now));
+    fleet.run(3s);
+    BOOST_TEST(fleet.inForce(subject) == 340);
+}
+
+BOOST_AUTO_TEST_CASE(liftedQuarantineDoesNotComeBackAndManyNoticesReachAll)
+{
+    NoticeFleet fleet(20);
+    auto subject = [](int n) { return NoticeSubject { NoticeKind::QuarantinedRequest, std::to_string(n) }; };
+    for (int n = 0; n < 200; ++n)
+        fleet.carryOut(fleet.daemons[static_cast<std::size_t>(n) % 20].raise(subject(n), 5min, fleet.now));
+    fleet.run(60s);
+    for (int n = 0; n < 200; ++n)
+        BOOST_TEST(fleet.inForce(subject(n)) == 20);
+    fleet.carryOut(fleet.daemons[3].lift(subject(7), fleet.now));
+    fleet.run(60s);
+    BOOST_TEST(fleet.inForce(subject(7)) == 0);
+    fleet.run(4min);
+    BOOST_TEST(fleet.inForce(subject(8)) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Fleet/MembershipTest.cpp
+++ b/unittests/Fleet/MembershipTest.cpp
@@ -129,6 +129,36 @@
         BOOST_TEST((it.state == (it.id == old.id ? MemberState::Dead : MemberState::Alive)));
 }
 
+BOOST_AUTO_TEST_CASE(memberThatFailsSoonAfterJoiningIsNoticed)
+{
+    SimulatedFleet fleet({}, 9);
+    fleet.startIntroduced(120);
+    fleet.run(10s);
+    std::size_t joined = fleet.start();
+    fleet.run(5s);
+    BOOST_TEST(fleet.agreed());
+    fleet.stop(joined);
+    BOOST_TEST((fleet.runUntil([&] { return fleet.agreed(); }, convergenceBound) < convergenceBound));
+}
+
+BOOST_AUTO_TEST_CASE(lateSuspicionOfADeadMemberIsNoNews)
+{
+    TimePoint now(1h);
+    auto member = [](const char* id, const char* host) { return MemberInfo { InstanceId(id), DataCentreId("a"), { host, 1 }, { host, 2 }, HolderId() }; };
+    Membership membership(member("self", "10.0.0.1"), {}, 10);
+    MemberInfo other = member("other", "10.0.0.2");
+    membership.received(PingMessage { 1, other.id, { other } }, now);
+    MemberInfo accused = other;
+    accused.state = MemberState::Suspect;
+    membership.received(AckMessage { 1, other.id, other.id, { accused } }, now);
+    for (int n = 0; n < 200; ++n)
+        membership.tick(now += 50ms);
+    BOOST_TEST((membership.members().back().state == MemberState::Dead));
+    BOOST_TEST(membership.received(AckMessage { 1, other.id, other.id, { accused } }, now).empty());
+    auto before = membership.tick(now);
+    BOOST_TEST(before.empty());
+}
+
 BOOST_AUTO_TEST_CASE(messagesSurviveTheirCodecAndOthersAreRefused)
 {
     MemberInfo member { InstanceId("i"), DataCentreId("bp-a"), { "10.0.0.1", 1 }, { "::1", 2 }, HolderId("h"), true, 7, MemberState::Leaving };
