Place a disk first; keep late copies of an order from undoing the next

A shard whose owner has the only disk got two holders in memory (case 281), and a late copy of an owner's earlier order undid its later one while the later counted as settled (case 287).

Change: holders are ranked by another data centre, disk, then not the owner's instance. OrderController counts the copies of its last order that were not answered and sends another one only when they were answered or have run out; orderAnswered() replaces orderSent() and names the order. The placement test asks for the disk first; it asked for holders beside the owner before, which now holds among holders without a disk. The engine of the order test drops an order at the end of its lifetime instead of one step after it.

--- a/include/basilpoint/Fleet/OrderController.h
+++ b/include/basilpoint/Fleet/OrderController.h
@@ -25,7 +25,7 @@
     Epoch epoch;
 };
 
-/// Send the order; answer with orderSent(). The id is the same in repeats, so that the engine applies it once.
+/// Send the order; answer with orderAnswered(). The id is the same in repeats, so that the engine applies it once.
 struct SendOrderAction {
     std::string orderId;
     /// Fencing number; an engine that honours it refuses lower ones.
@@ -62,7 +62,8 @@
 
 /// Brings one engine to the wanted state by orders that carry the epoch of the target's shard.
 ///
-/// One order is out at a time, and it is repeated until the state read back matches. An engine that
+/// An order is repeated until the state read back matches. Another one is sent only when copies of the
+/// one before were answered or have run out, as a late copy would undo it. An engine that
 /// ignores fencing numbers gets the first order only when orders of the owner before have run out.
 class OrderController {
 public:
@@ -81,8 +82,8 @@
 
     /// Highest epoch that the holder knows, or empty if it did not answer.
     OrderActions epochConfirmed(const std::optional<Epoch>& highest, TimePoint now);
-    /// The engine has taken the order, or its answer was lost; the state read back tells.
-    OrderActions orderSent(TimePoint now);
+    /// The engine answered a sent order. Without an answer nothing needs to be reported: the state read back tells.
+    OrderActions orderAnswered(const std::string& orderId, TimePoint now);
     /// State of the engine, or empty if it did not answer.
     OrderActions stateRead(const std::optional<EngineState>&, TimePoint now);
     /// Call every second.
@@ -103,6 +104,8 @@
     };
 
     void readAt(TimePoint);
+    std::string orderId() const;
+    TimePoint earliestOrder() const;
 
     TargetId m_target;
     bool m_honoursFencing;
@@ -113,6 +116,10 @@
     std::uint64_t m_orders = 0;
     /// No order may be sent before this: those of the owner before may still take effect.
     TimePoint m_firstOrderAt;
+    /// Last order sent, and how many of its copies were not answered and may still take effect.
+    std::string m_lastOrderId;
+    TimePoint m_lastOrderAt;
+    unsigned m_unanswered = 0;
     TimePoint m_nextAt;
     TimePoint m_confirmationAskedAt;
 };
--- a/lib/Fleet/OrderController.cpp
+++ b/lib/Fleet/OrderController.cpp
@@ -1,5 +1,7 @@
 #include "basilpoint/Fleet/OrderController.h"
 
+#include <algorithm>
+
 namespace basilpoint {
 
 void OrderController::takeOver(Epoch epoch, TimePoint now)
@@ -8,6 +10,7 @@
         return;
     m_epoch = epoch;
     m_orders = 0;
+    m_unanswered = 0;
     m_firstOrderAt = m_honoursFencing ? now : now + m_settings.orderLifetime;
     if (m_wanted) {
         ++m_orders;
@@ -52,8 +55,8 @@
         m_nextAt = now + m_settings.auditPause;
         return { OrderSettledAction { *state } };
     }
-    if (now < m_firstOrderAt) {
-        readAt(m_firstOrderAt);
+    if (now < earliestOrder()) {
+        readAt(earliestOrder());
         return {};
     }
     m_step = Step::AwaitingEpoch;
@@ -76,14 +79,33 @@
     }
     m_step = Step::AwaitingAnswer;
     m_nextAt = now + m_settings.retryPause;
-    return { SendOrderAction { m_target.text() + "-" + std::to_string(m_epoch.value()) + "-" + std::to_string(m_orders), m_epoch, *m_wanted } };
+    m_unanswered = m_lastOrderId == orderId() ? m_unanswered + 1 : 1;
+    m_lastOrderId = orderId();
+    m_lastOrderAt = now;
+    return { SendOrderAction { m_lastOrderId, m_epoch, *m_wanted } };
 }
 
-OrderActions OrderController::orderSent(TimePoint now)
+OrderActions OrderController::orderAnswered(const std::string& orderId, TimePoint now)
 {
+    // The answer of an order that had run out says nothing of the one sent after it.
+    if (orderId != m_lastOrderId || m_unanswered == 0)
+        return {};
+    --m_unanswered;
     if (m_step == Step::AwaitingAnswer)
         readAt(now);
     return {};
 }
 
+std::string OrderController::orderId() const
+{
+    return m_target.text() + "-" + std::to_string(m_epoch.value()) + "-" + std::to_string(m_orders);
+}
+
+TimePoint OrderController::earliestOrder() const
+{
+    if (m_unanswered == 0 || m_lastOrderId == orderId())
+        return m_firstOrderAt;
+    return std::max(m_firstOrderAt, m_lastOrderAt + m_settings.orderLifetime);
+}
+
 } // namespace basilpoint
--- a/lib/Fleet/ShardPlacement.cpp
+++ b/lib/Fleet/ShardPlacement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstring>
 #include <set>
+#include <tuple>
 
 namespace basilpoint {
 
@@ -99,40 +100,31 @@
     return assigned;
 }
 
-/// Best holder that satisfies \p allowed; a disk goes before memory.
-template <typename Allowed>
-static const MemberInfo* bestHolder(const std::vector<Candidate>& holders, std::uint64_t shard, const Allowed& allowed)
+/// Best holder beside \p first. Another data centre goes before a disk, and a disk before not being on
+/// the owner's instance, whose loss takes the owner and a copy at once.
+static const MemberInfo* bestHolder(const std::vector<Candidate>& holders, std::uint64_t shard, const MemberInfo& owner, const MemberInfo* first)
 {
     const MemberInfo* best = nullptr;
-    std::pair<bool, std::uint64_t> bestRank;
-    for (const Candidate& it : holders) {
-        std::pair rank(it.member->durable, weightOf(it.hash, shard));
-        if (!allowed(*it.member) || (best && rank < bestRank))
+    std::tuple<bool, bool, bool, std::uint64_t> bestRank;
+    for (const auto& [member, hash] : holders) {
+        if (member == first)
             continue;
-        best = it.member;
+        bool elsewhere = first && member->dataCentre != first->dataCentre;
+        std::tuple rank(elsewhere, member->durable, member->id != owner.id, weightOf(hash, shard));
+        if (best && rank < bestRank)
+            continue;
+        best = member;
         bestRank = rank;
     }
     return best;
 }
 
-/// Two holders, best first. Another data centre goes before a disk, and both before the owner's own
-/// instance, whose loss would take the owner and a copy at once.
 static std::vector<HolderId> chooseHolders(const std::vector<Candidate>& holders, std::uint64_t shard, const MemberInfo& owner)
 {
-    auto notOwner = [&](const MemberInfo& it) { return it.id != owner.id; };
-    const MemberInfo* first = bestHolder(holders, shard, notOwner);
-    if (!first)
-        first = bestHolder(holders, shard, [](const MemberInfo&) { return true; });
+    const MemberInfo* first = bestHolder(holders, shard, owner, nullptr);
     if (!first)
         return {};
-    auto elsewhere = [&](const MemberInfo& it) { return it.dataCentre != first->dataCentre; };
-    const MemberInfo* second = bestHolder(holders, shard, [&](const MemberInfo& it) { return elsewhere(it) && notOwner(it); });
-    if (!second)
-        second = bestHolder(holders, shard, elsewhere);
-    if (!second)
-        second = bestHolder(holders, shard, [&](const MemberInfo& it) { return it.id != first->id && notOwner(it); });
-    if (!second)
-        second = bestHolder(holders, shard, [&](const MemberInfo& it) { return it.id != first->id; });
+    const MemberInfo* second = bestHolder(holders, shard, owner, first);
     if (!second)
         return { first->holder };
     return { first->holder, second->holder };
--- a/unittests/Fleet/OrderControllerTest.cpp
+++ b/unittests/Fleet/OrderControllerTest.cpp
@@ -51,14 +51,14 @@
         auto it = underWay.begin() + *rc::gen::inRange<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(underWay.size()));
         auto [owner, order, expiresAt] = *it;
         underWay.erase(it);
-        if (now > expiresAt || (honoursFencing && order.fencing < highestSeen))
+        if (now >= expiresAt || (honoursFencing && order.fencing < highestSeen))
             return;
         // An older owner's order after a newer one's would undo it without anybody noticing.
         RC_ASSERT(order.fencing >= highestSeen);
         highestSeen = order.fencing;
         state = order.state;
         if (*rc::gen::arbitrary<bool>())
-            carryOut(owner, owners[owner].orderSent(now));
+            carryOut(owner, owners[owner].orderAnswered(order.orderId, now));
     }
 
     void tick()
--- a/unittests/Fleet/ShardPlacementTest.cpp
+++ b/unittests/Fleet/ShardPlacementTest.cpp
@@ -1,5 +1,6 @@
 #include "basilpoint/Fleet/ShardPlacement.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 #include <set>
@@ -73,8 +74,10 @@
             RC_ASSERT(first.id != second.id);
             RC_ASSERT((first.dataCentre != second.dataCentre || dataCentres.size() == 1));
             RC_ASSERT((first.durable || !second.durable));
-            if (usable.size() > 2 && dataCentres.size() == 1)
-                RC_ASSERT(first.id != place.owner && second.id != place.owner);
+            bool anyDurable = std::any_of(holders.begin(), holders.end(), [](const auto& it) { return it.second.durable; });
+            RC_ASSERT(first.durable == anyDurable);
+            if (usable.size() > 2 && dataCentres.size() == 1 && !anyDurable)
+                RC_ASSERT((first.id != place.owner && second.id != place.owner));
         }
         std::reverse(members.begin(), members.end());
         RC_ASSERT(placeShards(members, shards) == places);
