Let the shard fuzzer check that the shard recovers

Cause: the fuzzer checked safety alone, and a run in which nobody ever serves is safe.

A holder of the record that was never synchronized proves an empty log also when the other one is gone. A claim is not kept once all holders are declared lost. A shard takes at most two holders, as a set of three could lose two at once and then had no way to replace them.

--- a/benchmarks/Shard/ShardFuzz.cpp
+++ b/benchmarks/Shard/ShardFuzz.cpp
@@ -32,7 +32,11 @@
         ShardCluster cluster({ seed, flags.count("without-service") > 0, static_cast<Mutation>(flags["mutation"].as<int>()) });
         cluster.runFuzz(runSpan);
         total += cluster.counts();
+        bool isMutated = flags["mutation"].as<int>() != 0;
+        bool hasRecovered = isMutated || cluster.recovers();
         auto violation = findViolation(cluster.history());
+        if (!violation && !hasRecovered)
+            violation = "the shard is not served after all faults ended";
         if (violation && ++violations <= 5)
             std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), violation->c_str());
     }
--- a/include/basilpoint/Shard/ShardOwner.h
+++ b/include/basilpoint/Shard/ShardOwner.h
@@ -42,14 +42,16 @@
 
     ShardOwner(ShardId, InstanceId self, ShardOwnerSettings);
 
-    /// Begins to take the shard over. \p holders are used if the shard has no record yet, and in
-    /// place of holders that do not answer. A call during a take-over only replaces \p holders.
+    /// Begins to take the shard over. The first two of \p holders are used if the shard has no record
+    /// yet; the first that is not in use, in place of a holder that does not answer. A call during a
+    /// take-over only replaces \p holders.
     ShardActions takeOver(const HolderSet& holders, RandomEngine&, TimePoint now);
 
     /// Replicates \p entries; AcknowledgedAction with \p ticket follows, or LostShardAction.
     ShardActions append(std::uint64_t ticket, std::vector<std::string> entries, TimePoint now);
 
-    /// Replaces \p lost by \p replacement among the holders; an empty \p lost adds a holder.
+    /// Replaces \p lost by \p replacement among the holders; an empty \p lost adds one to
+    /// a single holder.
     /// Does nothing while another change, a compaction or a take-over is under way.
     ShardActions replaceHolder(const HolderId& lost, const HolderId& replacement, RandomEngine&, TimePoint now);
 
@@ -165,9 +167,10 @@
     void beginAttempt();
     void failAttempt(Event);
     void claimEpoch(Event);
+    HolderSet newHolders() const;
     ShardRecord firstRecord() const;
     ShardRecord nextRecord() const;
-    bool areAllLost(const HolderSet&) const;
+    bool isLoss(const ShardRecord&) const;
     void beginWithoutService(Event);
     void seal(const HolderSet&, Event);
     void onSealed(const HolderId&, const HolderReply&, Event);
--- a/include/basilpoint/Shard/Types.h
+++ b/include/basilpoint/Shard/Types.h
@@ -32,6 +32,9 @@
 /// Holders that count together, in order; two of them, or one at a single daemon.
 using HolderSet = std::vector<HolderId>;
 
+/// Holders of a shard where there is more than one daemon.
+constexpr std::size_t holdersPerShard = 2;
+
 /// A shard's record in the key-value service; changed by compare-and-swap alone.
 struct ShardRecord {
     Epoch epoch;
--- a/lib/Shard/HolderChange.cpp
+++ b/lib/Shard/HolderChange.cpp
@@ -18,7 +18,7 @@
 
 bool ShardOwner::prepareChange(const HolderId& lost, const HolderId& added)
 {
-    bool isMember = lost.empty() || contains(m_holders, lost);
+    bool isMember = lost.empty() ? m_holders.size() < holdersPerShard : contains(m_holders, lost);
     if (!isMember || added.empty() || contains(m_holders, added))
         return false;
     Change change { m_holders, added, m_holders };
--- a/lib/Shard/TakeOver.cpp
+++ b/lib/Shard/TakeOver.cpp
@@ -14,7 +14,7 @@
 
 ShardActions ShardOwner::takeOver(const HolderSet& holders, RandomEngine&, TimePoint now)
 {
-    m_candidates = normalized(holders);
+    m_candidates = holders;
     if (m_state == State::Idle) {
         m_state = State::TakingOver;
         m_failedAttempts = 0;
@@ -51,38 +51,45 @@
     if (m_isUnregistered)
         return enterRecord(event);
     bool isStillOurs = m_isClaimed && m_access.record() && m_access.record()->writeId == m_record.writeId;
-    if (!isStillOurs)
+    if (!isStillOurs || isLoss(m_record))
         return claimEpoch(event);
     // The claim of the last attempt stands; its steps go on counting, so that logs are not mixed up.
     seal(m_holders, event);
 }
 
+HolderSet ShardOwner::newHolders() const
+{
+    HolderSet holders;
+    for (const HolderId& holder : m_candidates) {
+        if (!m_lost.contains(holder) && !contains(holders, holder) && holders.size() < holdersPerShard)
+            holders.push_back(holder);
+    }
+    return normalized(std::move(holders));
+}
+
 ShardRecord ShardOwner::firstRecord() const
 {
     ShardRecord record;
     record.epoch = m_highest.next();
-    record.holders = m_candidates;
+    record.holders = newHolders();
     return record;
 }
 
-bool ShardOwner::areAllLost(const HolderSet& holders) const
+bool ShardOwner::isLoss(const ShardRecord& record) const
 {
-    return std::all_of(holders.begin(), holders.end(), [&](const HolderId& it) { return m_lost.contains(it); });
+    bool areAllGone = std::all_of(record.holders.begin(), record.holders.end(), [&](const HolderId& it) { return m_lost.contains(it); });
+    return areAllGone && !newHolders().empty();
 }
 
 ShardRecord ShardOwner::nextRecord() const
 {
     ShardRecord record = *m_access.record();
     record.epoch = std::max(record.epoch, m_highest).next();
-    if (!areAllLost(record.holders) || areAllLost(m_candidates))
+    if (!isLoss(record))
         return record;
     record.lostThrough = Epoch(record.epoch.value() + lossEpochGap);
     record.epoch = record.lostThrough.next();
-    record.holders.clear();
-    for (const HolderId& holder : m_candidates) {
-        if (!m_lost.contains(holder))
-            record.holders.push_back(holder);
-    }
+    record.holders = newHolders();
     return record;
 }
 
@@ -95,7 +102,7 @@
 
 void ShardOwner::claimEpoch(Event event)
 {
-    if (!m_access.record() && m_candidates.empty())
+    if (!m_access.record() && newHolders().empty())
         return failAttempt(event);
     ShardRecord record = m_access.record() ? nextRecord() : firstRecord();
     m_highest = record.epoch;
@@ -224,8 +231,10 @@
     m_source = best ? best->first : HolderId();
     if (best && best->second.length > 0)
         return readLog(m_source, event);
-    // Holders that were never synchronized prove an empty log only all together.
-    if (!best && m_sealed.size() < m_counting.size())
+    // Every owner synchronizes all holders of the record before it acts, so that one that never was
+    // proves an empty log. One that may still show a log is waited for all the same.
+    bool isDecided = std::all_of(m_counting.begin(), m_counting.end(), [&](const HolderId& it) { return m_sealed.contains(it) || m_lost.contains(it); });
+    if (!best && (!isDecided || m_sealed.empty()))
         return failAttempt(event);
     syncHolders(event);
 }
--- a/unittests/Shard/ClusterFuzz.cpp
+++ b/unittests/Shard/ClusterFuzz.cpp
@@ -3,6 +3,8 @@
 namespace basilpoint::test {
 
 static constexpr Milliseconds stepSpan { 5 };
+static constexpr Milliseconds recoverySpan { 500 };
+static constexpr unsigned recoveryTries = 20;
 
 bool ShardCluster::happens(double probability)
 {
@@ -21,37 +23,58 @@
 
 void ShardCluster::injectFault()
 {
-    if (happens(.008))
-        m_isServiceUp = !m_isServiceUp;
-    if (happens(.02))
-        injectHolderFault();
+    if (happens(.008)) {
+        m_isServiceUp = false;
+        after(Milliseconds(20 + draw(happens(.3) ? 1'000 : 200)), [this] { m_isServiceUp = true; });
+    }
+    if (happens(.025))
+        injectHolderFault(draw(m_places.size()));
     std::size_t n = draw(m_processes.size());
-    if (happens(.01))
+    if (happens(.012))
         pause(n, Milliseconds(20 + draw(400)));
-    if (happens(.006)) {
-        // Some daemons remember the record that their predecessor saw, however old it is.
-        auto seen = m_record;
+    if (happens(.008)) {
         restart(n);
-        if (seen && happens(.7))
-            m_processes[n].owner->rememberRecord(*seen);
+        // A daemon may remember a record that is several changes old.
+        if (!m_records.empty() && happens(.7))
+            m_processes[n].owner->rememberRecord(m_records[draw(m_records.size())]);
     }
 }
 
-void ShardCluster::injectHolderFault()
+void ShardCluster::injectHolderFault(std::size_t n)
 {
-    std::size_t n = draw(m_places.size());
     Place& place = m_places[n];
     std::size_t kind = draw(10);
-    if (kind < 6)
-        place.isUp = !place.isUp;
-    else if (kind < 8)
+    if (kind < 5) {
+        place.isUp = false;
+        after(Milliseconds(20 + draw(happens(.3) ? 1'500 : 200)), [this, n] { m_places[n].isUp = true; });
+    } else if (kind < 7)
         restartHolder(n);
-    else if (kind < 9)
+    else if (kind < 8)
         place.stored = place.holder->snapshot();
     else
         emptyHolder(n);
 }
 
+bool ShardCluster::recovers()
+{
+    m_settings.isFaulty = false;
+    m_isServiceUp = true;
+    for (Place& place : m_places)
+        place.isUp = true;
+    run(recoverySpan);
+    for (std::size_t n = 1; n < m_processes.size(); ++n)
+        crash(n);
+    unsigned effects = m_counts.effects;
+    for (unsigned n = 0; n < recoveryTries && m_counts.effects == effects; ++n) {
+        if (owner(0).state() == ShardOwner::State::Idle || owner(0).state() == ShardOwner::State::TakingOver)
+            takeOver(0, { holderAt(0), holderAt(1) });
+        else
+            request(0, std::to_string(owner(0).epoch().value()) + "-recovered" + std::to_string(n));
+        run(recoverySpan);
+    }
+    return m_counts.effects > effects;
+}
+
 HolderSet ShardCluster::drawHolders()
 {
     HolderSet holders { holderAt(draw(m_places.size())) };
@@ -76,7 +99,7 @@
     switch (owner.state()) {
     case ShardOwner::State::Idle:
     case ShardOwner::State::TakingOver:
-        if (happens(.02))
+        if (happens(.04))
             takeOver(n, drawHolders());
         return;
     case ShardOwner::State::Owning:
--- a/unittests/Shard/Mutations.cpp
+++ b/unittests/Shard/Mutations.cpp
@@ -70,10 +70,9 @@
         reply.member = true;
     if (m_settings.mutation == Mutation::LengthAlone && std::holds_alternative<SealRequest>(request))
         reply.position = { { Epoch(1), {} }, 0 };
-    // The owner takes an append for its own only at its own position.
     const auto* append = std::get_if<AppendRequest>(&request);
     if (m_settings.mutation == Mutation::EpochNotCompared && append && reply.accepted)
-        reply.position = {};
+        reply.position = append->position;
     return reply;
 }
 
--- a/unittests/Shard/ShardCluster.cpp
+++ b/unittests/Shard/ShardCluster.cpp
@@ -151,6 +151,7 @@
     m_counts.changes += m_record && m_record->holders != action.record.holders;
     m_counts.losses += m_record && m_record->lostThrough != action.record.lostThrough;
     m_record = decodeShardRecord(encodeShardRecord(action.record));
+    m_records.push_back(*m_record);
     ++m_revision;
     ++m_counts.writes;
     return true;
@@ -205,12 +206,13 @@
     });
 }
 
-std::optional<HolderReply> ShardCluster::ask(Place& place, HolderRequest request)
+std::optional<HolderReply> ShardCluster::ask(Place& place, const HolderRequest& request)
 {
     if (auto reply = fabricate(place, request))
         return *reply;
-    mutateRequest(place, request);
-    HolderDecision decision = place.holder->handle(shard, request);
+    HolderRequest mutated = request;
+    mutateRequest(place, mutated);
+    HolderDecision decision = place.holder->handle(shard, mutated);
     // A crash between the decision and the storage loses both the operation and the reply.
     if (decision.op && chance(.005)) {
         restartHolder(static_cast<std::size_t>(&place - m_places.data()));
--- a/unittests/Shard/ShardCluster.h
+++ b/unittests/Shard/ShardCluster.h
@@ -75,6 +75,8 @@
 
     /// Lets \p span pass with random work and faults.
     void runFuzz(Milliseconds span);
+    /// Ends all faults; \returns whether an owner serves a new request after that.
+    bool recovers();
     /// Lets \p span pass with messages and timers alone.
     void run(Milliseconds span);
 
@@ -129,7 +131,7 @@
 
     bool compareAndSwap(const WriteRecordAction&);
     void arrive(std::size_t process, const SendToHolderAction&);
-    std::optional<HolderReply> ask(Place&, HolderRequest);
+    std::optional<HolderReply> ask(Place&, const HolderRequest&);
     std::optional<HolderReply> fabricate(const Place&, const HolderRequest&) const;
     bool isStoredElsewhere(const Place&, const AppendRequest&) const;
     void mutateRequest(const Place&, HolderRequest&) const;
@@ -138,7 +140,7 @@
 
     HolderSet drawHolders();
     void injectFault();
-    void injectHolderFault();
+    void injectHolderFault(std::size_t place);
     void injectWork(std::size_t process);
     std::string drawKey(Epoch);
 
@@ -148,6 +150,7 @@
     std::priority_queue<Timer> m_timers;
     std::uint64_t m_lastOrder = 0;
     std::optional<ShardRecord> m_record;
+    std::vector<ShardRecord> m_records;
     std::int64_t m_revision = 0;
     bool m_isServiceUp = true;
     bool m_loseNextAnswer = false;
--- a/unittests/Shard/ShardFuzzTest.cpp
+++ b/unittests/Shard/ShardFuzzTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t seeds = 1'500;
+constexpr std::uint64_t seeds = 1'000;
 constexpr std::uint64_t seedsForMutation = 1'500;
 constexpr Milliseconds runSpan { 2'000 };
 
@@ -16,7 +16,11 @@
 {
     ShardCluster cluster({ seed, allowWithoutService, mutation });
     cluster.runFuzz(runSpan);
-    return findViolation(cluster.history());
+    bool hasRecovered = mutation != Mutation::None || cluster.recovers();
+    auto violation = findViolation(cluster.history());
+    if (!violation && !hasRecovered)
+        return "the shard is not served after all faults ended";
+    return violation;
 }
 
 constexpr Mutation mutations[] = {
--- a/unittests/Shard/TakeOverTest.cpp
+++ b/unittests/Shard/TakeOverTest.cpp
@@ -168,6 +168,34 @@
     BOOST_TEST(counts().effects == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(lossDuringATakeOverIsEnteredInTheRecord)
+{
+    own(0, pair());
+    crash(0);
+    setHolderUp(0, false);
+    setHolderUp(1, false);
+    own(1, { c, d });
+    BOOST_TEST(!isOwning(1));
+    emptyHolder(0);
+    emptyHolder(1);
+    own(1, { c, d });
+    run(settleSpan * 8);
+    BOOST_TEST(isOwning(1));
+    BOOST_TEST((record()->lostThrough >= Epoch(1)));
+}
+
+BOOST_AUTO_TEST_CASE(holderThatWasNeverSynchronizedProvesAnEmptyLog)
+{
+    takeOver(0, pair());
+    run(Milliseconds(4));
+    BOOST_TEST((record()->holders == pair()));
+    crash(0);
+    emptyHolder(0);
+    own(1, { c, d });
+    BOOST_TEST(isOwning(1));
+    BOOST_TEST((record()->lostThrough == Epoch()));
+}
+
 BOOST_AUTO_TEST_CASE(ownerPausedBeforeDispatchSendsAtMostOnce) // (d)
 {
     own(0, pair());
