Let the shard fuzzer lose what is not on storage yet

Cause: the fake holders stored every operation at once, so that a crash between a decision and its storage was hardly tried.

Change: storage lags by up to three milliseconds, replies wait for it, and a restart loses the rest.

--- a/unittests/Shard/ClusterFuzz.cpp
+++ b/unittests/Shard/ClusterFuzz.cpp
@@ -44,14 +44,14 @@
 {
     Place& place = m_places[n];
     std::size_t kind = draw(10);
-    if (kind < 5) {
+    if (kind < 4) {
         place.isUp = false;
         after(Milliseconds(20 + draw(happens(.3) ? 1'500 : 200)), [this, n] { m_places[n].isUp = true; });
     } else if (kind < 7)
         restartHolder(n);
-    else if (kind < 8)
+    else if (kind < 8 && place.unstored == 0)
         place.stored = place.holder->snapshot();
-    else
+    else if (kind >= 8)
         emptyHolder(n);
 }
 
--- a/unittests/Shard/ShardCluster.cpp
+++ b/unittests/Shard/ShardCluster.cpp
@@ -93,6 +93,8 @@
     for (const StorageOp& op : place.stored)
         rebuilt->replay(decodeStorageOp(encodeStorageOp(op)));
     place.holder = std::move(rebuilt);
+    ++place.start;
+    place.unstored = 0;
 }
 
 void ShardCluster::emptyHolder(std::size_t n)
@@ -105,6 +107,8 @@
         m_gone.insert(old);
     place.holder = std::make_unique<JournalHolder>(keepsId ? old : fresh, 64);
     place.stored.clear();
+    ++place.start;
+    place.unstored = 0;
 }
 
 void ShardCluster::deliver(std::size_t n, std::function<ShardActions(ShardOwner&)> event)
@@ -197,30 +201,36 @@
     if (!isReached)
         return;
     auto request = decodeHolderRequest(encodeHolderRequest(shard, action.request)).second;
-    auto reply = ask(*place, request);
-    if (!reply || n >= processCount || chance(.05))
-        return;
-    after(messageDelay(), [this, n, action, reply = decodeHolderReply(encodeHolderReply(*reply)), id = m_processes[n].id] {
-        if (m_processes[n].id == id)
-            deliver(n, [this, action, reply](ShardOwner& owner) { return owner.holderAnswered(action.requestId, reply, m_random, m_now); });
+    ask(*place, request, [this, n, action, id = n < processCount ? m_processes[n].id : InstanceId()](const HolderReply& reply) {
+        if (n >= processCount || chance(.05))
+            return;
+        after(messageDelay(), [this, n, id, requestId = action.requestId, received = decodeHolderReply(encodeHolderReply(reply))] {
+            if (m_processes[n].id == id)
+                deliver(n, [this, requestId, received](ShardOwner& owner) { return owner.holderAnswered(requestId, received, m_random, m_now); });
+        });
     });
 }
 
-std::optional<HolderReply> ShardCluster::ask(Place& place, const HolderRequest& request)
+void ShardCluster::ask(Place& place, const HolderRequest& request, const std::function<void(const HolderReply&)>& answer)
 {
     if (auto reply = fabricate(place, request))
-        return *reply;
+        return answer(*reply);
     HolderRequest mutated = request;
     mutateRequest(place, mutated);
     HolderDecision decision = place.holder->handle(shard, mutated);
-    // A crash between the decision and the storage loses both the operation and the reply.
-    if (decision.op && chance(.005)) {
-        restartHolder(static_cast<std::size_t>(&place - m_places.data()));
-        return {};
-    }
-    if (decision.op)
-        place.stored.push_back(*decision.op);
-    return mutateReply(request, decision.reply);
+    HolderReply reply = mutateReply(request, decision.reply);
+    if (!decision.op)
+        return answer(reply);
+    // A crash before the operation is on storage loses it together with the reply.
+    place.storedAt = std::max(place.storedAt, m_now) + Milliseconds(m_settings.isFaulty ? draw(4) : 0);
+    ++place.unstored;
+    after(std::chrono::ceil<Milliseconds>(place.storedAt - m_now), [&place, start = place.start, op = *decision.op, reply, answer] {
+        if (place.start != start)
+            return;
+        --place.unstored;
+        place.stored.push_back(op);
+        answer(reply);
+    });
 }
 
 void ShardCluster::perform(std::size_t n, const BecameOwnerAction& action)
--- a/unittests/Shard/ShardCluster.h
+++ b/unittests/Shard/ShardCluster.h
@@ -57,6 +57,10 @@
         std::vector<StorageOp> stored;
         unsigned generation = 0;
         bool isUp = true;
+        /// Rises with each restart, which loses what is not on storage yet.
+        unsigned start = 0;
+        unsigned unstored = 0;
+        TimePoint storedAt;
     };
 
     /// One place for an owner with the small application above it.
@@ -131,7 +135,7 @@
 
     bool compareAndSwap(const WriteRecordAction&);
     void arrive(std::size_t process, const SendToHolderAction&);
-    std::optional<HolderReply> ask(Place&, const HolderRequest&);
+    void ask(Place&, const HolderRequest&, const std::function<void(const HolderReply&)>& answer);
     std::optional<HolderReply> fabricate(const Place&, const HolderRequest&) const;
     bool isStoredElsewhere(const Place&, const AppendRequest&) const;
     void mutateRequest(const Place&, HolderRequest&) const;
