Reset the pairs that holders show at take-over and compaction

Cause: a holder kept every pair it ever knew. Each change of holders made every reply and storage operation larger for good, and a take-over without the service had to reach holders that went long ago.

Change: a synchronization by an owner that knows the recorded pair replaces the known pairs by it.

--- a/include/basilpoint/Shard/Types.h
+++ b/include/basilpoint/Shard/Types.h
@@ -83,6 +83,8 @@
     std::vector<std::string> entries;
     /// Pairs that a candidate without the key-value service must reach as well.
     std::set<HolderSet> pairs;
+    /// Whether the holder forgets the pairs that it knew before.
+    bool replacesPairs = false;
     bool last = true;
 
     bool operator==(const SyncRequest&) const = default;
--- a/lib/Shard/Codec.cpp
+++ b/lib/Shard/Codec.cpp
@@ -89,7 +89,7 @@
 
 static Json encode(const SyncRequest& request)
 {
-    return { { "t", "sync" }, { "tag", toJson(request.tag) }, { "pos", toJson(request.position) }, { "keep", request.keep }, { "from", request.from }, { "e", toJson(request.entries) }, { "pairs", toJson(request.pairs) }, { "last", request.last } };
+    return { { "t", "sync" }, { "tag", toJson(request.tag) }, { "pos", toJson(request.position) }, { "keep", request.keep }, { "from", request.from }, { "e", toJson(request.entries) }, { "pairs", toJson(request.pairs) }, { "only", request.replacesPairs }, { "last", request.last } };
 }
 
 static Json encode(const AppendRequest& request)
@@ -110,7 +110,7 @@
     if (type == "read")
         return ReadRequest { tagFromJson(json.at("tag")), json.at("from").get<std::uint64_t>() };
     if (type == "sync")
-        return SyncRequest { tagFromJson(json.at("tag")), positionFromJson(json.at("pos")), json.at("keep").get<std::uint64_t>(), json.at("from").get<std::uint64_t>(), entriesFromJson(json.at("e")), pairsFromJson(json.at("pairs")), json.at("last").get<bool>() };
+        return SyncRequest { tagFromJson(json.at("tag")), positionFromJson(json.at("pos")), json.at("keep").get<std::uint64_t>(), json.at("from").get<std::uint64_t>(), entriesFromJson(json.at("e")), pairsFromJson(json.at("pairs")), json.at("only").get<bool>(), json.at("last").get<bool>() };
     if (type == "append")
         return AppendRequest { positionFromJson(json.at("pos")), json.at("i").get<std::uint64_t>(), entriesFromJson(json.at("e")) };
     if (type == "mark")
--- a/lib/Shard/HolderChange.cpp
+++ b/lib/Shard/HolderChange.cpp
@@ -163,11 +163,15 @@
 void ShardOwner::sendSyncChunk(const HolderId& holder, TimePoint now)
 {
     SyncCursor& cursor = m_cursors[holder];
-    SyncRequest request { m_tag, m_syncPosition, cursor.keep, cursor.next, {}, {}, true };
+    SyncRequest request { m_tag, m_syncPosition, cursor.keep, cursor.next, {}, {}, false, true };
     if (m_change)
         request.pairs = { m_change->target };
-    else if (!m_isUnregistered)
+    else if (!m_isUnregistered) {
+        // No other change of holders can reach the record any more: earlier pairs, pending ones
+        // included, would only make take-overs without the service ask for more holders.
         request.pairs = { m_holders };
+        request.replacesPairs = true;
+    }
     std::size_t bytes = 0;
     for (std::uint64_t n = cursor.next; n < m_log.size() && bytes < m_settings.chunkBytes; ++n) {
         request.entries.push_back(m_log[n]);
--- a/lib/Shard/JournalHolder.cpp
+++ b/lib/Shard/JournalHolder.cpp
@@ -76,6 +76,8 @@
     log.entries.insert(log.entries.end(), staged.entries.begin(), staged.entries.end());
     log.member = true;
     log.position = staged.position;
+    if (request.replacesPairs)
+        log.pairs.clear();
     log.pairs.insert(request.pairs.begin(), request.pairs.end());
     StorageOp op = operation(shard, log);
     op.truncateTo = staged.keep;
--- a/unittests/Shard/CodecTest.cpp
+++ b/unittests/Shard/CodecTest.cpp
@@ -46,7 +46,7 @@
     return rc::gen::oneOf(
         rc::gen::cast<HolderRequest>(rc::gen::construct<SealRequest>(anyTag())),
         rc::gen::cast<HolderRequest>(rc::gen::construct<ReadRequest>(anyTag(), number)),
-        rc::gen::cast<HolderRequest>(rc::gen::construct<SyncRequest>(anyTag(), anyPosition(), number, number, anyEntries(), anyPairs(), rc::gen::arbitrary<bool>())),
+        rc::gen::cast<HolderRequest>(rc::gen::construct<SyncRequest>(anyTag(), anyPosition(), number, number, anyEntries(), anyPairs(), rc::gen::arbitrary<bool>(), rc::gen::arbitrary<bool>())),
         rc::gen::cast<HolderRequest>(rc::gen::construct<AppendRequest>(anyPosition(), number, anyEntries())),
         rc::gen::cast<HolderRequest>(rc::gen::construct<MarkRequest>(anyTag(), rc::gen::container<HolderSet>(anyId<HolderId>()))));
 }
--- a/unittests/Shard/JournalHolderTest.cpp
+++ b/unittests/Shard/JournalHolderTest.cpp
@@ -19,7 +19,7 @@
 
     bool sync(const OwnerTag& tag, std::uint64_t step, const std::vector<std::string>& entries)
     {
-        return ask(SyncRequest { tag, { tag, step }, 0, 0, entries, { pair }, true }).accepted;
+        return ask(SyncRequest { tag, { tag, step }, 0, 0, entries, { pair }, false, true }).accepted;
     }
 
     std::vector<std::string> log(const OwnerTag& tag) { return ask(ReadRequest { tag, 0 }).entries; }
@@ -64,13 +64,13 @@
 BOOST_AUTO_TEST_CASE(synchronizationThatBreaksOffLeavesTheLog)
 {
     BOOST_TEST(sync(first, 0, { "a", "b" }));
-    BOOST_TEST(ask(SyncRequest { second, { second, 0 }, 1, 1, { "x" }, {}, false }).accepted);
+    BOOST_TEST(ask(SyncRequest { second, { second, 0 }, 1, 1, { "x" }, {}, false, false }).accepted);
     BOOST_TEST(log(second) == std::vector<std::string>({ "a", "b" }), boost::test_tools::per_element());
     JournalHolder restarted(holder.id());
     for (const StorageOp& op : stored)
         restarted.replay(op);
     holder = restarted;
-    BOOST_TEST(!ask(SyncRequest { second, { second, 0 }, 1, 2, { "y" }, {}, true }).accepted);
+    BOOST_TEST(!ask(SyncRequest { second, { second, 0 }, 1, 2, { "y" }, {}, false, true }).accepted);
     BOOST_TEST(log(second) == std::vector<std::string>({ "a", "b" }), boost::test_tools::per_element());
 }
 
@@ -79,7 +79,8 @@
     sync(first, 0, { "a", "b", "c" });
     ask(SealRequest { second });
     ask(MarkRequest { second, { HolderId("A"), HolderId("C") } });
-    ask(SyncRequest { second, { second, 0 }, 1, 1, { "x" }, {}, true });
+    ask(SyncRequest { second, { second, 0 }, 1, 1, { "x" }, { pair }, true, true });
+    BOOST_TEST((ask(SealRequest { second }).pairs == std::set<HolderSet> { pair }));
     ask(AppendRequest { { second, 0 }, 2, { "y" } });
     JournalHolder replayed(holder.id());
     for (const StorageOp& op : stored)
