--- a/unittests/Shard/ShardCluster.h
+++ b/unittests/Shard/ShardCluster.h
@@ -57,6 +57,10 @@
         std::vector<StorageOp> stored;
         unsigned generation = 0;
         bool isUp = true;
+        /// Rises with each restart, which loses what is not on storage yet.
+        unsigned start = 0;
+        unsigned unstored = 0;
+        TimePoint storedAt;
     };
 
     /// One place for an owner with the small application above it.
@@ -75,6 +79,8 @@
 
     /// Lets \p span pass with random work and faults.
     void runFuzz(Milliseconds span);
+    /// Ends all faults; \returns whether an owner serves a new request after that.
+    bool recovers();
     /// Lets \p span pass with messages and timers alone.
     void run(Milliseconds span);
 
@@ -129,7 +135,7 @@
 
     bool compareAndSwap(const WriteRecordAction&);
     void arrive(std::size_t process, const SendToHolderAction&);
-    std::optional<HolderReply> ask(Place&, HolderRequest);
+    void ask(Place&, const HolderRequest&, const std::function<void(const HolderReply&)>& answer);
     std::optional<HolderReply> fabricate(const Place&, const HolderRequest&) const;
     bool isStoredElsewhere(const Place&, const AppendRequest&) const;
     void mutateRequest(const Place&, HolderRequest&) const;
@@ -138,7 +144,7 @@
 
     HolderSet drawHolders();
     void injectFault();
-    void injectHolderFault();
+    void injectHolderFault(std::size_t place);
     void injectWork(std::size_t process);
     std::string drawKey(Epoch);
 
@@ -148,6 +154,7 @@
     std::priority_queue<Timer> m_timers;
     std::uint64_t m_lastOrder = 0;
     std::optional<ShardRecord> m_record;
+    std::vector<ShardRecord> m_records;
     std::int64_t m_revision = 0;
     bool m_isServiceUp = true;
     bool m_loseNextAnswer = false;
