--- a/include/basilpoint/Journal/JournalStore.h
+++ b/include/basilpoint/Journal/JournalStore.h
@@ -36,7 +36,8 @@
     const HolderId& holder() const;
 
     /// Calls \p replay with every operation on disk, in order. Once, before the first write().
-    /// A torn tail is cut. \throws JournalCorruptError on a bad operation before the tail.
+    /// A torn tail is cut. \throws JournalCorruptError on a bad operation before the tail,
+    /// InvalidInputError on an operation of another version.
     void load(const std::function<void(const StorageOp&)>& replay);
 
     /// Call before a request changes the holder's state: a write that was refused later would
