--- a/lib/Program/ProgramReplay.cpp
+++ b/lib/Program/ProgramReplay.cpp
@@ -72,6 +72,37 @@
     state.openTurn = record;
 }
 
+// Grows by an eighth. The string's own growth doubles, and most programs are idle most of the time.
+static void appendTight(std::string& text, std::string_view added)
+{
+    std::size_t needed = text.size() + added.size();
+    if (needed > text.capacity()) {
+        std::string grown;
+        grown.reserve(needed + needed / 8);
+        grown.append(text);
+        text.swap(grown);
+    }
+    text.append(added);
+}
+
+// Returns where the answer begins.
+static std::uint64_t addToHistory(std::string& history, std::string_view added, std::string_view answer)
+{
+    std::string text = history.empty() ? "" : ",";
+    text.append(added).append(1, ',');
+    std::uint64_t answerOffset = history.size() + text.size();
+    appendTight(history, text.append(answer));
+    return answerOffset;
+}
+
+// A call without a key can be asked for again only while it is the last one.
+static void rememberTurn(ProgramState& state, const FinishedTurn& turn)
+{
+    if (!state.finishedTurns.empty() && state.finishedTurns.back().key == 0)
+        state.finishedTurns.pop_back();
+    state.finishedTurns.push_back(turn);
+}
+
 void ProgramTable::applyRecord(const TurnFinished& record)
 {
     ProgramState& state = recordedOpenProgram(record.program);
@@ -86,14 +117,9 @@
     state.chainBeforeLastTurn = state.chain;
     state.chain = extendChain(extendChain(state.chain, added), record.answer);
     count(state.repeatedTurns, recognitionHash(added));
-    if (!state.history.empty())
-        state.history += ',';
-    state.history.append(added).append(1, ',');
-    if (!state.finishedTurns.empty() && state.finishedTurns.back().key == 0)
-        state.finishedTurns.pop_back();
     std::uint64_t key = start.key.empty() ? 0 : recognitionHash(start.key.text());
-    state.finishedTurns.push_back({ key, recognitionHash(added), state.history.size(), record.answer.size() });
-    state.history += record.answer;
+    std::uint64_t answerOffset = addToHistory(state.history, added, record.answer);
+    rememberTurn(state, { key, recognitionHash(added), answerOffset, record.answer.size() });
 }
 
 void ProgramTable::applyRecord(const TurnFailed& record)
