--- a/include/basilpoint/Policy/CacheMap.h
+++ b/include/basilpoint/Policy/CacheMap.h
@@ -61,6 +61,9 @@
 
     std::size_t size() const { return m_byLimit.size(); }
 
+    /// Mean tokens of an entry.
+    double meanTokens() const { return m_byLimit.empty() ? 0 : static_cast<double>(m_tokens) / static_cast<double>(m_byLimit.size()); }
+
 private:
     struct LimitKey {
         TimePoint limit;
@@ -79,6 +82,7 @@
 
     std::unordered_map<ReplicaIndex, Held> m_replicas;
     std::set<LimitKey> m_byLimit;
+    TokenCount m_tokens = 0;
 };
 
 } // namespace basilpoint
--- a/include/basilpoint/Policy/Router.h
+++ b/include/basilpoint/Policy/Router.h
@@ -23,6 +23,8 @@
     double cacheWeight = 0.3;
     /// Whether the call may wait for the replica that holds its cache, or for room in a replica's memory.
     bool mayWait = true;
+    /// Whether the call may take memory that holds other caches.
+    bool mayEvict = false;
 };
 
 /// Where a call goes, or which replica it had better wait for.
--- a/lib/Policy/CacheMap.cpp
+++ b/lib/Policy/CacheMap.cpp
@@ -11,6 +11,7 @@
     Held& held = m_replicas[replica];
     held.programs.insert(program);
     held.tokens += tokens;
+    m_tokens += tokens;
     m_byLimit.insert({ limit, program, replica });
 }
 
@@ -29,6 +30,7 @@
 void CacheMap::dropKeys(const ProgramId& program, const CacheEntry& entry)
 {
     m_byLimit.erase({ entry.limit, program, entry.replica });
+    m_tokens -= entry.tokens;
     auto it = m_replicas.find(entry.replica);
     if (it == m_replicas.end())
         return;
--- a/lib/Policy/Router.cpp
+++ b/lib/Policy/Router.cpp
@@ -57,7 +57,7 @@
     double bestCost = std::numeric_limits<double>::max();
     std::optional<ReplicaIndex> best;
     auto consider = [&](ReplicaIndex index) {
-        if (request.mayWait && !hasMemory(request, index))
+        if (!request.mayEvict && !hasMemory(request, index))
             return;
         double cost = costOf(request, index);
         if (cost >= bestCost)
--- a/lib/Policy/SchedulerState.cpp
+++ b/lib/Policy/SchedulerState.cpp
@@ -14,6 +14,8 @@
 // A root without service for so long ended without notice.
 static constexpr std::chrono::hours maxRootIdle { 1 };
 static constexpr Milliseconds noReplicaRetry { 1'000 };
+// A call waits for room in a replica's memory by this multiple of the time that it takes to compute a cache that it evicts.
+static constexpr double waitPerEviction = 16;
 static const Digest unknownContent;
 
 SchedulerState::SchedulerState(const SchedulerSettings& settings, RandomEngine::result_type seed)
@@ -64,6 +66,7 @@
     std::string model = m_replicas.at(*replica).model;
     m_caches.eraseReplica(*replica);
     m_replicas.remove(*replica);
+    m_ejection.forget(target);
     serve(model, now);
 }
 
@@ -188,7 +191,10 @@
     if (!m_limits.admits(call.environment, call.owner) || !m_quarantine.mayDispatch(call.content))
         return Visit::Skip;
     bool mayWait = !aged && (record.parkedUntil == TimePoint() || now < record.parkedUntil);
-    Route route = m_router.route(routeRequest(record, mayWait));
+    RouteRequest request = routeRequest(record, mayWait);
+    std::chrono::duration<double> patience(waitPerEviction * m_caches.meanTokens() / m_settings.prefillTokensPerSecond);
+    request.mayEvict = aged || now - record.submittedAt >= patience;
+    Route route = m_router.route(request);
     switch (route.kind) {
     case Route::Kind::Dispatch:
         dispatch(record, lane, route.replica, now);
@@ -219,7 +225,6 @@
     if (call.content != unknownContent)
         m_quarantine.dispatched(call.content);
     lane.shares.dispatched(record.startTag);
-    lane.admission.waited(std::chrono::duration_cast<Milliseconds>(now - record.submittedAt));
     m_caches.put(call.program, index, call.promptTokens, now + m_settings.maxCacheIdle);
     m_actions.emplace_back(DispatchAction { call.id, record.target, static_cast<std::int32_t>(record.level) });
 }
@@ -254,6 +259,7 @@
     if (record.alone)
         lane.suspects.suspectEnded(*record.replica);
     lane.service.add(call.root, static_cast<double>(record.uncached) + workPerOutputToken * static_cast<double>(outputTokens), now);
+    settleEjection(record, end, now);
     settleQuarantine(record, end, now);
     if (present && end == CallEnd::Finished) {
         lane.meanOutput.add(static_cast<double>(outputTokens));
@@ -263,8 +269,16 @@
     serve(call.model, now);
 }
 
-void SchedulerState::firstToken(CallId, TimePoint)
+void SchedulerState::firstToken(CallId id, TimePoint now)
 {
+    auto it = m_calls.find(id);
+    if (it == m_calls.end() || !it->second.replica)
+        return;
+    const CallRecord& record = it->second;
+    // The time for the call's own prompt is no wait.
+    std::chrono::duration<double> prefill(static_cast<double>(record.uncached) / m_settings.prefillTokensPerSecond);
+    auto wait = std::chrono::duration_cast<Milliseconds>(now - record.submittedAt - prefill);
+    lane(record.call.model).admission.waited(std::max(wait, Milliseconds(0)));
 }
 
 void SchedulerState::loadReported(const LoadReport& report, TimePoint now)
@@ -306,6 +320,10 @@
 
 void SchedulerState::tick(TimePoint now)
 {
+    for (const TargetId& target : m_ejection.takeReturning(now)) {
+        if (auto replica = m_replicas.find(target))
+            m_replicas.update(*replica, [](Replica& changed) { changed.ejected = false; });
+    }
     for (auto& [model, lane] : m_lanes) {
         refuseExpired(lane, now);
         auto oldest = lane.queue.oldestArrival();
--- a/lib/Policy/SchedulerState.h
+++ b/lib/Policy/SchedulerState.h
@@ -6,6 +6,7 @@
 #include "basilpoint/Policy/CacheRetention.h"
 #include "basilpoint/Policy/ConcurrencyShares.h"
 #include "basilpoint/Policy/ModelScheduler.h"
+#include "basilpoint/Policy/OutlierEjection.h"
 #include "basilpoint/Policy/Quarantine.h"
 #include "basilpoint/Policy/Router.h"
 
@@ -65,6 +66,7 @@
     void dispatch(CallRecord&, ModelLane&, ReplicaIndex, TimePoint now);
     void serveSuspects(ModelLane&, const std::string& model, TimePoint now);
     bool serveSuspect(CallRecord&, ModelLane&, TimePoint now);
+    void settleEjection(const CallRecord&, CallEnd, TimePoint now);
     void settleQuarantine(const CallRecord&, CallEnd, TimePoint now);
     void refuseQuarantined(const Digest&, TimePoint now);
     void release(const ProgramId&, const CacheEntry&);
@@ -80,6 +82,7 @@
     Router m_router;
     CacheRetention m_retention;
     Quarantine m_quarantine;
+    OutlierEjection m_ejection { EjectionSettings {} };
     ConcurrencyShares m_limits;
     std::unordered_map<std::string, ModelLane> m_lanes;
     std::unordered_map<CallId, CallRecord> m_calls;
--- a/lib/Policy/SchedulerSuspects.cpp
+++ b/lib/Policy/SchedulerSuspects.cpp
@@ -2,6 +2,8 @@
 
 #include "SchedulerState.h"
 
+#include <algorithm>
+
 namespace basilpoint {
 
 void SchedulerState::serveSuspects(ModelLane& lane, const std::string& model, TimePoint now)
@@ -32,6 +34,26 @@
     return true;
 }
 
+void SchedulerState::settleEjection(const CallRecord& record, CallEnd end, TimePoint now)
+{
+    if (!m_replicas.contains(*record.replica))
+        return;
+    switch (end) {
+    case CallEnd::Finished:
+        m_ejection.succeeded(record.target);
+        return;
+    case CallEnd::Cancelled:
+        return;
+    case CallEnd::Failed:
+    case CallEnd::TargetDied:
+        break;
+    }
+    const auto& members = m_replicas.members(record.call.model);
+    auto ejected = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](ReplicaIndex index) { return m_replicas.at(index).ejected; }));
+    if (m_ejection.failed(record.target, ejected, m_replicas.staying(record.call.model), now))
+        m_replicas.update(*record.replica, [](Replica& replica) { replica.ejected = true; });
+}
+
 void SchedulerState::settleQuarantine(const CallRecord& record, CallEnd end, TimePoint now)
 {
     const Digest& content = record.call.content;
--- a/lib/Policy/SuspectLane.cpp
+++ b/lib/Policy/SuspectLane.cpp
@@ -74,9 +74,23 @@
     }
 }
 
+void SuspectLane::dropUnusable(ReplicaSet& replicas)
+{
+    std::erase_if(m_isolated, [&](const auto& entry) {
+        if (!replicas.contains(entry.first))
+            return true;
+        bool busy = entry.second;
+        if (busy || !replicas.at(entry.first).leaving)
+            return false;
+        // Its notice may be withdrawn; then it serves other calls again.
+        replicas.update(entry.first, [](Replica& changed) { changed.isolated = false; });
+        return true;
+    });
+}
+
 void SuspectLane::reserve(ReplicaSet& replicas, const std::string& model, std::size_t needed)
 {
-    std::erase_if(m_isolated, [&](const auto& entry) { return !replicas.contains(entry.first) || replicas.at(entry.first).leaving; });
+    dropUnusable(replicas);
     if (needed == 0 && m_isolated.empty())
         return;
     std::size_t busy = static_cast<std::size_t>(std::count_if(m_isolated.begin(), m_isolated.end(), [](const auto& entry) { return entry.second; }));
--- a/lib/Policy/SuspectLane.h
+++ b/lib/Policy/SuspectLane.h
@@ -29,6 +29,7 @@
     void suspectEnded(ReplicaIndex);
 
 private:
+    void dropUnusable(ReplicaSet&);
     void isolateOne(ReplicaSet&, const std::string& model);
     void giveBack(ReplicaSet&, std::size_t wanted);
 
--- a/unittests/Policy/ModelSchedulerTest.cpp
+++ b/unittests/Policy/ModelSchedulerTest.cpp
@@ -208,6 +208,27 @@
         BOOST_TEST(oracle.isRunning(oracle.submit(lost.program.text(), lost.content.low)));
 }
 
+BOOST_AUTO_TEST_CASE(targetWhoseNoticeIsWithdrawnServesAgainAfterItWasIsolated)
+{
+    SchedulerOracle oracle({});
+    oracle.addTarget("a");
+    oracle.addTarget("b");
+    CallId crash = oracle.submit("crash", 666);
+    oracle.kill(oracle.targetOf(crash)->text());
+    std::string left = *oracle.live.begin();
+    CallId other = oracle.submit("other", 0);
+    CallId suspect = oracle.submit("crash", 666);
+    BOOST_TEST(oracle.isWaiting(suspect));
+    oracle.leave(left);
+    oracle.end(other);
+    oracle.addTarget(left);
+    oracle.advance(200ms);
+    BOOST_TEST(oracle.isRunning(suspect));
+    oracle.end(suspect);
+    oracle.advance(200ms);
+    BOOST_TEST(oracle.isRunning(oracle.submit("other", 0)));
+}
+
 BOOST_AUTO_TEST_CASE(fullQueueRefusesWithRetryAfter)
 {
     SchedulerOracle oracle(smallSettings());
