--- a/lib/Policy/SchedulerState.cpp
+++ b/lib/Policy/SchedulerState.cpp
@@ -75,7 +75,8 @@
     Milliseconds later = lane.admission.retryAfter();
     if (m_quarantine.verdict(call.content) == Quarantine::Verdict::Quarantined)
         return RefuseAction { call.id, RefusalReason::Quarantined, std::nullopt };
-    if (m_replicas.staying(call.model) == 0)
+    // An open replica answers the question without a look at all of them.
+    if (m_replicas.open(call.model).empty() && m_replicas.staying(call.model) == 0)
         return RefuseAction { call.id, RefusalReason::NoReplica, noReplicaRetry };
     if (call.deadline && *call.deadline <= now + minServiceTime)
         return RefuseAction { call.id, RefusalReason::DeadlineUnreachable, later };
