--- a/include/basilpoint/Daemon/Filter.h
+++ b/include/basilpoint/Daemon/Filter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "basilpoint/Config/Environment.h"
 #include "basilpoint/Net/HttpServer.h"
+#include "basilpoint/Support/Ids.h"
 
 #include <functional>
 #include <memory>
@@ -12,7 +12,10 @@
 namespace basilpoint {
 
 /// POST /v1/programs
-struct OpenProgramOperation { };
+struct OpenProgramOperation {
+    /// Shard in which the program is minted: its parent's, or one that the idempotency key names.
+    ShardId shard;
+};
 /// GET /v1/programs/{id}
 struct ShowProgramOperation {
     ProgramId program;
@@ -36,13 +39,11 @@
 
 /// One caller's request on its way through the filters.
 struct RequestContext {
-    const HttpRequest& request;
+    HttpRequest request;
     ResponseWriter& writer;
     Operation operation;
     /// W3C traceparent, taken from the caller or made here.
     std::string traceParent;
-    /// Set once the request's environment is known.
-    std::shared_ptr<const Environment> environment;
 };
 
 /// One step of the way; passes the request on by calling next, or answers it, or throws a typed error.
--- a/lib/Daemon/ChatStream.cpp
+++ b/lib/Daemon/ChatStream.cpp
@@ -74,9 +74,9 @@
     m_onEvent(data);
 }
 
-std::string ChatStream::message() const
+std::string ChatStream::messageWith(const std::string& content) const
 {
-    Json message { { "role", "assistant" }, { "content", m_content } };
+    Json message { { "role", "assistant" }, { "content", content } };
     for (const auto& [index, part] : m_toolCalls)
         message["tool_calls"].push_back({ { "id", part.id }, { "type", "function" }, { "function", { { "name", part.name }, { "arguments", part.arguments } } } });
     return message.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/lib/Daemon/ChatStream.h
+++ b/lib/Daemon/ChatStream.h
@@ -25,8 +25,11 @@
     /// Whether the closing event came.
     bool done() const { return m_done; }
 
-    /// JSON object: the assistant's message so far.
-    std::string message() const;
+    /// Content that came so far.
+    const std::string& content() const { return m_content; }
+
+    /// JSON object: the assistant's message with \p content, which may hold more than came here.
+    std::string messageWith(const std::string& content) const;
 
     /// Tokens as the engine counted them, input and output; empty if it did not say.
     std::optional<TokenCount> totalTokens() const { return m_totalTokens; }
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -1,18 +1,21 @@
 #include "basilpoint/Daemon/Daemon.h"
 
-#include "MemoryJournal.h"
+#include "ConfigurationController.h"
+#include "FleetController.h"
+#include "JsonBody.h"
 #include "Operations.h"
+#include "OperatorApi.h"
+#include "OwnerFilter.h"
 #include "ProgramController.h"
+#include "SchedulerDriver.h"
 #include "TraceFilter.h"
 
 #include "basilpoint/Net/Errors.h"
-#include "basilpoint/Net/FiberAwait.h"
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Net/HttpKeyValueStore.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <spdlog/spdlog.h>
 
@@ -20,23 +23,10 @@
 
 using Json = nlohmann::json;
 
-static constexpr Milliseconds refreshInterval { 500 };
 static constexpr Milliseconds drainPollInterval { 20 };
-static constexpr std::uint64_t localShardCount = 64;
-
-const std::vector<SettingSpec>& daemonSettings()
-{
-    static const std::vector<SettingSpec> specs {
-        { "listen", "127.0.0.1:8080", "Address for callers.", "ADDRESS:PORT" },
-        { "operator-listen", "127.0.0.1:8081", "Address for operators.", "ADDRESS:PORT" },
-        { "key-value", "127.0.0.1:2379", "Address of the key-value service's JSON gateway.", "ADDRESS:PORT" },
-        { "log-level", "info", "Least severity that is logged.", "trace, debug, info, warn, error" },
-        { "max-body-bytes", "4194304", "Largest request body in bytes.", "1024 to 67108864", { { 1'024, 67'108'864 } } },
-        { "max-connections", "4096", "Most connections of callers at once.", "1 to 65536", { { 1, 65'536 } } },
-        { "idle-timeout-ms", "60000", "Longest silence of a caller in milliseconds.", "100 to 3600000", { { 100, 3'600'000 } } },
-    };
-    return specs;
-}
+static constexpr Milliseconds sweepInterval { 1'000 };
+static constexpr unsigned instanceDigits = 16;
+static constexpr unsigned keyDigits = 32;
 
 namespace {
 
@@ -49,25 +39,43 @@
 
     private:
         FilterChain makeChain();
-        void serveCaller(const HttpRequest&, ResponseWriter&);
-        void serveOperator(const HttpRequest&, ResponseWriter&);
-        void refreshLoop();
+        OperatorHooks makeOperatorHooks();
+        MemberInfo describeSelf() const;
+        void wire();
+        void serveCaller(HttpRequest, ResponseWriter&);
+        void receive(PeerChannel, const std::string& body);
+        std::string answer(PeerChannel, const std::string& body);
+        bool ready() const;
         void stop();
         Json state() const;
+        void refreshMetrics(Metrics&) const;
 
         boost::asio::io_context& m_io;
+        SettingValues m_values;
         SystemClock m_clock;
         RandomEngine m_random;
+        InstanceId m_id;
         HttpClient m_client;
         HttpKeyValueStore m_store;
         EnvironmentController m_environments;
-        MemoryJournal m_journal;
+        DecisionLog m_log;
+        Metrics m_metrics;
+        JournalService m_journal;
+        ShardDriver m_driver;
         ShardController m_shards;
-        ProgramController m_programs;
-        FilterChain m_chain;
         HttpServer m_callers;
         HttpServer m_operators;
-        bool m_ready = false;
+        PeerLinks m_links;
+        FleetController m_fleet;
+        ConfigurationController m_configuration;
+        SchedulerDriver m_dispatcher;
+        ProgramGate m_gate;
+        ModelCallController m_modelCalls;
+        ToolCallController m_toolCalls;
+        ProgramController m_programs;
+        FilterChain m_chain;
+        OperatorApi m_operatorApi;
+        FiberSignal m_stopRequested;
         bool m_stopping = false;
     };
 
@@ -82,30 +90,190 @@
     return limits;
 }
 
+static PeerLinkSettings peerLinkSettings(const SettingValues& values)
+{
+    PeerLinkSettings settings;
+    settings.listen = values.endpoint("peer-listen");
+    settings.keys = { values.text("peer-certificate"), values.text("peer-key"), values.text("peer-authority") };
+    return settings;
+}
+
+static FleetSettings fleetSettings(const SettingValues& values)
+{
+    FleetSettings settings;
+    settings.peers = values.endpoints("peers");
+    if (!values.text("platform").empty())
+        settings.platform = values.endpoint("platform");
+    settings.shardCount = static_cast<std::uint64_t>(values.number("shards"));
+    settings.membership.probePeriod = Milliseconds(values.number("probe-period-ms"));
+    settings.membership.ackTimeout = settings.membership.probePeriod / 4;
+    settings.membership.suspicionTimeout = Milliseconds(values.number("suspicion-ms"));
+    return settings;
+}
+
+static SchedulerSettings schedulerSettings(const SettingValues& values)
+{
+    SchedulerSettings settings;
+    settings.maxRunningPerTarget = static_cast<unsigned>(values.number("calls-per-replica"));
+    return settings;
+}
+
+static std::string operatorToken(const SettingValues& values)
+{
+    const std::string& token = values.text("operator-token");
+    if (token.empty() && !values.endpoint("operator-listen").isLoopback())
+        throw InvalidInputError("--operator-token", "", "a token, since --operator-listen is not a loopback address");
+    return token;
+}
+
 Daemon::Daemon(boost::asio::io_context& io, const SettingValues& values)
     : m_io(io)
+    , m_values(values)
     , m_random(std::random_device {}())
+    , m_id("i-" + randomHex(m_random, instanceDigits))
     , m_client(io)
     , m_store(m_client, values.endpoint("key-value"))
-    , m_shards(m_journal)
-    , m_programs(m_clock, m_random, m_client, m_environments, m_shards)
-    , m_chain(makeChain())
+    , m_log(m_clock)
+    , m_journal(io, values.text("data-folder"), HolderId(memoryHolderPrefix + m_id.text()))
+    , m_driver(m_clock, m_random, m_store, m_id, ShardOwnerSettings {}, [this](const HolderId& holder, ShardId shard, const HolderRequest& request) { return m_fleet.callHolder(holder, shard, request); })
+    , m_shards(m_driver)
     , m_callers(io, values.endpoint("listen"), callerLimits(values), [this](const HttpRequest& request, ResponseWriter& writer) { serveCaller(request, writer); })
-    , m_operators(io, values.endpoint("operator-listen"), HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { serveOperator(request, writer); })
+    , m_operators(io, values.endpoint("operator-listen"), HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { m_operatorApi.handle(request, writer); })
+    , m_links(
+          io, peerLinkSettings(values), [this](PeerChannel channel, const std::string& body) { receive(channel, body); }, [this](PeerChannel channel, const std::string& body) { return answer(channel, body); })
+    , m_fleet(m_clock, describeSelf(), m_random(), fleetSettings(values), m_client, m_store, m_driver, m_shards, m_journal)
+    , m_configuration(m_clock, m_id, m_random(), m_store, m_environments, [this](const InstanceId& to, const std::string& body) { m_fleet.send(to, PeerChannel::Configuration, body); })
+    , m_dispatcher(m_clock, m_client, schedulerSettings(values), m_random())
+    , m_modelCalls(m_clock, m_client, m_environments, m_shards, m_gate, m_dispatcher, m_log)
+    , m_toolCalls(m_clock, m_client, m_environments, m_shards, m_gate, m_dispatcher, m_log)
+    , m_programs(m_clock, m_random, m_environments, m_shards, m_gate, m_dispatcher, m_modelCalls, m_toolCalls, m_log)
+    , m_chain(makeChain())
+    , m_operatorApi(operatorToken(values), m_log, m_metrics, makeOperatorHooks())
+{
+    wire();
+}
+
+MemberInfo Daemon::describeSelf() const
 {
+    MemberInfo self;
+    self.id = m_id;
+    self.dataCentre = DataCentreId(m_values.text("data-centre"));
+    self.peer = m_links.endpoint();
+    self.callers = m_callers.endpoint();
+    self.holder = m_journal.holder();
+    self.durable = m_journal.durable();
+    return self;
 }
 
 FilterChain Daemon::makeChain()
 {
     std::vector<std::unique_ptr<Filter>> filters;
     filters.push_back(std::make_unique<TraceFilter>(m_random));
+    filters.push_back(std::make_unique<OwnerFilter>(m_clock, m_client, m_fleet, m_shards, m_log));
     return FilterChain(std::move(filters), [this](RequestContext& context) { m_programs.handle(context); });
 }
 
-void Daemon::serveCaller(const HttpRequest& request, ResponseWriter& writer)
+OperatorHooks Daemon::makeOperatorHooks()
 {
-    RequestContext context { request, writer, parseOperation(request), {}, {} };
-    m_chain.handle(context);
+    OperatorHooks hooks;
+    hooks.ready = [this] { return ready(); };
+    hooks.state = [this] { return state(); };
+    hooks.refreshMetrics = [this](Metrics& metrics) { refreshMetrics(metrics); };
+    hooks.drain = [this] { m_stopRequested.notifyAll(); };
+    hooks.targetLeaving = [this](const Endpoint& target) { m_dispatcher.targetLeaving(target); };
+    return hooks;
+}
+
+void Daemon::wire()
+{
+    m_driver.attach(m_shards);
+    m_fleet.attach(m_links);
+    m_fleet.onMembers([this](const std::vector<InstanceId>& others) { m_configuration.setPeers(others); });
+    m_configuration.onChange([this] { m_dispatcher.updateTargets(m_environments); });
+    m_dispatcher.onVerdict([this](const std::string& verdict) { m_fleet.broadcast(PeerChannel::Quarantine, verdict); });
+}
+
+void Daemon::receive(PeerChannel channel, const std::string& body)
+{
+    try {
+        switch (channel) {
+        case PeerChannel::Membership:
+            return m_fleet.received(body);
+        case PeerChannel::Configuration:
+            return m_configuration.received(body);
+        case PeerChannel::Quarantine:
+            return m_dispatcher.received(body);
+        case PeerChannel::Journal:
+        case PeerChannel::Ownership:
+            return;
+        }
+    } catch (const Error& error) {
+        spdlog::warn("peer message ignored: {}", error.what());
+    }
+}
+
+std::string Daemon::answer(PeerChannel channel, const std::string& body)
+{
+    switch (channel) {
+    case PeerChannel::Journal: {
+        auto [shard, request] = decodeHolderRequest(body);
+        return encodeHolderReply(m_journal.handle(shard, request));
+    }
+    case PeerChannel::Ownership:
+        return m_fleet.handOver(body);
+    case PeerChannel::Membership:
+    case PeerChannel::Configuration:
+    case PeerChannel::Quarantine:
+        break;
+    }
+    throw InvalidInputError("peer call", std::to_string(static_cast<int>(channel)), "a channel that answers calls");
+}
+
+// A request without a key gets one here, so that a second try at another owner is a repeat of the first.
+static void assignKey(HttpRequest& request, RandomEngine& random)
+{
+    bool toolCall = request.path().find("/tools/") != std::string_view::npos;
+    if (request.method == "POST" && !toolCall && request.header("idempotency-key").empty()) {
+        request.headers["idempotency-key"] = randomHex(random, keyDigits);
+        request.headers["basilpoint-generated-key"] = "1";
+    }
+}
+
+void Daemon::serveCaller(HttpRequest request, ResponseWriter& writer)
+{
+    assignKey(request, m_random);
+    Operation operation = parseOperation(request, static_cast<std::uint64_t>(m_values.number("shards")));
+    RequestContext context { std::move(request), writer, std::move(operation), {} };
+    TimePoint begun = m_clock.now();
+    try {
+        m_chain.handle(context);
+        m_metrics.count("basilpoint_requests_total{result=\"ok\"}");
+    } catch (const Error& error) {
+        m_metrics.count("basilpoint_requests_total{result=\"" + std::string(error.code()) + "\"}");
+        throw;
+    }
+    m_metrics.observe("basilpoint_request_seconds", m_clock.now() - begun);
+}
+
+bool Daemon::ready() const
+{
+    return !m_stopping && m_configuration.ready() && m_fleet.settled();
+}
+
+static std::string_view toText(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Dead:
+        return "dead";
+    }
+    assert(false && "unhandled enumerator");
+    return {};
 }
 
 Json Daemon::state() const
@@ -114,62 +282,75 @@
     for (const auto& [id, stored] : m_environments.stored())
         environments[id.text()] = { { "revision", stored.revision.value() }, { "digest", stored.digest().text() } };
     Json shards = Json::array();
-    for (ShardId shard : m_shards.owned())
-        shards.push_back(shard.value());
-    return { { "ready", m_ready }, { "stopping", m_stopping }, { "environments", environments }, { "shards", shards }, { "activeRequests", m_callers.activeRequests() } };
-}
-
-void Daemon::serveOperator(const HttpRequest& request, ResponseWriter& writer)
-{
-    std::string_view path = request.path();
-    if (path == "/healthz")
-        return writer.send({ 200, { { "content-type", "text/plain" } }, "ok\n" });
-    if (path == "/readyz")
-        return writer.send({ m_ready && !m_stopping ? 200 : 503, { { "content-type", "text/plain" } }, m_ready ? "ready\n" : "not ready\n" });
-    if (path == "/debug/state")
-        return writer.send({ 200, { { "content-type", "application/json" } }, state().dump() });
-    throw RouteNotFoundError(request.method, std::string(path));
+    for (ShardId shard : m_shards.owned()) {
+        Json holders = Json::array();
+        for (const HolderId& holder : m_driver.holders(shard))
+            holders.push_back(holder.text());
+        shards.push_back({ { "shard", shard.value() }, { "epoch", m_shards.epoch(shard).value() }, { "holders", holders }, { "degraded", m_driver.state(shard) == ShardOwner::State::Degraded } });
+    }
+    Json members = Json::array();
+    for (const MemberInfo& member : m_fleet.members())
+        members.push_back({ { "id", member.id.text() }, { "dataCentre", member.dataCentre.text() }, { "callers", member.callers.text() }, { "state", toText(member.state) }, { "holder", member.holder.text() }, { "durable", member.durable } });
+    Json targets = Json::array();
+    for (const auto& [target, pool] : m_dispatcher.targets())
+        targets.push_back({ { "target", target.text() }, { "pool", pool } });
+    return { { "instance", m_id.text() }, { "ready", ready() }, { "stopping", m_stopping }, { "environments", environments }, { "shards", shards }, { "members", members }, { "targets", targets }, { "waitingCalls", m_dispatcher.waiting() }, { "runningTurns", m_modelCalls.running() }, { "activeRequests", m_callers.activeRequests() }, { "journal", { { "holder", m_journal.holder().text() }, { "durable", m_journal.durable() }, { "shards", m_journal.shardCount() }, { "bytes", m_journal.bytes() } } } };
 }
 
-void Daemon::refreshLoop()
+void Daemon::refreshMetrics(Metrics& metrics) const
 {
-    while (!m_stopping) {
-        try {
-            m_environments.refresh(m_store);
-            m_ready = true;
-        } catch (const KeyValueUnavailableError& error) {
-            spdlog::warn("{}", error.what());
-        }
-        boost::asio::steady_timer timer(m_io, refreshInterval);
-        awaitIo([&](auto handler) { timer.async_wait(std::move(handler)); });
-    }
+    const PeerLinkCounters& peers = m_links.counters();
+    const KeyValueCounters& store = m_store.counters();
+    metrics.gauge("basilpoint_owned_shards", static_cast<double>(m_shards.owned().size()));
+    metrics.gauge("basilpoint_active_requests", static_cast<double>(m_callers.activeRequests()));
+    metrics.gauge("basilpoint_waiting_calls", static_cast<double>(m_dispatcher.waiting()));
+    metrics.gauge("basilpoint_take_overs", static_cast<double>(m_driver.takeOvers()));
+    metrics.gauge("basilpoint_peer_sent_messages", static_cast<double>(peers.messagesSent));
+    metrics.gauge("basilpoint_peer_sent_bytes", static_cast<double>(peers.bytesSent));
+    metrics.gauge("basilpoint_peer_dropped_messages", static_cast<double>(peers.dropped));
+    metrics.gauge("basilpoint_key_value_reads", static_cast<double>(store.reads));
+    metrics.gauge("basilpoint_key_value_writes", static_cast<double>(store.writes));
+    metrics.gauge("basilpoint_key_value_watches", static_cast<double>(store.watches));
+    metrics.gauge("basilpoint_key_value_failures", static_cast<double>(store.failures));
 }
 
 void Daemon::run()
 {
-    for (std::uint64_t n = 0; n < localShardCount; ++n)
-        m_shards.adopt(ShardId(n), Epoch(1), ProgramLimits {}, {});
     m_callers.start();
     m_operators.start();
-    spdlog::warn("journal in memory only: programs do not outlive this process");
-    spdlog::info("listening for callers on {}, for operators on {}", m_callers.endpoint().text(), m_operators.endpoint().text());
-    spawnFiber([this] { refreshLoop(); });
+    if (!m_journal.durable())
+        spdlog::warn("journal in memory only: this daemon's copy does not outlive it");
+    spdlog::info("instance {} listens for callers on {}, for operators on {}, for peers on {}", m_id.text(), m_callers.endpoint().text(), m_operators.endpoint().text(), m_links.endpoint().text());
+    m_fleet.start();
+    m_configuration.start();
+    m_dispatcher.start();
+    spawnFiber([this] {
+        for (;;) {
+            sleepFiber(sweepInterval);
+            m_programs.sweep();
+        }
+    });
     boost::asio::signal_set signals(m_io, SIGINT, SIGTERM);
-    awaitSignal(signals);
+    spawnFiber([&] {
+        awaitSignal(signals);
+        m_stopRequested.notifyAll();
+    });
+    m_stopRequested.wait();
     stop();
 }
 
+// Shards go first, so that the next owners serve while requests that entered here are finished.
 void Daemon::stop()
 {
-    spdlog::info("stopping");
+    spdlog::info("planned stop begins");
     m_stopping = true;
+    m_fleet.leave(Milliseconds(m_values.number("drain-ms")));
     m_callers.stop();
-    while (m_callers.activeRequests() > 0) {
-        boost::asio::steady_timer timer(m_io, drainPollInterval);
-        awaitIo([&](auto handler) { timer.async_wait(std::move(handler)); });
-    }
+    while (m_callers.activeRequests() > 0)
+        sleepFiber(drainPollInterval);
     m_operators.stop();
-    spdlog::info("stopped");
+    m_links.stop();
+    spdlog::info("planned stop done, {} shards left", m_shards.owned().size());
 }
 
 void runDaemon(boost::asio::io_context& io, const SettingValues& values)
--- a/lib/Daemon/EnvironmentController.cpp
+++ b/lib/Daemon/EnvironmentController.cpp
@@ -32,4 +32,12 @@
     return it->second;
 }
 
+std::vector<std::shared_ptr<const Environment>> EnvironmentController::all() const
+{
+    std::vector<std::shared_ptr<const Environment>> result;
+    for (const auto& [id, environment] : m_environments)
+        result.push_back(environment);
+    return result;
+}
+
 } // namespace basilpoint
--- a/lib/Daemon/EnvironmentController.h
+++ b/lib/Daemon/EnvironmentController.h
@@ -27,6 +27,9 @@
     /// \throws EnvironmentNotFoundError.
     std::shared_ptr<const Environment> find(const EnvironmentId&) const;
 
+    /// Environments in force.
+    std::vector<std::shared_ptr<const Environment>> all() const;
+
     const std::map<EnvironmentId, StoredEnvironment>& stored() const { return m_stored; }
 
 private:
--- /dev/null
+++ b/lib/Daemon/FleetController.cpp
@@ -0,0 +1,323 @@
+#include "FleetController.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+static constexpr Milliseconds tickInterval { 50 };
+static constexpr Milliseconds reconcileInterval { 100 };
+static constexpr Milliseconds listInterval { 2'000 };
+static constexpr Milliseconds ownershipCheckInterval { 2'000 };
+static constexpr Milliseconds holderCallTimeout { 1'500 };
+static constexpr Milliseconds firstQuiesceLimit { 500 };
+static constexpr Milliseconds longestQuiesceLimit { 60'000 };
+static constexpr Milliseconds handOverMargin { 1'000 };
+
+namespace {
+
+    /// No living member keeps the holder.
+    class HolderUnknownError final : public Error {
+    public:
+        explicit HolderUnknownError(const HolderId& holder)
+            : Error({ "holder-unknown", 503, Executed::No }, { { "holder", holder.text() } })
+        {
+        }
+    };
+
+} // namespace
+
+FleetController::FleetController(const Clock& clock, MemberInfo self, RandomEngine::result_type seed, FleetSettings settings, HttpClient& client, KeyValueStore& store, ShardDriver& driver, ShardController& shards, JournalService& journal)
+    : m_clock(clock)
+    , m_settings(std::move(settings))
+    , m_membership(std::move(self), m_settings.membership, seed)
+    , m_client(client)
+    , m_store(store)
+    , m_driver(driver)
+    , m_shards(shards)
+    , m_journal(journal)
+    , m_startedAt(clock.now())
+{
+}
+
+void FleetController::start()
+{
+    spawnFiber([this] { tickLoop(); });
+    spawnFiber([this] { reconcileLoop(); });
+    if (!single())
+        spawnFiber([this] { listLoop(); });
+}
+
+void FleetController::received(const std::string& body)
+{
+    perform(m_membership.received(decodeMembershipMessage(body), m_clock.now()));
+}
+
+void FleetController::perform(const MembershipActions& actions)
+{
+    for (const MembershipAction& action : actions) {
+        if (const auto* send = std::get_if<SendMembershipAction>(&action)) {
+            m_links->send(send->address, PeerChannel::Membership, encodeMembershipMessage(send->message));
+            continue;
+        }
+        const MemberInfo& member = std::get<MemberChangedAction>(action).member;
+        spdlog::info("member {} is now in state {}", member.id.text(), static_cast<int>(member.state));
+        m_membersChanged = true;
+    }
+}
+
+void FleetController::tickLoop()
+{
+    for (;;) {
+        perform(m_membership.tick(m_clock.now()));
+        sleepFiber(tickInterval);
+    }
+}
+
+// The platform's list lags and may be gone for a time; it only ever adds addresses to try.
+std::vector<Endpoint> FleetController::listedPeers()
+{
+    std::vector<Endpoint> peers = m_settings.peers;
+    if (!m_settings.platform)
+        return peers;
+    try {
+        HttpResponse response = m_client.call(*m_settings.platform, { "GET", "/instances", {}, {} });
+        Json list = Json::parse(response.body, nullptr, false);
+        for (const Json& instance : list.is_object() ? list.value("live", Json::array()) : Json::array())
+            peers.push_back(parseEndpoint("instance", instance.is_string() ? instance.get<std::string>() : instance.value("address", "")));
+    } catch (const Error& error) {
+        spdlog::warn("platform list: {}", error.what());
+    }
+    return peers;
+}
+
+void FleetController::listLoop()
+{
+    for (;;) {
+        perform(m_membership.listed(listedPeers(), m_clock.now()));
+        sleepFiber(listInterval);
+    }
+}
+
+void FleetController::reconcileLoop()
+{
+    for (;;) {
+        reconcile();
+        sleepFiber(reconcileInterval);
+    }
+}
+
+void FleetController::reconcile()
+{
+    if (m_membersChanged) {
+        m_membersChanged = false;
+        m_members.clear();
+        std::vector<InstanceId> others;
+        for (const MemberInfo& member : m_membership.members()) {
+            m_members[member.id] = member;
+            if (member.id != m_membership.self().id && member.state != MemberState::Dead)
+                others.push_back(member.id);
+        }
+        m_placement = placeShards(m_membership.members(), m_settings.shardCount);
+        if (m_onMembers)
+            m_onMembers(others);
+    }
+    for (const auto& [shard, place] : m_placement) {
+        bool placedHere = place.owner == m_membership.self().id;
+        if (placedHere && m_clock.now() - m_startedAt >= joinTime())
+            claim(shard, place);
+        if (!m_shards.owns(shard))
+            continue;
+        repairHolders(shard, place);
+        if (placedHere)
+            m_checkAt.erase(shard);
+        else
+            checkOwnership(shard);
+    }
+}
+
+// A daemon that starts has not heard of all members yet: an owner that it does not know counts as
+// gone only after the time in which a living one would have been heard of.
+bool FleetController::ownerGone(const ShardRecord& record) const
+{
+    if (record.owner == m_membership.self().id)
+        return true;
+    const MemberInfo* owner = findMember(record.owner);
+    if (owner)
+        return owner->state == MemberState::Dead;
+    return single() || m_clock.now() - m_startedAt > m_settings.membership.suspicionTimeout + joinTime();
+}
+
+// Time in which a fleet that starts at once finds itself together.
+Milliseconds FleetController::joinTime() const
+{
+    static constexpr int joinPeriods = 3;
+    return single() ? Milliseconds(0) : m_settings.membership.probePeriod * joinPeriods;
+}
+
+// An owner that was given up for dead learns of its successor by its next append; one without
+// requests would go on believing, so it asks once its shard is placed elsewhere.
+void FleetController::checkOwnership(ShardId shard)
+{
+    TimePoint now = m_clock.now();
+    auto [it, added] = m_checkAt.try_emplace(shard, now + ownershipCheckInterval);
+    if (added || now < it->second)
+        return;
+    it->second = now + ownershipCheckInterval;
+    spawnFiber([this, shard] {
+        try {
+            auto pair = m_store.get(shardRecordKey(shard));
+            if (pair && decodeShardRecord(pair->value).owner != m_membership.self().id)
+                m_driver.handOver(shard, firstQuiesceLimit);
+        } catch (const Error& error) {
+            spdlog::debug("shard {}: ownership not checked: {}", shard.value(), error.what());
+        }
+    });
+}
+
+// A journal in memory is gone with its instance.
+std::set<HolderId> FleetController::lostHolders(const ShardRecord& record) const
+{
+    std::set<HolderId> lost;
+    for (const HolderId& holder : record.holders) {
+        if (holder.text().starts_with(memoryHolderPrefix) && !findHolder(holder))
+            lost.insert(holder);
+    }
+    return lost;
+}
+
+// A fleet never begins a shard with a single holder, however few members are visible yet.
+void FleetController::claim(ShardId shard, const ShardPlace& place)
+{
+    bool enoughHolders = single() || place.holders.size() >= holdersPerShard;
+    if (m_driver.active(shard) || m_claims.contains(shard) || !enoughHolders)
+        return;
+    m_claims[shard] = 1;
+    spawnFiber([this, shard, holders = place.holders] {
+        try {
+            auto pair = m_store.get(shardRecordKey(shard));
+            std::optional<ShardRecord> record;
+            if (pair)
+                record = decodeShardRecord(pair->value);
+            bool free = !record || ownerGone(*record);
+            if (!free) {
+                const MemberInfo* owner = findMember(record->owner);
+                Milliseconds limit = std::min(firstQuiesceLimit * (1 << std::min(m_attempts[shard]++, 7U)), longestQuiesceLimit);
+                Json request { { "shard", shard.value() }, { "limitMilliseconds", limit.count() } };
+                free = m_links->call(owner->peer, PeerChannel::Ownership, request.dump(), limit + handOverMargin) == "1";
+            }
+            if (free) {
+                m_attempts.erase(shard);
+                m_driver.takeOver(shard, holders, record ? lostHolders(*record) : std::set<HolderId>());
+            }
+        } catch (const Error& error) {
+            spdlog::debug("shard {}: not claimed: {}", shard.value(), error.what());
+            sleepFiber(reconcileInterval);
+        }
+        m_claims.erase(shard);
+    });
+}
+
+std::string FleetController::handOver(const std::string& body)
+{
+    Json request = Json::parse(body, nullptr, false);
+    if (!request.is_object())
+        throw InvalidInputError("ownership request", body.substr(0, 80), "a JSON object");
+    ShardId shard(request.value("shard", std::uint64_t(0)));
+    Milliseconds limit(std::min(request.value("limitMilliseconds", std::int64_t(0)), longestQuiesceLimit.count()));
+    auto it = m_placement.find(shard);
+    bool mine = it != m_placement.end() && it->second.owner == m_membership.self().id;
+    if (mine)
+        return "0";
+    return m_driver.handOver(shard, limit) ? "1" : "0";
+}
+
+void FleetController::repairHolders(ShardId shard, const ShardPlace& place)
+{
+    if (m_driver.state(shard) != ShardOwner::State::Owning && m_driver.state(shard) != ShardOwner::State::Degraded)
+        return;
+    HolderSet holders = m_driver.holders(shard);
+    for (const HolderId& holder : holders) {
+        if (findHolder(holder))
+            continue;
+        auto unused = std::find_if(place.holders.begin(), place.holders.end(), [&](const HolderId& it) { return std::find(holders.begin(), holders.end(), it) == holders.end(); });
+        if (unused != place.holders.end())
+            m_driver.replaceHolder(shard, holder, *unused);
+        return;
+    }
+}
+
+const MemberInfo* FleetController::findMember(const InstanceId& id) const
+{
+    auto it = m_members.find(id);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+const MemberInfo* FleetController::findHolder(const HolderId& holder) const
+{
+    for (const auto& [id, member] : m_members) {
+        if (member.holder == holder && member.state != MemberState::Dead)
+            return &member;
+    }
+    return nullptr;
+}
+
+HolderReply FleetController::callHolder(const HolderId& holder, ShardId shard, const HolderRequest& request)
+{
+    if (holder == m_journal.holder())
+        return m_journal.handle(shard, request);
+    const MemberInfo* member = findHolder(holder);
+    if (!member)
+        throw HolderUnknownError(holder);
+    return decodeHolderReply(m_links->call(member->peer, PeerChannel::Journal, encodeHolderRequest(shard, request), holderCallTimeout));
+}
+
+void FleetController::send(const InstanceId& to, PeerChannel channel, const std::string& body)
+{
+    if (const MemberInfo* member = findMember(to))
+        m_links->send(member->peer, channel, body);
+}
+
+void FleetController::broadcast(PeerChannel channel, const std::string& body)
+{
+    for (const auto& [id, member] : m_members) {
+        if (id != m_membership.self().id && member.state != MemberState::Dead)
+            m_links->send(member.peer, channel, body);
+    }
+}
+
+std::optional<ShardRoute> FleetController::route(ShardId shard) const
+{
+    auto it = m_placement.find(shard);
+    if (it == m_placement.end())
+        return std::nullopt;
+    if (it->second.owner == m_membership.self().id)
+        return ShardRoute { true, it->second.owner, {} };
+    const MemberInfo* owner = findMember(it->second.owner);
+    if (!owner)
+        return std::nullopt;
+    return ShardRoute { false, owner->id, owner->callers };
+}
+
+bool FleetController::settled() const
+{
+    return std::all_of(m_placement.begin(), m_placement.end(), [&](const auto& it) { return it.second.owner != m_membership.self().id || m_shards.owns(it.first); }) && !m_placement.empty();
+}
+
+void FleetController::leave(Milliseconds limit)
+{
+    if (single())
+        return;
+    perform(m_membership.leave(m_clock.now()));
+    TimePoint giveUp = m_clock.now() + limit;
+    while (!m_shards.owned().empty() && m_clock.now() < giveUp)
+        sleepFiber(reconcileInterval);
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Daemon/JournalService.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "basilpoint/Journal/JournalStore.h"
+#include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Shard/JournalHolder.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace basilpoint {
+
+/// Begins the id of every holder that keeps its journal in memory.
+extern const std::string memoryHolderPrefix;
+
+/// This daemon's journal holder: in its data folder, or in memory where none is set.
+class JournalService {
+public:
+    /// \param folder empty: in memory, under the id \p memoryHolder.
+    /// \throws what JournalStore does.
+    JournalService(boost::asio::io_context&, const std::string& folder, HolderId memoryHolder);
+
+    const HolderId& holder() const { return m_holder->id(); }
+    bool durable() const { return m_store != nullptr; }
+
+    /// Decides on \p request and suspends until its effect is on storage.
+    /// \throws what JournalStore fails with.
+    HolderReply handle(ShardId, const HolderRequest& request);
+
+    std::size_t shardCount() const { return m_holder->shardCount(); }
+    std::uint64_t bytes() const { return m_store ? m_store->bytes() : 0; }
+
+private:
+    void persist(const StorageOp&);
+    void compactIfLarge();
+
+    boost::asio::io_context& m_io;
+    std::unique_ptr<JournalStore> m_store;
+    std::unique_ptr<JournalHolder> m_holder;
+    std::uint64_t m_compactedBytes = 0;
+    bool m_compacting = false;
+};
+
+} // namespace basilpoint
--- a/lib/Daemon/Operations.cpp
+++ b/lib/Daemon/Operations.cpp
@@ -1,6 +1,9 @@
 #include "Operations.h"
 
+#include "JsonBody.h"
+
 #include "basilpoint/Net/Errors.h"
+#include "basilpoint/Support/Hash.h"
 
 #include <charconv>
 
@@ -36,11 +39,27 @@
     return ToolCallOperation { program, std::string(tail.substr(toolsPart.size())) };
 }
 
-Operation parseOperation(const HttpRequest& request)
+// A repeat by the same key must come to the same shard; a sub-agent belongs to its parent's.
+static OpenProgramOperation parseOpening(const HttpRequest& request, std::uint64_t shardCount)
+{
+    ProgramId parent(jsonMember<std::string>(parseJsonBody(request), "parent", "", "a program id"));
+    if (!parent.empty())
+        return { shardOf(checkedProgram(parent.text())) };
+    return { ShardId(hash64(idempotencyKeyOf(request).text()) % shardCount) };
+}
+
+ShardId shardOf(const Operation& operation)
+{
+    if (const auto* opening = std::get_if<OpenProgramOperation>(&operation))
+        return opening->shard;
+    return shardOf(*programOf(operation));
+}
+
+static Operation parseRoute(const HttpRequest& request, std::uint64_t shardCount)
 {
     std::string_view path = request.path();
     if (request.method == "POST" && path == programsPath)
-        return OpenProgramOperation {};
+        return parseOpening(request, shardCount);
     if (request.method == "POST" && path == "/v1/chat/completions")
         return ModelCallOperation { checkedProgram(request.header("basilpoint-program")) };
     if (path.size() > programsPath.size() + 1 && path.starts_with(programsPath) && path[programsPath.size()] == '/')
@@ -48,6 +67,14 @@
     throw RouteNotFoundError(request.method, std::string(path));
 }
 
+Operation parseOperation(const HttpRequest& request, std::uint64_t shardCount)
+{
+    Operation operation = parseRoute(request, shardCount);
+    if (shardOf(operation).value() >= shardCount)
+        throw InvalidInputError("program", programOf(operation) ? programOf(operation)->text() : "", "an id that this service gave");
+    return operation;
+}
+
 const ProgramId* programOf(const Operation& operation)
 {
     return std::visit([](const auto& it) -> const ProgramId* {
@@ -59,14 +86,40 @@
         operation);
 }
 
-ShardId shardOf(const ProgramId& program)
+namespace {
+
+    // SHARD-EPOCH-RANDOM
+    struct IdParts {
+        std::uint64_t shard = 0;
+        std::uint64_t epoch = 0;
+    };
+
+} // namespace
+
+static IdParts partsOf(const ProgramId& program)
 {
     const std::string& text = program.text();
-    std::uint64_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end == text.data() + text.size() || *end != '-')
+    const char* last = text.data() + text.size();
+    IdParts parts;
+    auto shard = std::from_chars(text.data(), last, parts.shard);
+    bool valid = shard.ec == std::errc() && shard.ptr != last && *shard.ptr == '-';
+    if (valid) {
+        auto epoch = std::from_chars(shard.ptr + 1, last, parts.epoch);
+        valid = epoch.ec == std::errc() && epoch.ptr != last && *epoch.ptr == '-';
+    }
+    if (!valid)
         throw InvalidInputError("program", text, "an id that this service gave");
-    return ShardId(n);
+    return parts;
+}
+
+ShardId shardOf(const ProgramId& program)
+{
+    return ShardId(partsOf(program).shard);
+}
+
+Epoch epochOf(const ProgramId& program)
+{
+    return Epoch(partsOf(program).epoch);
 }
 
 } // namespace basilpoint
--- a/lib/Daemon/ProgramController.h
+++ b/lib/Daemon/ProgramController.h
@@ -1,24 +1,21 @@
 #pragma once
 
-#include "EnvironmentController.h"
-#include "ShardController.h"
-
-#include "basilpoint/Daemon/Filter.h"
-#include "basilpoint/Net/HttpClient.h"
-#include "basilpoint/Support/Clock.h"
-
-#include <nlohmann/json_fwd.hpp>
+#include "ModelCallController.h"
+#include "ToolCallController.h"
 
 namespace basilpoint {
 
 /// Serves the operations of programs whose shard this daemon owns.
 class ProgramController {
 public:
-    ProgramController(const Clock&, RandomEngine&, HttpClient&, EnvironmentController&, ShardController&);
+    ProgramController(const Clock&, RandomEngine&, EnvironmentController&, ShardController&, ProgramGate&, ModelDispatcher&, ModelCallController&, ToolCallController&, DecisionLog&);
 
     /// Answers the request. \throws typed errors of every kind.
     void handle(RequestContext&);
 
+    /// Ends programs past their deadline and forgets closed ones whose retention is over.
+    void sweep();
+
 private:
     void run(RequestContext&, const OpenProgramOperation&);
     void run(RequestContext&, const ShowProgramOperation&);
@@ -26,17 +23,20 @@
     void run(RequestContext&, const ModelCallOperation&);
     void run(RequestContext&, const ToolCallOperation&);
 
-    std::shared_ptr<const Environment> environmentOf(const ProgramId&);
-    void runModelCall(RequestContext&, const ProgramId&, const ModelPool&, const nlohmann::json& body);
-    void runTool(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
-    HttpResponse callTool(const RequestContext&, const ToolService&, const RequestKey&);
+    void throwIfLost(const Operation&) const;
+    void end(const ProgramId&, CloseReason);
+    void commitEnding(ShardId, const std::vector<ProgramRecord>&);
+    ProgramOpened describeOpening(const RequestContext&, const OpenProgramOperation&);
 
     const Clock& m_clock;
     RandomEngine& m_random;
-    HttpClient& m_client;
     EnvironmentController& m_environments;
     ShardController& m_shards;
-    std::uint64_t m_nextReplica = 0;
+    ProgramGate& m_gate;
+    ModelDispatcher& m_dispatcher;
+    ModelCallController& m_modelCalls;
+    ToolCallController& m_toolCalls;
+    DecisionLog& m_log;
 };
 
 } // namespace basilpoint
--- /dev/null
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -0,0 +1,246 @@
+#include "SchedulerDriver.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <cassert>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+static constexpr std::string_view quarantinePrefix = "quarantine ";
+static constexpr std::string_view suspectPrefix = "suspect ";
+static constexpr Milliseconds tickInterval { 50 };
+static constexpr Milliseconds loadPollInterval { 500 };
+static constexpr Milliseconds loadTimeout { 1'000 };
+
+static std::string_view codeOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::Overloaded:
+        return "overloaded";
+    case RefusalReason::DeadlineUnreachable:
+        return "deadline-unreachable";
+    case RefusalReason::Quarantined:
+        return "quarantined";
+    case RefusalReason::NoReplica:
+        return "no-replica";
+    }
+    assert(false && "unhandled enumerator");
+    return {};
+}
+
+static int statusOf(RefusalReason reason)
+{
+    static constexpr int statusUnavailable = 503;
+    static constexpr int statusUnprocessable = 422;
+    return reason == RefusalReason::Quarantined ? statusUnprocessable : statusUnavailable;
+}
+
+CallRefusedError::CallRefusedError(const ProgramId& program, RefusalReason reason, std::optional<Milliseconds> retryAfter)
+    : Error({ codeOf(reason), statusOf(reason), Executed::No }, { { "program", program.text() } })
+{
+    if (retryAfter)
+        setRetryAfter(*retryAfter);
+}
+
+std::string poolName(const ModelPool& model)
+{
+    std::string members;
+    for (const Endpoint& replica : model.replicas)
+        members += replica.text() + ",";
+    return fmt::format("{}@{:016x}", model.name, hash64(members));
+}
+
+SchedulerDriver::SchedulerDriver(const Clock& clock, HttpClient& client, SchedulerSettings settings, RandomEngine::result_type seed)
+    : m_clock(clock)
+    , m_client(client)
+    , m_scheduler(settings, seed)
+{
+}
+
+void SchedulerDriver::start()
+{
+    spawnFiber([this] { tickLoop(); });
+    spawnFiber([this] { pollLoop(); });
+}
+
+void SchedulerDriver::updateTargets(const EnvironmentController& environments)
+{
+    std::map<TargetId, std::string> wanted;
+    for (const auto& environment : environments.all()) {
+        m_scheduler.setEnvironmentLimit(environment->id, environment->rules.maxConcurrentCalls);
+        for (const auto& [name, model] : environment->models) {
+            for (const Endpoint& replica : model.replicas)
+                wanted.emplace(TargetId(replica.text()), poolName(model));
+        }
+    }
+    for (const auto& [target, pool] : m_targets) {
+        auto it = wanted.find(target);
+        if (it == wanted.end() || it->second != pool)
+            perform(m_scheduler.removeTarget(target, m_clock.now()));
+    }
+    for (const auto& [target, pool] : wanted) {
+        auto it = m_targets.find(target);
+        if (it == m_targets.end() || it->second != pool)
+            perform(m_scheduler.addTarget(target, pool, m_clock.now()));
+    }
+    m_targets = std::move(wanted);
+}
+
+void SchedulerDriver::targetLeaving(const Endpoint& target)
+{
+    TargetId id(target.text());
+    if (m_targets.contains(id) && m_leaving.insert(id).second)
+        perform(m_scheduler.targetLeaving(id, m_clock.now()));
+}
+
+DispatchGrant SchedulerDriver::acquire(ModelCall call)
+{
+    call.id = CallId(++m_nextCall);
+    auto pending = std::make_shared<PendingCall>();
+    m_pending[call.id] = pending;
+    perform(m_scheduler.submit(call, m_clock.now()));
+    while (!pending->dispatch && !pending->refusal)
+        pending->decided.wait();
+    m_pending.erase(call.id);
+    if (pending->refusal)
+        throw CallRefusedError(call.program, pending->refusal->reason, pending->refusal->retryAfter);
+    return { call.id, parseEndpoint("target", pending->dispatch->target.text()), pending->dispatch->priority };
+}
+
+void SchedulerDriver::firstToken(CallId call)
+{
+    perform(m_scheduler.firstToken(call, m_clock.now()));
+}
+
+void SchedulerDriver::ended(CallId call, CallEnd end, TokenCount outputTokens)
+{
+    perform(m_scheduler.callEnded(call, end, outputTokens, m_clock.now()));
+}
+
+void SchedulerDriver::toolStarted(const ProgramId& program, const std::string& tool)
+{
+    perform(m_scheduler.toolStarted(program, tool, m_clock.now()));
+}
+
+void SchedulerDriver::toolEnded(const ProgramId& program)
+{
+    perform(m_scheduler.toolEnded(program, m_clock.now()));
+}
+
+void SchedulerDriver::programEnded(const ProgramId& program)
+{
+    perform(m_scheduler.programEnded(program, m_clock.now()));
+}
+
+void SchedulerDriver::received(const std::string& verdict)
+{
+    std::string_view text(verdict);
+    if (text.starts_with(quarantinePrefix))
+        return perform(m_scheduler.quarantined(parseDigest(text.substr(quarantinePrefix.size())), m_clock.now()));
+    if (text.starts_with(suspectPrefix))
+        return perform(m_scheduler.suspected(parseDigest(text.substr(suspectPrefix.size())), m_clock.now()));
+    throw InvalidInputError("verdict", verdict.substr(0, 80), "a suspect or quarantined digest");
+}
+
+void SchedulerDriver::perform(const SchedulerActions& actions)
+{
+    for (const SchedulerAction& action : actions)
+        std::visit([this](const auto& it) { perform(it); }, action);
+}
+
+void SchedulerDriver::perform(const DispatchAction& action)
+{
+    auto it = m_pending.find(action.call);
+    assert(it != m_pending.end() && "only waiting calls are dispatched");
+    it->second->dispatch = action;
+    it->second->decided.notifyAll();
+}
+
+void SchedulerDriver::perform(const RefuseAction& action)
+{
+    auto it = m_pending.find(action.call);
+    assert(it != m_pending.end() && "only waiting calls are refused");
+    it->second->refusal = action;
+    it->second->decided.notifyAll();
+}
+
+void SchedulerDriver::perform(const ReleaseCacheAction& action)
+{
+    Endpoint replica = parseEndpoint("target", action.target.text());
+    HttpRequest request { "POST", "/orders", { { "content-type", "application/json" } }, Json { { "order", "release" }, { "program", action.program.text() } }.dump() };
+    spawnFiber([this, replica, request] {
+        try {
+            m_client.call(replica, request);
+        } catch (const Error& error) {
+            spdlog::warn("cache release failed: {}", error.what());
+        }
+    });
+}
+
+// The engines of today offer no transfer between replicas; the next call recomputes its prefix there.
+void SchedulerDriver::perform(const MoveCacheAction& action)
+{
+    perform(ReleaseCacheAction { action.program, action.from });
+}
+
+void SchedulerDriver::perform(const QuarantineAction& action)
+{
+    spdlog::warn("request quarantined: {}", action.content.text());
+    announce(quarantinePrefix, action.content);
+}
+
+void SchedulerDriver::perform(const SuspectAction& action)
+{
+    spdlog::warn("request suspected: {}", action.content.text());
+    announce(suspectPrefix, action.content);
+}
+
+void SchedulerDriver::announce(std::string_view prefix, const Digest& digest)
+{
+    if (m_onVerdict)
+        m_onVerdict(std::string(prefix) + digest.text());
+}
+
+void SchedulerDriver::tickLoop()
+{
+    for (;;) {
+        sleepFiber(tickInterval);
+        perform(m_scheduler.tick(m_clock.now()));
+    }
+}
+
+void SchedulerDriver::pollLoop()
+{
+    for (;;) {
+        sleepFiber(loadPollInterval);
+        auto targets = m_targets;
+        for (const auto& [target, pool] : targets)
+            pollLoad(target);
+    }
+}
+
+void SchedulerDriver::pollLoad(const TargetId& target)
+{
+    HttpCallOptions options;
+    options.connectTimeout = loadTimeout;
+    options.readTimeout = loadTimeout;
+    try {
+        TimePoint measuredAt = m_clock.now();
+        HttpResponse response = m_client.call(parseEndpoint("target", target.text()), { "GET", "/load", {}, {} }, options);
+        Json json = Json::parse(response.body, nullptr, false);
+        if (!json.is_object())
+            return;
+        if (json.value("leaving", false))
+            targetLeaving(parseEndpoint("target", target.text()));
+        perform(m_scheduler.loadReported({ target, json.value("running", std::uint64_t(0)), json.value("waiting", std::uint64_t(0)), json.value("cacheUse", 0.0), measuredAt }, m_clock.now()));
+    } catch (const Error& error) {
+        spdlog::debug("no load report: {}", error.what());
+    }
+}
+
+} // namespace basilpoint
--- a/lib/Daemon/ShardController.cpp
+++ b/lib/Daemon/ShardController.cpp
@@ -1,32 +1,38 @@
 #include "ShardController.h"
 
-#include "Operations.h"
-
-#include <cassert>
 #include <fmt/format.h>
 
 namespace basilpoint {
 
 static constexpr unsigned idDigits = 20;
 static constexpr Milliseconds lostRetryDelay { 200 };
+static constexpr Milliseconds quiescePollInterval { 5 };
 
-ShardLostError::ShardLostError(ShardId shard)
-    : Error({ "shard-moved", 503, Executed::No }, { { "shard", std::to_string(shard.value()) } })
+ShardLostError::ShardLostError(ShardId shard, Executed executed)
+    : Error({ "shard-moved", 503, executed }, { { "shard", std::to_string(shard.value()) } })
 {
     setRetryAfter(lostRetryDelay);
 }
 
+ShardController::Use::Use(std::shared_ptr<unsigned> count)
+    : m_count(std::move(count))
+{
+    ++*m_count;
+}
+
+ShardController::Use::~Use()
+{
+    --*m_count;
+}
+
 ShardController::ShardController(ShardJournal& journal)
     : m_journal(journal)
 {
 }
 
-void ShardController::adopt(ShardId shard, Epoch epoch, ProgramLimits limits, const std::vector<ProgramRecord>& records)
+void ShardController::adopt(ShardId shard, Epoch epoch, Epoch lostThrough, ProgramTable table)
 {
-    auto owned = std::make_unique<OwnedShard>(OwnedShard { epoch, ProgramTable(limits) });
-    for (const ProgramRecord& record : records)
-        owned->table.apply(record);
-    m_shards[shard] = std::move(owned);
+    m_shards[shard] = std::make_unique<OwnedShard>(OwnedShard { epoch, lostThrough, std::move(table) });
 }
 
 void ShardController::release(ShardId shard)
@@ -34,12 +40,45 @@
     m_shards.erase(shard);
 }
 
-ProgramTable& ShardController::table(ShardId shard)
+bool ShardController::quiesce(ShardId shard, Milliseconds limit)
+{
+    auto it = m_shards.find(shard);
+    if (it == m_shards.end())
+        return true;
+    it->second->quiescing = true;
+    auto uses = it->second->uses;
+    for (Milliseconds waited { 0 }; *uses > 0; waited += quiescePollInterval) {
+        if (waited >= limit) {
+            it = m_shards.find(shard);
+            if (it != m_shards.end())
+                it->second->quiescing = false;
+            return false;
+        }
+        sleepFiber(quiescePollInterval);
+    }
+    return true;
+}
+
+const ShardController::OwnedShard& ShardController::find(ShardId shard) const
 {
     auto it = m_shards.find(shard);
     if (it == m_shards.end())
         throw ShardLostError(shard);
-    return it->second->table;
+    return *it->second;
+}
+
+std::shared_ptr<ShardController::Use> ShardController::use(ShardId shard)
+{
+    const OwnedShard& owned = find(shard);
+    if (owned.quiescing)
+        throw ShardLostError(shard);
+    return std::make_shared<Use>(owned.uses);
+}
+
+ProgramTable& ShardController::table(ShardId shard)
+{
+    find(shard);
+    return m_shards[shard]->table;
 }
 
 void ShardController::commit(ShardId shard, const ProgramRecord& record)
@@ -48,21 +87,15 @@
     m_journal.append(shard, record);
 }
 
-ProgramId ShardController::mint(RandomEngine& random) const
+void ShardController::commitForDispatch(ShardId shard, const ProgramRecord& record)
 {
-    assert(!m_shards.empty() && "a daemon mints ids only in shards that it owns");
-    std::uniform_int_distribution<std::size_t> draw(0, m_shards.size() - 1);
-    auto it = std::next(m_shards.begin(), static_cast<std::ptrdiff_t>(draw(random)));
-    return ProgramId(fmt::format("{}-{}-{}", it->first.value(), it->second->epoch.value(), randomHex(random, idDigits)));
+    table(shard).apply(record);
+    m_journal.appendForDispatch(shard, record);
 }
 
-ProgramId ShardController::mintChild(const ProgramId& parent, RandomEngine& random) const
+ProgramId ShardController::mint(ShardId shard, RandomEngine& random) const
 {
-    ShardId shard = shardOf(parent);
-    auto it = m_shards.find(shard);
-    if (it == m_shards.end())
-        throw ShardLostError(shard);
-    return ProgramId(fmt::format("{}-{}-{}", shard.value(), it->second->epoch.value(), randomHex(random, idDigits)));
+    return ProgramId(fmt::format("{}-{}-{}", shard.value(), find(shard).epoch.value(), randomHex(random, idDigits)));
 }
 
 std::vector<ShardId> ShardController::owned() const
@@ -73,4 +106,14 @@
     return result;
 }
 
+Epoch ShardController::epoch(ShardId shard) const
+{
+    return find(shard).epoch;
+}
+
+Epoch ShardController::lostThrough(ShardId shard) const
+{
+    return find(shard).lostThrough;
+}
+
 } // namespace basilpoint
--- /dev/null
+++ b/lib/Daemon/ToolCallController.cpp
@@ -0,0 +1,192 @@
+#include "ToolCallController.h"
+
+#include "JsonBody.h"
+#include "Operations.h"
+#include "ShardDriver.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Program/Errors.h"
+
+namespace basilpoint {
+
+static constexpr unsigned maxIdempotentAttempts = 2;
+static constexpr int statusOk = 200;
+static constexpr int statusServerError = 500;
+
+namespace {
+
+    // Tells the dispatcher that the program waits for a tool, whichever way the call ends.
+    class ToolPause {
+    public:
+        ToolPause(ModelDispatcher& dispatcher, const ProgramId& program, const std::string& tool)
+            : m_dispatcher(dispatcher)
+            , m_program(program)
+        {
+            m_dispatcher.toolStarted(program, tool);
+        }
+
+        ~ToolPause() { m_dispatcher.toolEnded(m_program); }
+
+        ToolPause(const ToolPause&) = delete;
+        ToolPause& operator=(const ToolPause&) = delete;
+
+    private:
+        ModelDispatcher& m_dispatcher;
+        const ProgramId& m_program;
+    };
+
+} // namespace
+
+ToolCallController::ToolCallController(const Clock& clock, HttpClient& client, EnvironmentController& environments, ShardController& shards, ProgramGate& gate, ModelDispatcher& dispatcher, DecisionLog& log)
+    : m_clock(clock)
+    , m_client(client)
+    , m_environments(environments)
+    , m_shards(shards)
+    , m_gate(gate)
+    , m_dispatcher(dispatcher)
+    , m_log(log)
+{
+}
+
+void ToolCallController::handle(RequestContext& context, const ToolCallOperation& operation)
+{
+    const ProgramId& program = operation.program;
+    auto environment = m_environments.find(m_shards.table(shardOf(program)).opening(program).environment);
+    auto tool = environment->tools.find(operation.tool);
+    if (tool == environment->tools.end())
+        throw InvalidInputError("tool", operation.tool, "a tool of the environment");
+    RequestKey key = idempotencyKeyOf(context.request);
+    if (!tool->second.idempotent && key.empty())
+        throw InvalidInputError("Idempotency-Key", "", "a key, since the tool's calls must not be repeated");
+    auto use = m_shards.use(shardOf(program));
+    auto pass = m_gate.enter(program, CallOrder::Shared);
+    ToolPause pause(m_dispatcher, program, operation.tool);
+    if (tool->second.idempotent)
+        runIdempotent(context, program, tool->second, key);
+    else
+        runOnce(context, program, tool->second, key);
+}
+
+void ToolCallController::runIdempotent(RequestContext& context, const ProgramId& program, const ToolService& tool, const RequestKey& key)
+{
+    m_log.record(program, DecisionKind::Dispatched, tool.name);
+    for (unsigned attempt = 1;; ++attempt) {
+        try {
+            return context.writer.send(send(context, tool, key));
+        } catch (const TargetError&) {
+            if (attempt >= maxIdempotentAttempts)
+                throw;
+            m_log.record(program, DecisionKind::Retried, tool.name);
+        }
+    }
+}
+
+HttpResponse ToolCallController::send(const RequestContext& context, const ToolService& tool, const RequestKey& key)
+{
+    HttpRequest request { "POST", "/" + tool.name, { { "content-type", "application/json" }, { "traceparent", context.traceParent } }, context.request.body };
+    if (!key.empty())
+        request.headers["idempotency-key"] = key.text();
+    HttpCallOptions options;
+    options.readTimeout = tool.timeout;
+    // A kept-alive connection that closes as the request goes out leaves open whether it ran.
+    options.reuseConnection = tool.idempotent;
+    return m_client.call(tool.addresses[m_nextAddress++ % tool.addresses.size()], request, options);
+}
+
+void ToolCallController::runOnce(RequestContext& context, const ProgramId& program, const ToolService& tool, const RequestKey& key)
+{
+    CallName name { program, key };
+    while (auto running = m_running.contains(name) ? m_running[name] : nullptr)
+        running->wait();
+    ShardId shard = shardOf(program);
+    CallDecision decision = m_shards.table(shard).recordIntent({ program, key, tool.name, context.request.body }, m_clock.wallNow());
+    if (const auto* recorded = std::get_if<RecordedAnswer>(&decision)) {
+        m_log.record(program, DecisionKind::AnsweredFromJournal, key.text());
+        return context.writer.send({ recorded->status, { { "content-type", "application/json" } }, recorded->body });
+    }
+    auto signal = std::make_shared<FiberSignal>();
+    m_running[name] = signal;
+    struct EndOnExit {
+        ~EndOnExit()
+        {
+            running.erase(name);
+            signal->notifyAll();
+        }
+        std::map<CallName, std::shared_ptr<FiberSignal>>& running;
+        const CallName& name;
+        std::shared_ptr<FiberSignal> signal;
+    } endOnExit { m_running, name, signal };
+
+    try {
+        m_shards.commitForDispatch(shard, std::get<ProgramRecord>(decision));
+    } catch (const ShardDegradedError&) {
+        // Nothing was sent: the record says so, and the caller may send it again later.
+        m_shards.commit(shard, m_shards.table(shard).recordOutcome(program, key, Executed::No, 0, {}));
+        throw;
+    }
+    m_log.record(program, DecisionKind::IntentRecorded, key.text());
+    HttpResponse response;
+    std::exception_ptr failure;
+    try {
+        response = send(context, tool, key);
+    } catch (const TargetError&) {
+        failure = std::current_exception();
+    }
+    if (failure)
+        response = settle(program, tool, key, failure);
+    try {
+        m_shards.commit(shard, m_shards.table(shard).recordOutcome(program, key, Executed::Yes, response.status, response.body));
+        m_log.record(program, DecisionKind::OutcomeRecorded, key.text() + " yes");
+    } catch (const ShardLostError&) {
+        // The call ran and this caller gets its answer; to a repeat the next owner says that the outcome is unknown.
+        m_log.record(program, DecisionKind::Failed, "outcome of " + key.text() + " not journalled");
+    }
+    context.writer.send(response);
+}
+
+// Finds out what became of a call that got no answer. Only "it ran" settles the matter.
+HttpResponse ToolCallController::settle(const ProgramId& program, const ToolService& tool, const RequestKey& key, const std::exception_ptr& failure)
+{
+    ShardId shard = shardOf(program);
+    try {
+        std::rethrow_exception(failure);
+    } catch (const TargetError& error) {
+        if (error.executed() == Executed::No) {
+            m_shards.commit(shard, m_shards.table(shard).recordOutcome(program, key, Executed::No, 0, {}));
+            m_log.record(program, DecisionKind::OutcomeRecorded, key.text() + " no");
+            throw;
+        }
+    }
+    if (tool.askableByKey) {
+        if (auto answer = askByKey(tool, key))
+            return *answer;
+    }
+    try {
+        m_shards.commit(shard, m_shards.table(shard).recordOutcome(program, key, Executed::Unknown, 0, {}));
+    } catch (const ShardLostError&) {
+        // The next owner finds the intent without an outcome and comes to the same answer.
+        throw OutcomeUnknownError(program, key);
+    }
+    m_log.record(program, DecisionKind::OutcomeRecorded, key.text() + " unknown");
+    throw OutcomeUnknownError(program, key);
+}
+
+std::optional<HttpResponse> ToolCallController::askByKey(const ToolService& tool, const RequestKey& key)
+{
+    HttpCallOptions options;
+    options.readTimeout = tool.timeout;
+    for (const Endpoint& address : tool.addresses) {
+        try {
+            HttpResponse answer = m_client.call(address, { "GET", "/calls/" + key.text(), {}, {} }, options);
+            if (answer.status == statusOk)
+                return answer;
+            if (answer.status < statusServerError)
+                return std::nullopt;
+        } catch (const TargetError&) {
+            continue;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Daemon/ToolCallController.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "DecisionLog.h"
+#include "EnvironmentController.h"
+#include "ModelDispatcher.h"
+#include "ProgramGate.h"
+#include "ShardController.h"
+
+#include "basilpoint/Daemon/Filter.h"
+#include "basilpoint/Net/HttpClient.h"
+
+namespace basilpoint {
+
+/// Serves the tool calls of programs whose shard this daemon owns.
+class ToolCallController {
+public:
+    ToolCallController(const Clock&, HttpClient&, EnvironmentController&, ShardController&, ProgramGate&, ModelDispatcher&, DecisionLog&);
+
+    /// Answers the request. A repeat of a running non-idempotent call waits for its outcome.
+    void handle(RequestContext&, const ToolCallOperation&);
+
+private:
+    using CallName = std::pair<ProgramId, RequestKey>;
+
+    void runOnce(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
+    void runIdempotent(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
+    HttpResponse send(const RequestContext&, const ToolService&, const RequestKey&);
+    std::optional<HttpResponse> askByKey(const ToolService&, const RequestKey&);
+    HttpResponse settle(const ProgramId&, const ToolService&, const RequestKey&, const std::exception_ptr& failure);
+
+    const Clock& m_clock;
+    HttpClient& m_client;
+    EnvironmentController& m_environments;
+    ShardController& m_shards;
+    ProgramGate& m_gate;
+    ModelDispatcher& m_dispatcher;
+    DecisionLog& m_log;
+    std::map<CallName, std::shared_ptr<FiberSignal>> m_running;
+    std::uint64_t m_nextAddress = 0;
+};
+
+} // namespace basilpoint
--- a/tools/basilpoint-standin/Engine.cpp
+++ b/tools/basilpoint-standin/Engine.cpp
@@ -4,6 +4,7 @@
 #include "basilpoint/Net/FiberAwait.h"
 #include "basilpoint/Support/Hash.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -37,6 +38,8 @@
         std::size_t promptTokens = 0;
         /// Differs for each prompt, so that a caller can tell its own answer.
         std::string label;
+        /// Tokens of the answer that the caller sent along to be continued.
+        unsigned firstToken = 0;
     };
 
 } // namespace
@@ -59,8 +62,8 @@
 static void streamCompletion(EngineState& state, const Completion& completion, ResponseWriter& writer)
 {
     writer.begin(200, { { "content-type", "text/event-stream" } });
-    for (unsigned n = 0; n < completion.tokens; ++n) {
-        if (n > 0 && state.settings.perToken.count() > 0)
+    for (unsigned n = completion.firstToken; n < completion.tokens; ++n) {
+        if (n > completion.firstToken && state.settings.perToken.count() > 0)
             sleepFor(state.io, state.settings.perToken);
         writer.write("data: " + chunkOf(completion, { { "role", "assistant" }, { "content", tokenText(completion, n) } }, nullptr).dump() + "\n\n");
     }
@@ -74,7 +77,7 @@
 static void sendCompletion(EngineState& state, const Completion& completion, ResponseWriter& writer)
 {
     std::string text;
-    for (unsigned n = 0; n < completion.tokens; ++n)
+    for (unsigned n = completion.firstToken; n < completion.tokens; ++n)
         text += tokenText(completion, n);
     sleepFor(state.io, state.settings.perToken * completion.tokens);
     Json answer { { "object", "chat.completion" }, { "model", completion.request.value("model", "") }, { "usage", usageOf(completion) } };
@@ -82,12 +85,24 @@
     writer.send({ 200, { { "content-type", "application/json" } }, answer.dump() });
 }
 
+// Removes a last message that is to be continued, so that the label is that of the whole answer's prompt.
+static unsigned takePrefill(Json& request)
+{
+    Json& messages = request["messages"];
+    if (!request.value("continue_final_message", false) || messages.empty())
+        return 0;
+    auto content = messages.back().value("content", "");
+    messages.erase(messages.size() - 1);
+    return static_cast<unsigned>(std::count(content.begin(), content.end(), ' '));
+}
+
 static Completion readCompletion(const EngineState& state, const HttpRequest& request)
 {
     Completion completion;
     completion.request = Json::parse(request.body, nullptr, false);
     if (!completion.request.is_object() || !completion.request.contains("messages"))
         throw InvalidInputError("body", request.body.substr(0, 80), "a chat completion request");
+    completion.firstToken = takePrefill(completion.request);
     std::string prompt = completion.request["messages"].dump();
     completion.promptTokens = prompt.size() / bytesPerToken + 1;
     unsigned limit = completion.request.value("max_tokens", state.settings.answerTokens);
