Add end-to-end tests with real processes

Seven daemons: two kills, key-value outage, kill during an outage with lost answers, configuration in force within 10 s.

--- /dev/null
+++ b/unittests/Daemon/ForwardedAnswerTest.cpp
@@ -0,0 +1,84 @@
+#include "ForwardedAnswer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace basilpoint;
+
+namespace {
+
+class CollectingWriter final : public ResponseWriter {
+public:
+    void send(const HttpResponse& response) override
+    {
+        m_started = true;
+        whole = response;
+    }
+    void begin(int, const HttpHeaders&) override { m_started = true; }
+    void write(std::string_view chunk) override { streamed.append(chunk); }
+    void end() override { ended = true; }
+    bool started() const override { return m_started; }
+
+    HttpResponse whole;
+    std::string streamed;
+    bool ended = false;
+
+private:
+    bool m_started = false;
+};
+
+} // namespace
+
+static const HttpResponse streamHeader { 200, { { "content-type", "text/event-stream" } }, {} };
+
+static std::string eventOf(std::size_t id, const std::string& content)
+{
+    nlohmann::json chunk { { "choices", nlohmann::json::array({ { { "delta", { { "content", content } } } } }) } };
+    return "id: " + std::to_string(id) + "\ndata: " + chunk.dump() + "\n\n";
+}
+
+BOOST_AUTO_TEST_SUITE(ForwardedAnswerTest)
+
+BOOST_AUTO_TEST_CASE(continuesAtTheNextOwnerAfterTheLastWholeEvent)
+{
+    CollectingWriter writer;
+    ForwardedAnswer answer(writer);
+    answer.onHeader(streamHeader);
+    answer.onBytes(eventOf(3, "abc") + eventOf(5, "de").substr(0, 20));
+    HttpRequest request { "POST", "/v1/chat/completions", {}, "{\"model\":\"m\"}" };
+    answer.resume(request);
+    BOOST_TEST(request.headers["last-event-id"] == "3");
+    BOOST_TEST(nlohmann::json::parse(request.body)["basilpoint_resume"] == "abc");
+    answer.onHeader(streamHeader);
+    answer.onBytes(eventOf(5, "de") + "data: [DONE]\n\n");
+    answer.finish(streamHeader);
+    BOOST_TEST(writer.streamed == eventOf(3, "abc") + eventOf(5, "de") + "data: [DONE]\n\n");
+    BOOST_TEST(answer.closed());
+    BOOST_TEST(writer.ended);
+}
+
+BOOST_AUTO_TEST_CASE(callersOwnOffsetIsKeptAndItsEarlierContentNotInvented)
+{
+    CollectingWriter writer;
+    ForwardedAnswer answer(writer);
+    answer.onHeader(streamHeader);
+    answer.onBytes(eventOf(12, "cd"));
+    HttpRequest request { "POST", "/v1/chat/completions", { { "last-event-id", "10" } }, "{\"model\":\"m\"}" };
+    answer.resume(request);
+    BOOST_TEST(request.headers["last-event-id"] == "12");
+    BOOST_TEST(!nlohmann::json::parse(request.body).contains("basilpoint_resume"));
+}
+
+BOOST_AUTO_TEST_CASE(problemDocumentsPassWithTheirRetryAfter)
+{
+    CollectingWriter writer;
+    ForwardedAnswer answer(writer);
+    HttpResponse problem { 402, { { "content-type", "application/problem+json" }, { "retry-after", "3" }, { "server", "x" } }, "{\"executed\":\"no\"}" };
+    answer.onHeader({ problem.status, problem.headers, {} });
+    answer.finish(problem);
+    BOOST_TEST(writer.whole.status == 402);
+    BOOST_TEST(writer.whole.body == problem.body);
+    BOOST_TEST(writer.whole.headers.at("retry-after") == "3");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/EndToEnd/FleetTest.cpp
@@ -0,0 +1,126 @@
+#include "Workload.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+#include "basilpoint/Net/FiberSignal.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace basilpoint;
+using namespace basilpoint::test;
+using Json = nlohmann::json;
+
+// Seven small entry instances, as each user has today.
+static constexpr unsigned daemons = 7;
+static constexpr unsigned answerTokens = 16;
+static constexpr unsigned programs = 60;
+static constexpr unsigned turns = 4;
+static constexpr Milliseconds limit { 60'000 };
+static constexpr Milliseconds configurationBound { 10'000 };
+
+static const TestFleet::Options sevenDaemons { daemons, 3, { "--token-ms", "5" }, {}, 3 };
+
+static void startFleet(TestFleet& fleet)
+{
+    BOOST_REQUIRE(fleet.apply(fleet.document()) == 0);
+    BOOST_REQUIRE_MESSAGE(eventually([&] { return fleet.allReady(); }, limit), fleet.logs());
+    auto configured = [&] {
+        for (unsigned n = 0; n < daemons; ++n) {
+            if (!fleet.state(n)["environments"].contains("test"))
+                return false;
+        }
+        return true;
+    };
+    BOOST_REQUIRE(eventually(configured, configurationBound));
+}
+
+static void finish(TestFleet& fleet, Workload& workload)
+{
+    BOOST_REQUIRE_MESSAGE(eventually([&] { return workload.finished(); }, limit), fleet.logs());
+    workload.check();
+    BOOST_TEST_MESSAGE("repeats " << workload.repeats() << ", unknown outcomes " << workload.unknownOutcomes());
+}
+
+static void waitForTurns(Workload& workload, unsigned turnsDone)
+{
+    BOOST_REQUIRE(eventually([&] { return workload.turnsDone() >= turnsDone; }, limit));
+}
+
+static bool revisionEverywhere(const TestFleet& fleet, unsigned revision)
+{
+    for (unsigned n = 0; n < daemons; ++n) {
+        Json dump = fleet.state(n);
+        if (!dump.is_object() || !dump["environments"].contains("test") || dump["environments"]["test"]["revision"] != revision)
+            return false;
+    }
+    return true;
+}
+
+BOOST_AUTO_TEST_SUITE(FleetTest)
+
+BOOST_AUTO_TEST_CASE(programsCarryOnWhenTwoDaemonsAreKilled)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, sevenDaemons);
+        startFleet(fleet);
+        Workload workload(client, fleet, answerTokens);
+        workload.start(programs, turns);
+        waitForTurns(workload, programs / 2);
+        fleet.daemon(6).signal(SIGKILL);
+        waitForTurns(workload, programs);
+        fleet.daemon(1).signal(SIGKILL);
+        finish(fleet, workload);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(keyValueOutageStopsNothingThatIsOwned)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, sevenDaemons);
+        startFleet(fleet);
+        fleet.setFault(fleet.keyValue(), { { "down", true } });
+        Workload workload(client, fleet, answerTokens);
+        workload.start(programs, turns);
+        finish(fleet, workload);
+        BOOST_TEST(workload.unknownOutcomes() == 0U);
+        BOOST_TEST(workload.repeats() == 0U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(daemonKilledDuringAKeyValueOutageIsReplacedAfterIt)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, sevenDaemons);
+        startFleet(fleet);
+        Workload workload(client, fleet, answerTokens);
+        workload.start(programs, turns);
+        waitForTurns(workload, programs / 2);
+        fleet.setFault(fleet.keyValue(), { { "down", true } });
+        fleet.daemon(4).signal(SIGKILL);
+        sleepFiber(Milliseconds(3'000));
+        fleet.setFault(fleet.keyValue(), { { "down", false }, { "loseAnswers", 10 } });
+        finish(fleet, workload);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(acceptedConfigurationIsInForceEverywhereInTimeAndNeverReverts)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, sevenDaemons);
+        startFleet(fleet);
+        Json document = fleet.document();
+        for (unsigned revision = 2; revision <= 4; ++revision) {
+            document["rules"]["maxTurns"] = 100 + revision;
+            BOOST_REQUIRE(fleet.apply(document) == 0);
+            BOOST_TEST(eventually([&] { return revisionEverywhere(fleet, revision); }, configurationBound));
+        }
+        // A daemon that starts while the key-value service is down learns the revision from its peers.
+        fleet.setFault(fleet.keyValue(), { { "down", true } });
+        fleet.daemon(2).signal(SIGKILL);
+        BOOST_REQUIRE(eventually([&] { return !fleet.daemon(2).running(); }, limit));
+        fleet.startDaemon(2);
+        BOOST_TEST(eventually([&] { return revisionEverywhere(fleet, 4); }, configurationBound), fleet.logs());
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/EndToEnd/Process.cpp
@@ -0,0 +1,90 @@
+#include "Process.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace basilpoint::test {
+
+// Runs in the child. It must not outlive a test that is ended from outside.
+[[noreturn]] static void becomeProgram(const std::string& path, const std::vector<char*>& argv, const std::string& logFile)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    int fd = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    dup2(fd, STDOUT_FILENO);
+    dup2(fd, STDERR_FILENO);
+    execv(path.c_str(), argv.data());
+    _exit(127);
+}
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments, std::string logFile)
+    : m_logFile(std::move(logFile))
+{
+    std::string path = std::string(BASILPOINT_BIN_DIR) + "/" + program;
+    std::vector<char*> argv { path.data() };
+    std::vector<std::string> copies = arguments;
+    for (std::string& argument : copies)
+        argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    m_id = fork();
+    if (m_id < 0)
+        throw std::runtime_error("cannot start " + path);
+    if (m_id == 0)
+        becomeProgram(path, argv, m_logFile);
+}
+
+Process::~Process()
+{
+    if (!running())
+        return;
+    signal(SIGKILL);
+    waitpid(m_id, nullptr, 0);
+}
+
+void Process::signal(int number) const
+{
+    kill(m_id, number);
+}
+
+bool Process::running()
+{
+    if (m_ended)
+        return false;
+    int status = 0;
+    if (waitpid(m_id, &status, WNOHANG) == 0)
+        return true;
+    m_ended = true;
+    m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return false;
+}
+
+std::string Process::log() const
+{
+    std::ifstream in(m_logFile);
+    std::ostringstream buf;
+    buf << in.rdbuf();
+    return buf.str();
+}
+
+unsigned freePort()
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(address);
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), n) != 0 || getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) != 0)
+        throw std::runtime_error("no free port");
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+} // namespace basilpoint::test
