Add trial, promotion, rollback and history of environments, and the operators' commands

Operators race each other, and the key-value service may lose an answer after the write took effect.

The document gains limits, kinds of programs with rules of their own, weights by hour, calls of a tool that may be repeated, and a trial stage of which no target, limit or rule is production's.

--- a/lib/Config/Environment.cpp
+++ b/lib/Config/Environment.cpp
@@ -1,137 +1,44 @@
 #include "basilpoint/Config/Environment.h"
 
-#include "basilpoint/Support/Error.h"
-
-#include <nlohmann/json.hpp>
-#include <set>
+#include "ObjectReader.h"
 
 namespace basilpoint {
 
-using Json = nlohmann::json;
-
-const std::string environmentKeyPrefix = "/basilpoint/environments/";
-
-static constexpr std::size_t maxNameLength = 63;
 static constexpr std::uint64_t maxBudgetTokens = 1'000'000'000;
 static constexpr std::int64_t maxDeadlineSeconds = 7 * 24 * 3'600;
+static constexpr std::uint64_t maxTimeoutMilliseconds = 3'600'000;
+static constexpr std::uint64_t maxRate = 1'000'000'000;
+static constexpr unsigned maxPriority = 9;
+static constexpr unsigned hoursPerDay = 24;
+static constexpr std::uint64_t maxUtcOffsetHours = 14;
+
+bool ToolService::isIdempotent(const std::string& call) const
+{
+    auto it = calls.find(call);
+    return it == calls.end() ? idempotent : it->second;
+}
+
+bool HourWeights::covers(unsigned hour) const
+{
+    return fromHour < toHour ? hour >= fromHour && hour < toHour : hour >= fromHour || hour < toHour;
+}
+
+PolicyWeights EnvironmentRules::weightsAt(WallTimePoint now) const
+{
+    auto hours = std::chrono::floor<std::chrono::hours>(now.time_since_epoch()).count() + utcOffsetHours;
+    auto hour = static_cast<unsigned>((hours % hoursPerDay + hoursPerDay) % hoursPerDay);
+    for (const HourWeights& it : weightsByHour) {
+        if (it.covers(hour))
+            return it.weights;
+    }
+    return { latencyWeight, cacheWeight };
+}
 
-namespace {
-
-    // One JSON object of the document together with the path that errors name.
-    class ObjectReader {
-    public:
-        ObjectReader(const Json& json, std::string path)
-            : m_json(json)
-            , m_path(std::move(path))
-        {
-            if (!json.is_object())
-                fail("", "an object");
-        }
-
-        [[noreturn]] void fail(const std::string& name, const std::string& allowed) const
-        {
-            std::string path = name.empty() ? m_path : m_path + "/" + name;
-            const Json& value = name.empty() || !m_json.contains(name) ? m_json : m_json[name];
-            throw InvalidInputError(path.empty() ? "/" : path, value.dump().substr(0, 80), allowed);
-        }
-
-        // Every name that no reader asked for is a mistake of the operator's.
-        void refuseOthers() const
-        {
-            for (const auto& [name, value] : m_json.items()) {
-                if (!m_known.contains(name))
-                    fail(name, "a known name");
-            }
-        }
-
-        const Json* find(const std::string& name)
-        {
-            m_known.insert(name);
-            auto it = m_json.find(name);
-            return it == m_json.end() ? nullptr : &*it;
-        }
-
-        std::string name(const std::string& key)
-        {
-            const Json* value = find(key);
-            if (!value || !value->is_string())
-                fail(key, "a name");
-            auto text = value->get<std::string>();
-            bool allowed = !text.empty() && text.size() <= maxNameLength && text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-.") == std::string::npos;
-            if (!allowed)
-                fail(key, "1 to 63 of a-z, 0-9, '-' and '.'");
-            return text;
-        }
-
-        std::uint64_t number(const std::string& key, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
-        {
-            const Json* value = find(key);
-            if (!value)
-                return fallback;
-            std::string allowed = "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
-            if (!value->is_number_unsigned())
-                fail(key, allowed);
-            auto n = value->get<std::uint64_t>();
-            if (n < least || n > most)
-                fail(key, allowed);
-            return n;
-        }
-
-        double weight(const std::string& key, double fallback)
-        {
-            const Json* value = find(key);
-            if (!value)
-                return fallback;
-            if (!value->is_number() || value->get<double>() < 0 || value->get<double>() > 1)
-                fail(key, "a number from 0 to 1");
-            return value->get<double>();
-        }
-
-        bool flag(const std::string& key, bool fallback)
-        {
-            const Json* value = find(key);
-            if (!value)
-                return fallback;
-            if (!value->is_boolean())
-                fail(key, "true or false");
-            return value->get<bool>();
-        }
-
-        std::vector<Endpoint> endpoints(const std::string& key)
-        {
-            const Json* value = find(key);
-            if (!value || !value->is_array() || value->empty())
-                fail(key, "a list of at least one ADDRESS:PORT");
-            std::vector<Endpoint> result;
-            for (std::size_t n = 0; n < value->size(); ++n) {
-                const Json& entry = (*value)[n];
-                std::string path = m_path + "/" + key + "/" + std::to_string(n);
-                result.push_back(parseEndpoint(path, entry.is_string() ? entry.get<std::string>() : entry.dump()));
-            }
-            return result;
-        }
-
-        template <typename Read>
-        void each(const std::string& key, Read read)
-        {
-            const Json* list = find(key);
-            if (!list)
-                return;
-            if (!list->is_array())
-                fail(key, "a list");
-            for (std::size_t n = 0; n < list->size(); ++n)
-                read(ObjectReader((*list)[n], m_path + "/" + key + "/" + std::to_string(n)));
-        }
-
-        const std::string& path() const { return m_path; }
-
-    private:
-        const Json& m_json;
-        std::string m_path;
-        std::set<std::string> m_known;
-    };
-
-} // namespace
+const EnvironmentRules& Environment::rulesFor(const std::string& programClass) const
+{
+    auto it = programs.find(programClass);
+    return it == programs.end() ? rules : it->second.rules;
+}
 
 static ModelPool readModel(ObjectReader& reader)
 {
@@ -151,14 +58,33 @@
     tool.addresses = reader.endpoints("addresses");
     tool.idempotent = reader.flag("idempotent", tool.idempotent);
     tool.askableByKey = reader.flag("askableByKey", tool.askableByKey);
-    tool.timeout = Milliseconds(reader.number("timeoutMilliseconds", static_cast<std::uint64_t>(tool.timeout.count()), 1, 3'600'000));
+    tool.honoursFencing = reader.flag("honoursFencing", tool.honoursFencing);
+    tool.checksSender = reader.flag("checksSender", tool.checksSender);
+    tool.timeout = Milliseconds(reader.number("timeoutMilliseconds", static_cast<std::uint64_t>(tool.timeout.count()), 1, maxTimeoutMilliseconds));
+    reader.each("calls", [&](ObjectReader entry) {
+        std::string name = entry.name("name");
+        if (!tool.calls.emplace(name, entry.flag("idempotent", tool.idempotent)).second)
+            entry.fail("name", "a name that no other call has");
+        entry.refuseOthers();
+    });
     reader.refuseOthers();
     return tool;
 }
 
-static EnvironmentRules readRules(ObjectReader reader)
+static HourWeights readHourWeights(ObjectReader& reader, const PolicyWeights& fallback)
+{
+    HourWeights result;
+    result.fromHour = static_cast<unsigned>(reader.number("fromHour", 0, 0, hoursPerDay - 1));
+    result.toHour = static_cast<unsigned>(reader.number("toHour", hoursPerDay, 0, hoursPerDay));
+    result.weights.latency = reader.weight("latencyWeight", fallback.latency);
+    result.weights.cache = reader.weight("cacheWeight", fallback.cache);
+    reader.refuseOthers();
+    return result;
+}
+
+// Names that \p reader does not set keep their value of \p rules.
+static EnvironmentRules readRules(ObjectReader& reader, EnvironmentRules rules)
 {
-    EnvironmentRules rules;
     rules.budgetTokens = reader.number("budgetTokens", rules.budgetTokens, 1, maxBudgetTokens);
     rules.maxTurns = reader.number("maxTurns", rules.maxTurns, 1, 100'000);
     rules.maxRepeatedCalls = static_cast<unsigned>(reader.number("maxRepeatedCalls", rules.maxRepeatedCalls, 2, 1'000));
@@ -167,10 +93,65 @@
     rules.latencyWeight = reader.weight("latencyWeight", rules.latencyWeight);
     rules.cacheWeight = reader.weight("cacheWeight", rules.cacheWeight);
     rules.maxConcurrentCalls = static_cast<unsigned>(reader.number("maxConcurrentCalls", rules.maxConcurrentCalls, 1, 1'000'000));
+    rules.priority = static_cast<unsigned>(reader.number("priority", rules.priority, 0, maxPriority));
+    rules.utcOffsetHours = static_cast<int>(reader.number("hoursEastOfUtc", static_cast<std::uint64_t>(rules.utcOffsetHours), 0, maxUtcOffsetHours));
+    if (reader.find("weightsByHour"))
+        rules.weightsByHour.clear();
+    reader.each("weightsByHour", [&](ObjectReader entry) {
+        rules.weightsByHour.push_back(readHourWeights(entry, { rules.latencyWeight, rules.cacheWeight }));
+    });
+    return rules;
+}
+
+static EnvironmentRules readRulesAt(const Json& json, const std::string& path, const EnvironmentRules& fallback)
+{
+    ObjectReader reader(json, path);
+    EnvironmentRules rules = readRules(reader, fallback);
     reader.refuseOthers();
     return rules;
 }
 
+static OperatorLimits readLimits(ObjectReader reader)
+{
+    OperatorLimits limits;
+    limits.requestsPerSecond = reader.number("requestsPerSecond", limits.requestsPerSecond, 1, maxRate);
+    limits.tokensPerMinute = reader.number("tokensPerMinute", limits.tokensPerMinute, 1, maxRate);
+    limits.maxPrograms = reader.number("maxPrograms", limits.maxPrograms, 1, maxRate);
+    reader.refuseOthers();
+    return limits;
+}
+
+// Reads a list of named things; each name stands once.
+template <typename Thing, typename Read>
+static void readNamed(ObjectReader& reader, const std::string& key, std::map<std::string, Thing>& into, Read read)
+{
+    reader.each(key, [&](ObjectReader entry) {
+        Thing thing = read(entry);
+        if (!into.emplace(thing.name, thing).second)
+            entry.fail("name", "a name that stands once in the list");
+    });
+}
+
+static void readTargets(ObjectReader& reader, std::map<std::string, ModelPool>& models, std::map<std::string, ToolService>& tools)
+{
+    readNamed(reader, "models", models, readModel);
+    readNamed(reader, "tools", tools, readTool);
+}
+
+static TrialStage readTrial(const Json& json, const Environment& environment)
+{
+    ObjectReader reader(json, "/trial");
+    TrialStage trial;
+    trial.callers = reader.names("callers");
+    const Json* rules = reader.find("rules");
+    trial.rules = rules ? readRulesAt(*rules, "/trial/rules", environment.rules) : environment.rules;
+    if (const Json* limits = reader.find("limits"))
+        trial.limits = readLimits(ObjectReader(*limits, "/trial/limits"));
+    readTargets(reader, trial.models, trial.tools);
+    reader.refuseOthers();
+    return trial;
+}
+
 Environment parseEnvironment(const std::string& json)
 {
     Json document = Json::parse(json, nullptr, false);
@@ -179,39 +160,29 @@
     environment.id = EnvironmentId(reader.name("environment"));
     environment.owner = OperatorId(reader.name("operator"));
     if (const Json* rules = reader.find("rules"))
-        environment.rules = readRules(ObjectReader(*rules, "/rules"));
-    reader.each("models", [&](ObjectReader entry) {
-        ModelPool model = readModel(entry);
-        if (!environment.models.emplace(model.name, model).second)
-            entry.fail("name", "a name that no other model has");
-    });
-    reader.each("tools", [&](ObjectReader entry) {
-        ToolService tool = readTool(entry);
-        if (!environment.tools.emplace(tool.name, tool).second)
-            entry.fail("name", "a name that no other tool has");
+        environment.rules = readRulesAt(*rules, "/rules", environment.rules);
+    if (const Json* limits = reader.find("limits"))
+        environment.limits = readLimits(ObjectReader(*limits, "/limits"));
+    readNamed(reader, "programs", environment.programs, [&](ObjectReader& entry) {
+        ProgramClass result { entry.name("name"), readRules(entry, environment.rules) };
+        entry.refuseOthers();
+        return result;
     });
+    readTargets(reader, environment.models, environment.tools);
+    if (const Json* trial = reader.find("trial"))
+        environment.trial = readTrial(*trial, environment);
     reader.refuseOthers();
     return environment;
 }
 
-std::string environmentKey(const EnvironmentId& id)
-{
-    return environmentKeyPrefix + id.text();
-}
-
-std::string encodeStoredEnvironment(const StoredEnvironment& stored)
-{
-    return Json { { "revision", stored.revision.value() }, { "document", stored.document } }.dump();
-}
-
-StoredEnvironment decodeStoredEnvironment(const std::string& text)
+Environment trialView(const Environment& environment)
 {
-    try {
-        Json json = Json::parse(text);
-        return { Revision(json.at("revision").get<std::uint64_t>()), json.at("document").get<std::string>() };
-    } catch (const Json::exception&) {
-        throw InvalidInputError("stored environment", text.substr(0, 80), "revision and document");
-    }
+    Environment view = environment;
+    view.rules = environment.trial.rules;
+    view.limits = environment.trial.limits;
+    view.models = environment.trial.models;
+    view.tools = environment.trial.tools;
+    return view;
 }
 
 } // namespace basilpoint
--- a/lib/Daemon/EnvironmentController.cpp
+++ b/lib/Daemon/EnvironmentController.cpp
@@ -9,12 +9,15 @@
 
 bool EnvironmentController::accept(const StoredEnvironment& stored)
 {
-    auto environment = std::make_shared<const Environment>(parseEnvironment(stored.document));
+    // An environment that was only tried so far has nothing in production yet.
+    bool isInProduction = !stored.document.empty();
+    auto environment = std::make_shared<const Environment>(parseEnvironment(isInProduction ? stored.document : stored.trialDocument));
     auto it = m_stored.find(environment->id);
     if (it != m_stored.end() && it->second.revision >= stored.revision)
         return false;
     m_stored.insert_or_assign(environment->id, stored);
-    m_environments.insert_or_assign(environment->id, environment);
+    if (isInProduction)
+        m_environments.insert_or_assign(environment->id, environment);
     return true;
 }
 
--- a/tools/basilpoint/EnvCommand.cpp
+++ b/tools/basilpoint/EnvCommand.cpp
@@ -1,25 +1,17 @@
 #include "EnvCommand.h"
 
-#include "basilpoint/Config/Environment.h"
+#include "Table.h"
 
+#include <charconv>
 #include <fmt/format.h>
 #include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
 #include <sstream>
 
 namespace basilpoint {
 
-namespace {
-
-    /// Another operator changed the environment while this change was on its way.
-    class EditConflictError final : public Error {
-    public:
-        explicit EditConflictError(const EnvironmentId& id)
-            : Error({ "edit-conflict", 409, Executed::No }, { { "environment", id.text() } })
-        {
-        }
-    };
-
-} // namespace
+using Json = nlohmann::json;
 
 static std::string readFile(const std::string& path)
 {
@@ -31,27 +23,102 @@
     return buf.str();
 }
 
-static int apply(KeyValueStore& store, const std::string& document, const EnvironmentId& id)
+static Revision parseRevision(const std::string& text)
+{
+    std::uint64_t n = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size())
+        throw InvalidInputError("revision", text, "a whole number");
+    return Revision(n);
+}
+
+static Json toJson(const EnvironmentId& id, const StoredEnvironment& stored)
+{
+    Json json { { "environment", id.text() }, { "revision", stored.revision.value() }, { "action", stored.action } };
+    json["digest"] = stored.document.empty() ? Json() : Json(stored.digest().text());
+    json["trialDigest"] = stored.trialDocument.empty() ? Json() : Json(stored.trialDigest().text());
+    return json;
+}
+
+static void printStored(const EnvironmentId& id, const StoredEnvironment& stored, const OutputOptions& options)
+{
+    if (options.json) {
+        fmt::print("{}\n", toJson(id, stored).dump());
+        return;
+    }
+    if (stored.action == "try")
+        fmt::print("{}: revision {}, on trial, digest {}\n", id.text(), stored.revision.value(), stored.trialDigest().text());
+    else
+        fmt::print("{}: revision {} in force, digest {}\n", id.text(), stored.revision.value(), stored.digest().text());
+}
+
+static void validate(const std::string& file, const OutputOptions& options)
+{
+    EnvironmentSource source = readEnvironment(readFile(file));
+    std::string digest = digestOf(source.document).text();
+    if (options.json)
+        fmt::print("{}\n", Json { { "environment", source.environment.id.text() }, { "valid", true }, { "digest", digest } }.dump());
+    else
+        fmt::print("{}: valid, digest {}\n", source.environment.id.text(), digest);
+}
+
+static void edit(EnvironmentStore& store, const std::string& file, Stage stage, const OutputOptions& options)
+{
+    EnvironmentSource source = readEnvironment(readFile(file));
+    const EnvironmentId& id = source.environment.id;
+    printStored(id, store.apply(id, source.document, stage, options.base), options);
+}
+
+static void diff(EnvironmentStore& store, const std::string& file)
+{
+    EnvironmentSource source = readEnvironment(readFile(file));
+    std::string text = describeDifferences(store.get(source.environment.id).document, source.document);
+    fmt::print("{}", text.empty() ? "no difference\n" : text);
+}
+
+static void show(EnvironmentStore& store, const EnvironmentId& id, const OutputOptions& options)
+{
+    StoredEnvironment stored = store.get(id);
+    Json json = toJson(id, stored);
+    json["production"] = stored.document.empty() ? Json() : Json::parse(stored.document);
+    json["trial"] = stored.trialDocument.empty() ? Json() : Json::parse(stored.trialDocument);
+    fmt::print("{}\n", json.dump(options.json ? -1 : 2));
+}
+
+static void printHistory(EnvironmentStore& store, const EnvironmentId& id, const OutputOptions& options)
 {
-    auto current = store.get(environmentKey(id));
-    Revision revision = current ? decodeStoredEnvironment(current->value).revision : Revision(0);
-    std::string value = encodeStoredEnvironment({ revision.next(), document });
-    if (!store.compareAndSwap(environmentKey(id), current ? current->modRevision : 0, value))
-        throw EditConflictError(id);
-    fmt::print("{}: revision {} in force, digest {}\n", id.text(), revision.next().value(), digestOf(document).text());
-    return 0;
+    Json list = Json::array();
+    Table table({ "REVISION", "ACTION", "PRODUCTION", "TRIAL" });
+    for (const StoredEnvironment& stored : store.history(id)) {
+        list.push_back(toJson(id, stored));
+        table.add({ std::to_string(stored.revision.value()), stored.action, stored.document.empty() ? "-" : stored.digest().text(), stored.trialDocument.empty() ? "-" : stored.trialDigest().text() });
+    }
+    if (list.empty())
+        throw EnvironmentMissingError(id, "environment");
+    fmt::print("{}", options.json ? list.dump() + "\n" : table.text());
 }
 
-int runEnvCommand(KeyValueStore& store, const std::string& verb, const std::string& file)
+void runEnvCommand(KeyValueStore& keyValue, const std::vector<std::string>& words, const OutputOptions& options)
 {
-    std::string document = canonicalJson(readFile(file));
-    Environment environment = parseEnvironment(document);
-    if (verb == "apply")
-        return apply(store, document, environment.id);
-    if (verb != "validate")
-        throw InvalidInputError("command", "env " + verb, "env validate or env apply");
-    fmt::print("{}: valid, digest {}\n", environment.id.text(), digestOf(document).text());
-    return 0;
+    EnvironmentStore store(keyValue, std::random_device {}());
+    const std::string verb = words.empty() ? "" : words[0];
+    if (verb == "validate" && words.size() == 2)
+        return validate(words[1], options);
+    if (verb == "apply" && words.size() == 2)
+        return edit(store, words[1], Stage::Production, options);
+    if (verb == "try" && words.size() == 2)
+        return edit(store, words[1], Stage::Trial, options);
+    if (verb == "diff" && words.size() == 2)
+        return diff(store, words[1]);
+    if (verb == "show" && words.size() == 2)
+        return show(store, EnvironmentId(words[1]), options);
+    if (verb == "history" && words.size() == 2)
+        return printHistory(store, EnvironmentId(words[1]), options);
+    if (verb == "promote" && words.size() == 3)
+        return printStored(EnvironmentId(words[1]), store.promote(EnvironmentId(words[1]), parseDigest(words[2])), options);
+    if (verb == "rollback" && words.size() == 3)
+        return printStored(EnvironmentId(words[1]), store.rollback(EnvironmentId(words[1]), parseRevision(words[2])), options);
+    throw InvalidInputError("command", "env " + verb, "a command with its words as --help lists them");
 }
 
 } // namespace basilpoint
--- a/tools/basilpoint/Main.cpp
+++ b/tools/basilpoint/Main.cpp
@@ -1,3 +1,4 @@
+#include "DaemonCommand.h"
 #include "EnvCommand.h"
 
 #include "basilpoint/Config/Settings.h"
@@ -5,22 +6,42 @@
 #include "basilpoint/Net/HttpKeyValueStore.h"
 #include "basilpoint/Support/Error.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 using namespace basilpoint;
 
 static constexpr int exitFailure = 1;
 static constexpr int exitUsage = 2;
+static constexpr std::int64_t noBase = -1;
 
 static const std::vector<SettingSpec> specs {
     { "key-value", "127.0.0.1:2379", "Address of the key-value service's JSON gateway.", "ADDRESS:PORT" },
+    { "daemons", "127.0.0.1:8081", "Operators' listeners of the daemons to ask.", "ADDRESS:PORT, separated by commas" },
+    { "operator-token", "", "Bearer token to show to the daemons.", "any text" },
+    { "base", "-1", "Revision that an edit is based on; -1 takes the current one.", "-1 to 9007199254740991", { { noBase, 9'007'199'254'740'991 } } },
+    { "output", "table", "How to print.", "table or json" },
 };
 
 static constexpr auto usage = R"(Usage: basilpoint [flags] COMMAND
 
+Flags stand before the command. --json is short for --output json.
+
 Commands:
-  env validate FILE   check an environment document without storing it
-  env apply FILE      check a document and put it in force
+  env validate FILE             check an environment document without storing it
+  env diff FILE                 what would change in production
+  env try FILE                  put a document on trial
+  env promote NAME DIGEST       put exactly the tried document in force
+  env apply FILE                put a document in force at once
+  env show NAME                 the documents that are stored
+  env history NAME              the last revisions, newest first
+  env rollback NAME REVISION    put an earlier document in force, as a new revision
+  status                        one line for each daemon
+  dump                          all state of each daemon
+  explain PROGRAM               what the daemons decided about a program, and why
+  drain                         begin a planned stop of the daemons
+
+Exit codes: 0 done, 1 failed, 2 wrong use or wrong document.
 
 )";
 
@@ -38,21 +59,46 @@
     return std::min(n, arguments.size());
 }
 
+static OutputOptions outputOptions(const SettingValues& values)
+{
+    const std::string& output = values.text("output");
+    if (output != "table" && output != "json")
+        throw InvalidInputError("--output", output, "table or json");
+    OutputOptions options { output == "json", std::nullopt };
+    if (std::int64_t base = values.number("base"); base != noBase)
+        options.base = Revision(static_cast<std::uint64_t>(base));
+    return options;
+}
+
 static int runCommand(const SettingValues& values, const std::vector<std::string>& command)
 {
-    int status = exitUsage;
+    static const std::vector<std::string> daemonCommands { "status", "dump", "explain", "drain" };
+    OutputOptions options = outputOptions(values);
+    bool isForDaemons = std::find(daemonCommands.begin(), daemonCommands.end(), command[0]) != daemonCommands.end();
+    if (!isForDaemons && command[0] != "env")
+        throw InvalidInputError("command", command[0], "a command that --help lists");
+    int status = 0;
     FiberRuntime runtime;
     runtime.run([&] {
         HttpClient client(runtime.io());
         HttpKeyValueStore store(client, values.endpoint("key-value"));
-        if (command.size() == 3 && command[0] == "env")
-            status = runEnvCommand(store, command[1], command[2]);
+        if (isForDaemons)
+            status = runDaemonCommand(client, { values.endpoints("daemons"), values.text("operator-token") }, command, options);
         else
-            printHelp();
+            runEnvCommand(store, { command.begin() + 1, command.end() }, options);
     });
     return status;
 }
 
+static int run(const std::vector<std::string>& arguments)
+{
+    auto split = arguments.begin() + static_cast<std::ptrdiff_t>(commandIndex(arguments));
+    SettingValues values = resolveSettings(specs, { arguments.begin(), split }, processEnvironment);
+    if (split == arguments.end())
+        throw InvalidInputError("command", "", "a command that --help lists");
+    return runCommand(values, { split, arguments.end() });
+}
+
 int main(int argc, char** argv)
 {
     std::vector<std::string> arguments(argv + 1, argv + argc);
@@ -60,13 +106,15 @@
         printHelp();
         return arguments.empty() ? exitUsage : 0;
     }
+    std::replace(arguments.begin(), arguments.end(), std::string("--json"), std::string("--output=json"));
     try {
-        auto split = arguments.begin() + static_cast<std::ptrdiff_t>(commandIndex(arguments));
-        SettingValues values = resolveSettings(specs, { arguments.begin(), split }, processEnvironment);
-        return runCommand(values, { split, arguments.end() });
+        return run(arguments);
     } catch (const InvalidInputError& error) {
         fmt::print(stderr, "basilpoint: {}\n", error.what());
         return exitUsage;
+    } catch (const EditConflictError& error) {
+        fmt::print(stderr, "basilpoint: {}\n{}", error.what(), error.diff());
+        return exitFailure;
     } catch (const Error& error) {
         fmt::print(stderr, "basilpoint: {}\n", error.what());
         return exitFailure;
