Stand-ins: platform list, crashes, caches, orders, lost answers; bound their input

Tests of a fleet need services that fail as the real ones do. The engine keeps a prompt cache of limited memory by program, takes orders with fencing numbers or ignores the numbers, reports its load late, can announce that it leaves, and exits on a prompt that holds a given text. The tool hangs, loses answers after the effect, and tells by key. The platform lists instances late. A watch from a compacted revision is refused as the gateway does; memory of values and changes is bounded.

A number that is none, as a string, ended the stand-in and the daemon's key-value client with a foreign exception; both now give typed errors, and a refused watch ends with KeyValueUnavailableError. parseJsonObject() bounds nesting: the JSON library recurses when it writes, on the stack of a fiber, so that a megabyte of brackets could end a process.

--- a/lib/Net/HttpKeyValueStore.cpp
+++ b/lib/Net/HttpKeyValueStore.cpp
@@ -3,6 +3,7 @@
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Base64.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace basilpoint {
@@ -25,7 +26,27 @@
     auto it = json.find(name);
     if (it == json.end())
         return 0;
-    return it->is_string() ? std::stoll(it->get<std::string>()) : it->get<std::int64_t>();
+    if (!it->is_string())
+        return it->get<std::int64_t>();
+    const auto& text = it->get_ref<const std::string&>();
+    std::int64_t n = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size())
+        throw KeyValueUnavailableError("answer holds a number that is none");
+    return n;
+}
+
+// Whatever is wrong with an answer, the fate of the call is unknown.
+template <typename Read>
+static auto readAnswer(Read read)
+{
+    try {
+        return read();
+    } catch (const Json::exception&) {
+        throw KeyValueUnavailableError("answer of another shape");
+    } catch (const InvalidInputError&) {
+        throw KeyValueUnavailableError("answer of another shape");
+    }
 }
 
 static KeyValue pairFrom(const Json& json)
@@ -69,19 +90,23 @@
 {
     ++m_counters.reads;
     Json answer = post("/v3/kv/range", { { "key", encodeBase64(key) } });
-    if (!answer.contains("kvs") || answer["kvs"].empty())
-        return std::nullopt;
-    return pairFrom(answer["kvs"][0]);
+    return readAnswer([&]() -> std::optional<KeyValue> {
+        if (!answer.contains("kvs") || answer["kvs"].empty())
+            return std::nullopt;
+        return pairFrom(answer["kvs"].at(0));
+    });
 }
 
 std::vector<KeyValue> HttpKeyValueStore::list(const std::string& prefix)
 {
     ++m_counters.reads;
     Json answer = post("/v3/kv/range", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } });
-    std::vector<KeyValue> result;
-    for (const Json& pair : answer.value("kvs", Json::array()))
-        result.push_back(pairFrom(pair));
-    return result;
+    return readAnswer([&] {
+        std::vector<KeyValue> result;
+        for (const Json& pair : answer.value("kvs", Json::array()))
+            result.push_back(pairFrom(pair));
+        return result;
+    });
 }
 
 std::optional<std::int64_t> HttpKeyValueStore::compareAndSwap(const std::string& key, std::int64_t expectedRevision, const std::string& value, std::int64_t lease)
@@ -90,9 +115,11 @@
     Json compare { { "key", encodeBase64(key) }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expectedRevision) } };
     Json put { { "key", encodeBase64(key) }, { "value", encodeBase64(value) }, { "lease", std::to_string(lease) } };
     Json answer = post("/v3/kv/txn", { { "compare", Json::array({ compare }) }, { "success", Json::array({ { { "request_put", put } } }) } });
-    if (!answer.value("succeeded", false))
-        return std::nullopt;
-    return numberFrom(answer.at("header"), "revision");
+    return readAnswer([&]() -> std::optional<std::int64_t> {
+        if (!answer.value("succeeded", false))
+            return std::nullopt;
+        return numberFrom(answer.at("header"), "revision");
+    });
 }
 
 static void deliverChanges(const std::string& line, const KeyValueStore::ChangeHandler& onChange)
@@ -100,6 +127,8 @@
     Json message = Json::parse(line);
     if (!message.contains("result"))
         return;
+    if (message["result"].value("canceled", false))
+        throw KeyValueUnavailableError("watch refused: the revision is compacted");
     for (const Json& event : message["result"].value("events", Json::array())) {
         KeyValue pair = pairFrom(event.at("kv"));
         bool removed = event.value("type", "PUT") == "DELETE";
@@ -123,7 +152,7 @@
             m_endpoint, request, [&](std::string_view bytes) {
                 buf.append(bytes);
                 for (auto end = buf.find('\n'); end != std::string::npos; end = buf.find('\n')) {
-                    deliverChanges(buf.substr(0, end), onChange);
+                    readAnswer([&] { deliverChanges(buf.substr(0, end), onChange); });
                     buf.erase(0, end + 1);
                 }
             },
@@ -140,14 +169,15 @@
 std::int64_t HttpKeyValueStore::grantLease(std::chrono::seconds ttl)
 {
     ++m_counters.leases;
-    return numberFrom(post("/v3/lease/grant", { { "TTL", std::to_string(ttl.count()) } }), "ID");
+    Json answer = post("/v3/lease/grant", { { "TTL", std::to_string(ttl.count()) } });
+    return readAnswer([&] { return numberFrom(answer, "ID"); });
 }
 
 bool HttpKeyValueStore::keepAlive(std::int64_t lease)
 {
     ++m_counters.leases;
     Json answer = post("/v3/lease/keepalive", { { "ID", std::to_string(lease) } });
-    return answer.contains("result") && numberFrom(answer["result"], "TTL") > 0;
+    return readAnswer([&] { return answer.contains("result") && numberFrom(answer["result"], "TTL") > 0; });
 }
 
 } // namespace basilpoint
--- a/tools/basilpoint-standin/Engine.cpp
+++ b/tools/basilpoint-standin/Engine.cpp
@@ -1,10 +1,10 @@
+#include "EngineState.h"
 #include "StandIn.h"
 
 #include "basilpoint/Net/Errors.h"
-#include "basilpoint/Net/FiberAwait.h"
+#include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Support/Hash.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -13,28 +13,26 @@
 using Json = nlohmann::json;
 
 static constexpr std::size_t bytesPerToken = 4;
-
-void sleepFor(boost::asio::io_context& io, Milliseconds delay)
-{
-    boost::asio::steady_timer timer(io, delay);
-    awaitIo([&](auto handler) { timer.async_wait(std::move(handler)); });
-}
+static constexpr std::size_t maxKeptOrders = 1'000;
+static constexpr int exitStatusOfCrash = 70;
+static constexpr int statusConflict = 409;
 
 namespace {
 
-    struct EngineState {
-        boost::asio::io_context& io;
-        StandInSettings settings;
-        std::uint64_t served = 0;
-        std::uint64_t running = 0;
-        /// Most calls that ran at once.
-        std::uint64_t mostRunning = 0;
+    class OldFencingNumberError final : public Error {
+    public:
+        OldFencingNumberError(std::uint64_t given, std::uint64_t highest)
+            : Error({ "old-fencing-number", statusConflict, Executed::No }, { { "fencing", std::to_string(given) }, { "highest", std::to_string(highest) } })
+        {
+        }
     };
 
     struct Completion {
         Json request;
         unsigned tokens = 0;
         std::size_t promptTokens = 0;
+        /// Tokens of the prompt whose keys and values were in memory.
+        std::size_t cachedTokens = 0;
         /// Differs for each prompt, so that a caller can tell its own answer.
         std::string label;
     };
@@ -48,7 +46,7 @@
 
 static Json usageOf(const Completion& completion)
 {
-    return { { "prompt_tokens", completion.promptTokens }, { "completion_tokens", completion.tokens }, { "total_tokens", completion.promptTokens + completion.tokens } };
+    return { { "prompt_tokens", completion.promptTokens }, { "completion_tokens", completion.tokens }, { "total_tokens", completion.promptTokens + completion.tokens }, { "prompt_tokens_details", { { "cached_tokens", completion.cachedTokens } } } };
 }
 
 static Json chunkOf(const Completion& completion, const Json& delta, const Json& finish)
@@ -85,8 +83,8 @@
 static Completion readCompletion(const EngineState& state, const HttpRequest& request)
 {
     Completion completion;
-    completion.request = Json::parse(request.body, nullptr, false);
-    if (!completion.request.is_object() || !completion.request.contains("messages"))
+    completion.request = parseJsonObject(request.body);
+    if (!completion.request.contains("messages"))
         throw InvalidInputError("body", request.body.substr(0, 80), "a chat completion request");
     std::string prompt = completion.request["messages"].dump();
     completion.promptTokens = prompt.size() / bytesPerToken + 1;
@@ -98,33 +96,66 @@
 
 static void complete(EngineState& state, const HttpRequest& request, ResponseWriter& writer)
 {
+    if (!state.settings.crashOn.empty() && request.body.find(state.settings.crashOn) != std::string::npos)
+        exitProcess(exitStatusOfCrash);
     Completion completion = readCompletion(state, request);
-    ++state.running;
-    state.mostRunning = std::max(state.mostRunning, state.running);
+    std::string program(request.header("basilpoint-program"));
+    completion.cachedTokens = std::min(state.cache.use(program, completion.promptTokens + completion.tokens), completion.promptTokens);
+    state.enter();
     struct Leave {
-        ~Leave() { --state.running; }
+        ~Leave() { state.leave(); }
         EngineState& state;
     } leave { state };
-    sleepFor(state.io, state.settings.prefillPerThousand * static_cast<int>(completion.promptTokens) / 1'000);
-    if (completion.request.value("stream", false))
-        streamCompletion(state, completion, writer);
-    else
-        sendCompletion(state, completion, writer);
+    sleepFor(state.io, state.settings.prefillPerThousand * static_cast<int>(completion.promptTokens - completion.cachedTokens) / 1'000);
+    try {
+        if (completion.request.value("stream", false))
+            streamCompletion(state, completion, writer);
+        else
+            sendCompletion(state, completion, writer);
+    } catch (const ConnectionLostError&) {
+        ++state.cancelled;
+        throw;
+    }
     ++state.served;
 }
 
-HttpServer::Handler makeEngine(boost::asio::io_context& io, const StandInSettings& settings)
+static void takeOrder(EngineState& state, const HttpRequest& request, ResponseWriter& writer)
 {
-    auto state = std::make_shared<EngineState>(EngineState { io, settings });
-    return [state](const HttpRequest& request, ResponseWriter& writer) {
-        if (request.method == "POST" && request.path() == "/v1/chat/completions")
+    Json order = parseJsonObject(request.body);
+    auto fencing = order.at("fencing").get<std::uint64_t>();
+    if (state.settings.honoursFencing && fencing < state.highestFencing)
+        throw OldFencingNumberError(fencing, state.highestFencing);
+    state.highestFencing = std::max(state.highestFencing, fencing);
+    if (order.at("kind") == "release")
+        state.cache.release(order.at("program").get<std::string>());
+    state.orders.push_back(order);
+    if (state.orders.size() > maxKeptOrders)
+        state.orders.erase(state.orders.begin());
+    sendJson(writer, { { "taken", true } });
+}
+
+HttpServer::Handler makeEngine(boost::asio::io_context& io, const Clock& clock, const StandInSettings& settings)
+{
+    auto state = std::make_shared<EngineState>(io, clock, settings);
+    return withTypedErrors([state](const HttpRequest& request, ResponseWriter& writer) {
+        std::string_view path = request.path();
+        if (request.method == "POST" && path == "/v1/chat/completions")
             return complete(*state, request, writer);
-        if (request.method == "GET" && request.path() == "/load") {
-            Json load { { "served", state->served }, { "running", state->running }, { "mostRunning", state->mostRunning } };
-            return writer.send({ 200, { { "content-type", "application/json" } }, load.dump() });
+        if (request.method == "POST" && path == "/orders")
+            return takeOrder(*state, request, writer);
+        if (request.method == "GET" && path == "/orders")
+            return sendJson(writer, state->orders);
+        if (request.method == "GET" && path == "/cache")
+            return sendJson(writer, state->cache.programs());
+        if (request.method == "GET" && path == "/load")
+            return sendJson(writer, state->laggingLoad.at(state->clock.now()));
+        if (request.method == "POST" && path == "/standin/fault") {
+            state->isLeaving = parseJsonObject(request.body).value("leaving", state->isLeaving);
+            state->recordLoad();
+            return sendJson(writer, Json::object());
         }
-        throw RouteNotFoundError(request.method, std::string(request.path()));
-    };
+        throw RouteNotFoundError(request.method, std::string(path));
+    });
 }
 
 } // namespace basilpoint::standin
--- a/tools/basilpoint-standin/KeyValue.cpp
+++ b/tools/basilpoint-standin/KeyValue.cpp
@@ -4,12 +4,17 @@
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Base64.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace basilpoint::standin {
 
 using Json = nlohmann::json;
 
+static constexpr std::size_t maxExcerptLength = 80;
+static constexpr std::size_t maxEntryBytes = 1024 * 1024;
+static constexpr std::size_t maxOperations = 128;
+static constexpr std::int64_t maxLeaseSeconds = 24 * 3'600;
 static constexpr Milliseconds watchPollInterval { 20 };
 static constexpr Milliseconds watchProgressInterval { 5'000 };
 
@@ -29,12 +34,20 @@
 
 } // namespace
 
+// The gateway takes 64-bit numbers as strings.
 static std::int64_t numberIn(const Json& json, const char* name)
 {
     auto it = json.find(name);
     if (it == json.end())
         return 0;
-    return it->is_string() ? std::stoll(it->get<std::string>()) : it->get<std::int64_t>();
+    if (!it->is_string())
+        return it->get<std::int64_t>();
+    const auto& text = it->get_ref<const std::string&>();
+    std::int64_t n = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc() || end != text.data() + text.size())
+        throw InvalidInputError(name, text.substr(0, maxExcerptLength), "a whole number");
+    return n;
 }
 
 static std::string bytesIn(const Json& json, const char* name)
@@ -63,8 +76,15 @@
 
 static Json put(Service& service, const Json& request)
 {
-    if (!service.state.put(bytesIn(request, "key"), bytesIn(request, "value"), numberIn(request, "lease")))
-        throw InvalidInputError("lease", request.value("lease", ""), "a lease that is alive");
+    std::string key = bytesIn(request, "key");
+    std::string value = bytesIn(request, "value");
+    if (key.empty() || key.size() + value.size() > maxEntryBytes)
+        throw InvalidInputError("value", std::to_string(key.size() + value.size()) + " bytes", "a key, with its value at most 1 MiB");
+    if (!service.state.hasRoomFor(key.size() + value.size()))
+        throw InvalidInputError("value", std::to_string(value.size()) + " bytes", "what fits into the memory that is left");
+    std::int64_t lease = numberIn(request, "lease");
+    if (!service.state.put(key, value, lease))
+        throw InvalidInputError("lease", std::to_string(lease), "a lease that is alive");
     return { { "header", headerOf(service) } };
 }
 
@@ -97,11 +117,13 @@
         return { { "response_range", range(service, operation["request_range"]) } };
     if (operation.contains("request_delete_range"))
         return { { "response_delete_range", removeKeys(service, operation["request_delete_range"]) } };
-    throw InvalidInputError("operation", operation.dump(), "put, range or delete_range");
+    throw InvalidInputError("operation", operation.dump(-1, ' ', true, Json::error_handler_t::replace).substr(0, maxExcerptLength), "put, range or delete_range");
 }
 
 static Json transaction(Service& service, const Json& request)
 {
+    if (request.value("success", Json::array()).size() + request.value("failure", Json::array()).size() > maxOperations)
+        throw InvalidInputError("transaction", "operations", "at most 128 operations");
     bool succeeded = true;
     for (const Json& compare : request.value("compare", Json::array()))
         succeeded = succeeded && holds(service, compare);
@@ -111,10 +133,19 @@
     return { { "header", headerOf(service) }, { "succeeded", succeeded }, { "responses", std::move(responses) } };
 }
 
+static Json grantLease(Service& service, const Json& request)
+{
+    std::int64_t seconds = numberIn(request, "TTL");
+    if (seconds < 1 || seconds > maxLeaseSeconds)
+        throw InvalidInputError("TTL", std::to_string(seconds), "1 to 86400");
+    std::int64_t id = service.state.grantLease(std::chrono::seconds(seconds), service.clock.now());
+    return { { "ID", std::to_string(id) }, { "TTL", std::to_string(seconds) } };
+}
+
 static Json keepAlive(Service& service, const Json& request)
 {
     auto ttl = service.state.keepAlive(numberIn(request, "ID"), service.clock.now());
-    return { { "result", { { "ID", request["ID"] }, { "TTL", std::to_string(ttl.count()) } } } };
+    return { { "result", { { "ID", request.at("ID") }, { "TTL", std::to_string(ttl.count()) } } } };
 }
 
 static Json eventToJson(const ChangeEvent& event)
@@ -124,6 +155,14 @@
     return { { "type", "DELETE" }, { "kv", { { "key", encodeBase64(event.key) }, { "mod_revision", std::to_string(event.revision) } } } };
 }
 
+// Changes that the watch asked for are no longer known: the watcher must read anew.
+static void refuseCompacted(const Service& service, ResponseWriter& writer)
+{
+    Json refusal { { "header", headerOf(service) }, { "canceled", true }, { "compact_revision", std::to_string(service.state.compactedRevision() + 1) } };
+    writer.write(Json { { "result", refusal } }.dump() + "\n");
+    writer.end();
+}
+
 // One watch per request: the gateway streams newline-separated results.
 static void watch(Service& service, const Json& request, ResponseWriter& writer)
 {
@@ -136,6 +175,8 @@
     writer.write(Json { { "result", { { "header", headerOf(service) }, { "created", true } } } }.dump() + "\n");
     TimePoint lastWrite = service.clock.now();
     while (!service.down) {
+        if (seen < service.state.compactedRevision())
+            return refuseCompacted(service, writer);
         auto changes = service.state.changesAfter(seen, begin, end);
         seen = service.state.revision();
         Json events = Json::array();
@@ -168,7 +209,7 @@
     if (path == "/v3/kv/txn")
         return transaction(service, request);
     if (path == "/v3/lease/grant")
-        return { { "ID", std::to_string(service.state.grantLease(std::chrono::seconds(numberIn(request, "TTL")), service.clock.now())) }, { "TTL", request["TTL"] } };
+        return grantLease(service, request);
     if (path == "/v3/lease/keepalive")
         return keepAlive(service, request);
     if (path == "/v3/lease/revoke") {
@@ -183,9 +224,7 @@
     std::string_view path = request.path();
     if (path == "/standin/calls")
         return writer.send({ 200, { { "content-type", "application/json" } }, Json(service.calls).dump() });
-    Json body = Json::parse(request.body, nullptr, false);
-    if (!body.is_object())
-        throw InvalidInputError("body", request.body.substr(0, 80), "a JSON object");
+    Json body = parseJsonObject(request.body);
     if (path == "/standin/fault") {
         setFault(service, body);
         return writer.send({ 200, {}, "{}" });
@@ -209,13 +248,7 @@
 HttpServer::Handler makeKeyValue(boost::asio::io_context& io, const Clock& clock)
 {
     auto service = std::make_shared<Service>(Service { io, clock, {}, false, 0, Milliseconds(0), {} });
-    return [service](const HttpRequest& request, ResponseWriter& writer) {
-        try {
-            handle(*service, request, writer);
-        } catch (const Json::exception& error) {
-            throw InvalidInputError("body", error.what(), "a request of the v3 gateway");
-        }
-    };
+    return withTypedErrors([service](const HttpRequest& request, ResponseWriter& writer) { handle(*service, request, writer); });
 }
 
 } // namespace basilpoint::standin
--- a/tools/basilpoint-standin/KeyValueState.cpp
+++ b/tools/basilpoint-standin/KeyValueState.cpp
@@ -3,6 +3,19 @@
 namespace basilpoint::standin {
 
 static constexpr std::size_t maxLoggedChanges = 100'000;
+static constexpr std::size_t maxLoggedBytes = 64 * 1024 * 1024;
+static constexpr std::size_t maxValueBytes = 256 * 1024 * 1024;
+static constexpr std::size_t entryOverheadBytes = 256;
+
+static std::size_t sizeOf(const std::string& key, const std::string& value)
+{
+    return key.size() + value.size() + entryOverheadBytes;
+}
+
+static std::size_t sizeOf(const ChangeEvent& event)
+{
+    return sizeOf(event.key, event.value ? event.value->value : std::string());
+}
 
 static bool inRange(const std::string& key, const std::string& begin, const std::string& end)
 {
@@ -25,6 +38,11 @@
     return it == m_values.end() ? nullptr : &it->second;
 }
 
+bool KeyValueState::hasRoomFor(std::size_t bytes) const
+{
+    return m_valueBytes + bytes + entryOverheadBytes <= maxValueBytes;
+}
+
 bool KeyValueState::put(const std::string& key, const std::string& value, std::int64_t lease)
 {
     if (lease != 0 && !m_leases.contains(lease))
@@ -33,6 +51,9 @@
     StoredValue& stored = m_values[key];
     if (stored.version == 0)
         stored.createRevision = m_revision;
+    else
+        m_valueBytes -= sizeOf(key, stored.value);
+    m_valueBytes += sizeOf(key, value);
     ++stored.version;
     stored.value = value;
     stored.modRevision = m_revision;
@@ -48,6 +69,7 @@
         return 0;
     ++m_revision;
     for (const auto& [key, value] : victims) {
+        m_valueBytes -= sizeOf(key, value.value);
         m_values.erase(key);
         log(key, std::nullopt);
     }
@@ -105,8 +127,12 @@
 void KeyValueState::log(const std::string& key, std::optional<StoredValue> value)
 {
     m_changes.push_back({ key, std::move(value), m_revision });
-    if (m_changes.size() > maxLoggedChanges)
+    m_loggedBytes += sizeOf(m_changes.back());
+    while (m_changes.size() > maxLoggedChanges || m_loggedBytes > maxLoggedBytes) {
+        m_compacted = m_changes.front().revision;
+        m_loggedBytes -= sizeOf(m_changes.front());
         m_changes.pop_front();
+    }
 }
 
 } // namespace basilpoint::standin
--- a/tools/basilpoint-standin/KeyValueState.h
+++ b/tools/basilpoint-standin/KeyValueState.h
@@ -35,6 +35,9 @@
 
     const StoredValue* find(const std::string& key) const;
 
+    /// Whether \p bytes more of keys and values fit into memory.
+    bool hasRoomFor(std::size_t bytes) const;
+
     /// \returns false if \p lease is given and not alive.
     bool put(const std::string& key, const std::string& value, std::int64_t lease);
     std::size_t remove(const std::string& begin, const std::string& end);
@@ -47,6 +50,8 @@
     void expire(TimePoint now);
 
     std::int64_t revision() const { return m_revision; }
+    /// Changes up to this revision are no longer known.
+    std::int64_t compactedRevision() const { return m_compacted; }
 
     /// Changes after \p revision to keys in [begin, end).
     std::vector<ChangeEvent> changesAfter(std::int64_t revision, const std::string& begin, const std::string& end) const;
@@ -62,6 +67,9 @@
     std::map<std::string, StoredValue> m_values;
     std::map<std::int64_t, Lease> m_leases;
     std::deque<ChangeEvent> m_changes;
+    std::size_t m_loggedBytes = 0;
+    std::size_t m_valueBytes = 0;
+    std::int64_t m_compacted = 0;
     std::int64_t m_revision = 1;
     std::int64_t m_nextLease = 1'000;
 };
--- a/tools/basilpoint-standin/Main.cpp
+++ b/tools/basilpoint-standin/Main.cpp
@@ -11,25 +11,31 @@
 using namespace basilpoint;
 
 static const std::vector<SettingSpec> specs {
-    { "kind", "engine", "What to stand in for.", "engine, tool or kv" },
+    { "kind", "engine", "What to stand in for.", "engine, tool, kv or platform" },
     { "listen", "127.0.0.1:0", "Address to listen on; port 0 takes a free one, which is printed.", "ADDRESS:PORT" },
     { "prefill-ms", "20", "Engine: milliseconds to the first token per 1,000 prompt tokens.", "0 to 60000", { { 0, 60'000 } } },
     { "token-ms", "2", "Engine: milliseconds between tokens.", "0 to 60000", { { 0, 60'000 } } },
     { "answer-tokens", "16", "Engine: tokens of an answer.", "1 to 100000", { { 1, 100'000 } } },
     { "tool-ms", "5", "Tool: milliseconds per call.", "0 to 3600000", { { 0, 3'600'000 } } },
+    { "crash-on", "", "Engine: the process exits when a prompt holds this text; empty for never.", "any text" },
+    { "cache-tokens", "1000000", "Engine: tokens of cached prompts that fit into memory.", "0 to 1000000000", { { 0, 1'000'000'000 } } },
+    { "honours-fencing", "1", "Engine: whether old fencing numbers are refused.", "0 or 1", { { 0, 1 } } },
+    { "lag-ms", "0", "Engine, platform: age in milliseconds of load reports and lists.", "0 to 3600000", { { 0, 3'600'000 } } },
 };
 
 static HttpServer::Handler makeHandler(boost::asio::io_context& io, const Clock& clock, const SettingValues& values)
 {
-    standin::StandInSettings settings { Milliseconds(values.number("prefill-ms")), Milliseconds(values.number("token-ms")), static_cast<unsigned>(values.number("answer-tokens")), Milliseconds(values.number("tool-ms")) };
+    standin::StandInSettings settings { Milliseconds(values.number("prefill-ms")), Milliseconds(values.number("token-ms")), static_cast<unsigned>(values.number("answer-tokens")), Milliseconds(values.number("tool-ms")), values.text("crash-on"), static_cast<std::size_t>(values.number("cache-tokens")), values.number("honours-fencing") == 1, Milliseconds(values.number("lag-ms")) };
     const std::string& kind = values.text("kind");
     if (kind == "engine")
-        return standin::makeEngine(io, settings);
+        return standin::makeEngine(io, clock, settings);
     if (kind == "tool")
         return standin::makeTool(io, settings);
     if (kind == "kv")
         return standin::makeKeyValue(io, clock);
-    throw InvalidInputError("--kind", kind, "engine, tool or kv");
+    if (kind == "platform")
+        return standin::makePlatform(clock, settings);
+    throw InvalidInputError("--kind", kind, "engine, tool, kv or platform");
 }
 
 static void serve(const SettingValues& values)
--- a/tools/basilpoint-standin/Tool.cpp
+++ b/tools/basilpoint-standin/Tool.cpp
@@ -9,6 +9,9 @@
 
 using Json = nlohmann::json;
 
+static constexpr Milliseconds hangTime { 24 * 3'600'000 };
+static constexpr std::string_view callsPath = "/calls/";
+
 namespace {
 
     struct ToolState {
@@ -16,29 +19,67 @@
         StandInSettings settings;
         /// Effects by idempotency key; more than one is a doubled effect.
         std::map<std::string, std::uint64_t> effects;
+        /// Last answer by key.
+        std::map<std::string, Json> answers;
+        unsigned hang = 0;
+        unsigned loseAnswers = 0;
     };
 
 } // namespace
 
+static bool takeOne(unsigned& count)
+{
+    if (count == 0)
+        return false;
+    --count;
+    return true;
+}
+
 static void runCall(ToolState& state, const HttpRequest& request, ResponseWriter& writer)
 {
+    if (takeOne(state.hang))
+        sleepFor(state.io, hangTime);
     std::string key(request.header("idempotency-key"));
     sleepFor(state.io, state.settings.toolDelay);
     std::uint64_t count = ++state.effects[key];
     Json answer { { "key", key }, { "effects", count }, { "echo", Json::parse(request.body, nullptr, false) } };
-    writer.send({ 200, { { "content-type", "application/json" } }, answer.dump(-1, ' ', false, Json::error_handler_t::replace) });
+    state.answers[key] = answer;
+    if (takeOne(state.loseAnswers))
+        throw ConnectionLostError("answer lost after the effect");
+    sendJson(writer, answer);
+}
+
+static void tellCall(const ToolState& state, const HttpRequest& request, ResponseWriter& writer)
+{
+    auto it = state.answers.find(std::string(request.path().substr(callsPath.size())));
+    if (it == state.answers.end())
+        throw RouteNotFoundError(request.method, std::string(request.path()));
+    sendJson(writer, it->second);
+}
+
+static void setFault(ToolState& state, const Json& fault)
+{
+    state.hang = fault.value("hang", state.hang);
+    state.loseAnswers = fault.value("loseAnswers", state.loseAnswers);
 }
 
 HttpServer::Handler makeTool(boost::asio::io_context& io, const StandInSettings& settings)
 {
-    auto state = std::make_shared<ToolState>(ToolState { io, settings, {} });
-    return [state](const HttpRequest& request, ResponseWriter& writer) {
+    auto state = std::make_shared<ToolState>(ToolState { io, settings, {}, {}, 0, 0 });
+    return withTypedErrors([state](const HttpRequest& request, ResponseWriter& writer) {
+        std::string_view path = request.path();
+        if (request.method == "POST" && path == "/standin/fault") {
+            setFault(*state, parseJsonObject(request.body));
+            return sendJson(writer, Json::object());
+        }
         if (request.method == "POST")
             return runCall(*state, request, writer);
-        if (request.method == "GET" && request.path() == "/effects")
-            return writer.send({ 200, { { "content-type", "application/json" } }, Json(state->effects).dump() });
-        throw RouteNotFoundError(request.method, std::string(request.path()));
-    };
+        if (request.method == "GET" && path == "/effects")
+            return sendJson(writer, state->effects);
+        if (request.method == "GET" && path.starts_with(callsPath))
+            return tellCall(*state, request, writer);
+        throw RouteNotFoundError(request.method, std::string(path));
+    });
 }
 
 } // namespace basilpoint::standin
