--- a/unittests/Net/PeerLinkTest.cpp
+++ b/unittests/Net/PeerLinkTest.cpp
@@ -1,17 +1,15 @@
 #include "basilpoint/Net/PeerLink.h"
 
+#include "RawSocket.h"
 #include "TestKeys.h"
 #include "TestRuntime.h"
 
 #include "basilpoint/Net/Errors.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace basilpoint;
 using namespace std::chrono_literals;
-using Tcp = boost::asio::ip::tcp;
 
 namespace {
 
@@ -222,23 +220,6 @@
     });
 }
 
-// Sends \p bytes on a plain socket and reads until the other side closes.
-static std::string exchangeRaw(const Endpoint& to, const std::string& bytes)
-{
-    Tcp::socket socket(testRuntime().io());
-    Tcp::endpoint address(boost::asio::ip::make_address(to.host), to.port);
-    awaitIo([&](auto handler) { socket.async_connect(address, std::move(handler)); });
-    awaitIo([&](auto handler) { boost::asio::async_write(socket, boost::asio::buffer(bytes), std::move(handler)); });
-    std::string answer;
-    std::array<char, 4'096> buf;
-    for (;;) {
-        IoResult result = awaitIo([&](auto handler) { socket.async_read_some(boost::asio::buffer(buf), std::move(handler)); });
-        answer.append(buf.data(), result.size);
-        if (result.ec)
-            return answer;
-    }
-}
-
 BOOST_AUTO_TEST_CASE(garbageFromRawSocketsHarmsNobodyElse)
 {
     inFiber([] {
