--- a/lib/Daemon/JsonBody.cpp
+++ b/lib/Daemon/JsonBody.cpp
@@ -1,5 +1,7 @@
 #include "JsonBody.h"
 
+#include "basilpoint/Net/JsonBody.h"
+
 namespace basilpoint {
 
 using Json = nlohmann::json;
@@ -9,10 +11,7 @@
 
 Json parseJsonBody(const HttpRequest& request)
 {
-    Json body = Json::parse(request.body, nullptr, false);
-    if (!body.is_object())
-        throw InvalidInputError("body", request.body.substr(0, maxQuotedBytes), "a JSON object");
-    return body;
+    return parseJsonObject(request.body);
 }
 
 RequestKey idempotencyKeyOf(const HttpRequest& request)
