Keep the pairs at the holders after a loss

A candidate whose record was older than the loss found only holders of the new pair, and acted on the new, empty log without knowing of the loss, so that old requests ran again.

Change: once a loss is in the record, pairs are not reset; they lead such a candidate to the lost holders, where it stops.

--- a/lib/Shard/HolderChange.cpp
+++ b/lib/Shard/HolderChange.cpp
@@ -170,7 +170,9 @@
         // No other change of holders can reach the record any more: earlier pairs, pending ones
         // included, would only make take-overs without the service ask for more holders.
         request.pairs = { m_holders };
-        request.replacesPairs = true;
+        // After a loss they stay: they lead a candidate that knows only a record from before it to the
+        // lost holders, so that it can't act in ignorance of the loss.
+        request.replacesPairs = m_record.lostThrough == Epoch();
     }
     std::size_t bytes = 0;
     for (std::uint64_t n = cursor.next; n < m_log.size() && bytes < m_settings.chunkBytes; ++n) {
--- a/unittests/Shard/ShardCluster.cpp
+++ b/unittests/Shard/ShardCluster.cpp
@@ -169,7 +169,8 @@
     after(messageDelay(), [this, n, id = m_processes[n].id, action, isLate] {
         bool succeeded = !isLate && compareAndSwap(action);
         bool isAnswered = m_isServiceUp && !isLate && !std::exchange(m_loseNextAnswer, false) && !chance(.15);
-        auto answer = [this, succeeded, isAnswered, revision = m_revision](ShardOwner& owner) {
+        bool isAssumed = !isAnswered && m_settings.mutation == Mutation::LostWriteAssumed;
+        auto answer = [this, succeeded = succeeded || isAssumed, isAnswered = isAnswered || isAssumed, revision = m_revision](ShardOwner& owner) {
             return isAnswered ? owner.recordWritten(succeeded, revision, m_random, m_now) : owner.serviceFailed(m_random, m_now);
         };
         after(messageDelay(), [this, n, id, answer] {
@@ -254,7 +255,7 @@
         return;
     LedgerEntry entry = it->second;
     process.waiting.erase(it);
-    if (!action.durable)
+    if (!action.durable && m_settings.mutation != Mutation::DegradedCounted)
         return;
     m_history.emplace_back(Lasting { entry });
     ++m_counts.lasting;
--- a/unittests/Shard/ShardCluster.h
+++ b/unittests/Shard/ShardCluster.h
@@ -22,6 +22,8 @@
     NoClosure,
     EmptiedHolderCounted,
     LengthAlone,
+    DegradedCounted,
+    LostWriteAssumed,
 };
 
 struct ClusterSettings {
--- a/unittests/Shard/TakeOverTest.cpp
+++ b/unittests/Shard/TakeOverTest.cpp
@@ -253,6 +253,31 @@
     BOOST_TEST(isOwning(0));
 }
 
+BOOST_AUTO_TEST_CASE(recordFromBeforeALossDoesNotTakeOver)
+{
+    HolderId e = holderAt(4);
+    own(0, { c, d });
+    serve(0, "1-0");
+    owner(1).rememberRecord(*record());
+    replace(0, c, a);
+    run(settleSpan);
+    replace(0, d, b);
+    run(settleSpan);
+    BOOST_TEST((record()->holders == pair()));
+    crash(0);
+    emptyHolder(0);
+    emptyHolder(1);
+    own(2, { d, e });
+    BOOST_TEST(isOwning(2));
+    compact(2);
+    run(settleSpan);
+    crash(2);
+    setServiceUp(false);
+    own(1, { c, d });
+    run(settleSpan * 4);
+    BOOST_TEST(!isOwning(1));
+}
+
 BOOST_AUTO_TEST_CASE(sameEpochWithAndWithoutTheServiceHasOneOwner) // (g)
 {
     own(2, pair());
