--- a/include/basilpoint/Shard/ShardOwner.h
+++ b/include/basilpoint/Shard/ShardOwner.h
@@ -151,6 +151,8 @@
     ShardActions finish(TimePoint now);
     void scheduleWake(TimePoint now);
     void send(const HolderId&, HolderRequest, TimePoint now);
+    /// Holder of a request that is under way; empty if it was answered, expired or forgotten.
+    std::optional<HolderId> holderAsked(std::uint64_t requestId) const;
     bool isAnyOutstanding() const;
     void forgetRequests();
     void onAnswer(const HolderId&, const HolderReply&, Event);
--- a/lib/Shard/ShardOwner.cpp
+++ b/lib/Shard/ShardOwner.cpp
@@ -80,26 +80,30 @@
     }
 }
 
-ShardActions ShardOwner::holderAnswered(std::uint64_t requestId, const HolderReply& reply, RandomEngine& random, TimePoint now)
+std::optional<HolderId> ShardOwner::holderAsked(std::uint64_t requestId) const
 {
     auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto& link) { return link.second.deadline && link.second.requestId == requestId; });
     if (it == m_links.end())
-        return finish(now);
-    HolderId holder = it->first;
-    it->second.deadline.reset();
-    if (reply.accepted)
-        it->second.failures = 0;
-    onAnswer(holder, reply, { now, random });
+        return {};
+    return it->first;
+}
+
+ShardActions ShardOwner::holderAnswered(std::uint64_t requestId, const HolderReply& reply, RandomEngine& random, TimePoint now)
+{
+    if (auto holder = holderAsked(requestId)) {
+        Link& link = m_links[*holder];
+        link.deadline.reset();
+        if (reply.accepted)
+            link.failures = 0;
+        onAnswer(*holder, reply, { now, random });
+    }
     return finish(now);
 }
 
 ShardActions ShardOwner::holderFailed(std::uint64_t requestId, RandomEngine& random, TimePoint now)
 {
-    auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto& link) { return link.second.deadline && link.second.requestId == requestId; });
-    if (it == m_links.end())
-        return finish(now);
-    HolderId holder = it->first;
-    onFailure(holder, { now, random });
+    if (auto holder = holderAsked(requestId))
+        onFailure(*holder, { now, random });
     return finish(now);
 }
 
