--- a/lib/Program/ProgramReplay.cpp
+++ b/lib/Program/ProgramReplay.cpp
@@ -200,11 +200,24 @@
     }
 }
 
+// One by one: a sum of damaged values could overflow.
+static bool isWithinBudget(const ProgramState& state)
+{
+    TokenCount left = state.opened.budget;
+    for (TokenCount part : { state.spent, state.reserved, state.carvedOut }) {
+        if (part > left)
+            return false;
+        left -= part;
+    }
+    return true;
+}
+
 void ProgramTable::applyRecord(const ProgramRestored& record)
 {
     const ProgramOpened& opened = record.state.opened;
     require(opened.program == record.program && !m_programs.contains(record.program), record.program, "a program opens once");
     require(opened.openKey.empty() || !m_openKeys.contains(openKeyOf(opened)), record.program, "a key opens one program");
+    require(isWithinBudget(record.state), record.program, "a program stays within its budget");
     if (!opened.openKey.empty())
         m_openKeys.emplace(openKeyOf(opened), record.program);
     m_programs.emplace(record.program, record.state);
--- a/unittests/Program/ProgramTableTest.cpp
+++ b/unittests/Program/ProgramTableTest.cpp
@@ -141,6 +141,14 @@
     BOOST_CHECK_THROW(table.open(opening(ProgramId("3-1-other"), program, 1)), ProgramEndedError);
 }
 
+BOOST_AUTO_TEST_CASE(refusesRestoredStateBeyondItsBudget)
+{
+    auto restored = std::get<ProgramRestored>(table.compactRecords().front());
+    restored.state.spent = 2;
+    restored.state.carvedOut = ~TokenCount(0);
+    BOOST_CHECK_THROW(ProgramTable({}).apply(restored), RecordMismatchError);
+}
+
 BOOST_AUTO_TEST_CASE(repeatedOpeningMustBeTheSame)
 {
     ProgramOpened wanted = opening(child, {}, 50);
