Program: let an answer end only the call that it belongs to

Cause: finishTurn() took a program alone. An owner that lost its shard and got it back could end another open call with the answer of a former one, so that histories mix. Change: overloads of finishTurn() and failTurn() take the TurnStarted that the caller holds. The older ones stay for now.

--- a/include/basilpoint/Program/ProgramTable.h
+++ b/include/basilpoint/Program/ProgramTable.h
@@ -107,6 +107,12 @@
     /// \throws ProgramNotFoundError, ProgramEndedError if a guard has ended the call meanwhile.
     ProgramRecord failTurn(const ProgramId&, TokenCount charged) const;
 
+    /// The same for the call that \p start began. An owner that lost its shard and got it back may
+    /// still wait for the answer to a call of before, while another one is open.
+    /// \throws ConflictError if \p start is not the open call.
+    ProgramRecord finishTurn(const TurnStarted& start, const std::string& answer, TokenCount used) const;
+    ProgramRecord failTurn(const TurnStarted& start, TokenCount charged) const;
+
     /// Decides on a non-idempotent tool call.
     /// \throws ProgramNotFoundError, ProgramBusyError, ConflictError, OutcomeUnknownError, ProgramEndedError.
     CallDecision recordIntent(const ToolRequest&, WallTimePoint now) const;
@@ -163,6 +169,7 @@
     const ProgramState& knownProgram(const ProgramId&) const;
     const ProgramState& liveProgram(const ProgramId&) const;
     const TurnStarted& openTurnOf(const ProgramId&) const;
+    void requireOpen(const TurnStarted&) const;
     ProgramState& recordedProgram(const ProgramId&);
     ProgramState& recordedOpenProgram(const ProgramId&);
     const ProgramLimits& limitsOf(const ProgramState&) const;
--- a/lib/Program/ProgramTable.cpp
+++ b/lib/Program/ProgramTable.cpp
@@ -125,6 +125,24 @@
     return TurnFailed { program, start.turn, std::min(charged, start.reserved) };
 }
 
+void ProgramTable::requireOpen(const TurnStarted& start) const
+{
+    if (openTurnOf(start.program) != start)
+        throw ConflictError(start.program, start.key);
+}
+
+ProgramRecord ProgramTable::finishTurn(const TurnStarted& start, const std::string& answer, TokenCount used) const
+{
+    requireOpen(start);
+    return finishTurn(start.program, answer, used);
+}
+
+ProgramRecord ProgramTable::failTurn(const TurnStarted& start, TokenCount charged) const
+{
+    requireOpen(start);
+    return failTurn(start.program, charged);
+}
+
 CallDecision ProgramTable::recordIntent(const ToolRequest& request, WallTimePoint now) const
 {
     const ProgramState& state = knownProgram(request.program);
--- a/unittests/Program/ProgramTableTest.cpp
+++ b/unittests/Program/ProgramTableTest.cpp
@@ -240,6 +240,20 @@
     BOOST_TEST(table.recoverAfterTakeOver(now).empty());
 }
 
+BOOST_AUTO_TEST_CASE(lateAnswerDoesNotEndAnotherCall)
+{
+    auto former = std::get<TurnStarted>(std::get<ProgramRecord>(start(R"([{"a":1}])")));
+    table.apply(former);
+    applyAll(table.recoverAfterTakeOver(now));
+    BOOST_CHECK_THROW(table.finishTurn(former, R"({"b":2})", 1), ConflictError);
+    auto present = std::get<TurnStarted>(std::get<ProgramRecord>(start(R"([{"a":3}])")));
+    table.apply(present);
+    BOOST_CHECK_THROW(table.finishTurn(former, R"({"b":2})", 1), ConflictError);
+    BOOST_CHECK_THROW(table.failTurn(former, 1), ConflictError);
+    table.apply(table.finishTurn(present, R"({"b":4})", 1));
+    BOOST_TEST(table.history(program) == R"([{"a":3},{"b":4}])");
+}
+
 BOOST_AUTO_TEST_CASE(closedProgramForgetsAnswersBeforeKeys)
 {
     ProgramLimits limits;
