--- a/include/basilpoint/Policy/ModelScheduler.h
+++ b/include/basilpoint/Policy/ModelScheduler.h
@@ -164,6 +164,10 @@
     /// Another daemon quarantined the digest.
     SchedulerActions quarantined(const Digest&, TimePoint now);
 
+    /// An operator lifts the quarantine of the digest.
+    void liftQuarantine(const Digest&);
+    std::vector<Digest> quarantinedDigests() const;
+
     /// Timers: aging, deadlines, retention. Call at least every 100 ms while calls wait or caches are held.
     SchedulerActions tick(TimePoint now);
 
--- a/lib/Policy/ModelScheduler.cpp
+++ b/lib/Policy/ModelScheduler.cpp
@@ -121,6 +121,16 @@
     return m_impl->takeActions();
 }
 
+void ModelScheduler::liftQuarantine(const Digest& content)
+{
+    m_impl->liftQuarantine(content);
+}
+
+std::vector<Digest> ModelScheduler::quarantinedDigests() const
+{
+    return m_impl->quarantinedDigests();
+}
+
 SchedulerActions ModelScheduler::tick(TimePoint now)
 {
     m_impl->tick(now);
--- a/lib/Policy/SchedulerState.h
+++ b/lib/Policy/SchedulerState.h
@@ -39,6 +39,9 @@
     void setOperatorLimit(const OperatorId& id, unsigned limit) { m_limits.setOperatorLimit(id, limit); }
     void setOperatorWeight(const OperatorId&, double weight);
 
+    void liftQuarantine(const Digest& content) { m_quarantine.lift(content); }
+    std::vector<Digest> quarantinedDigests() const { return m_quarantine.quarantinedDigests(); }
+
     /// Dispatches what can go now.
     void serve(const std::string& model, TimePoint now);
 
--- a/unittests/Policy/ModelSchedulerTest.cpp
+++ b/unittests/Policy/ModelSchedulerTest.cpp
@@ -202,10 +202,14 @@
     }
     BOOST_TEST(crashDeaths == 2U);
     BOOST_TEST((oracle.refusal(crash) == RefusalReason::Quarantined));
+    BOOST_TEST((oracle.scheduler.quarantinedDigests() == std::vector<Digest> { { 1, 666 } }));
     BOOST_TEST(!sharing.empty());
     // Cleared neighbours share a replica again at once.
     for (const ModelCall& lost : sharing)
         BOOST_TEST(oracle.isRunning(oracle.submit(lost.program.text(), lost.content.low)));
+    oracle.quarantined.clear();
+    oracle.scheduler.liftQuarantine({ 1, 666 });
+    BOOST_TEST(oracle.isRunning(oracle.submit("crash", 666)));
 }
 
 BOOST_AUTO_TEST_CASE(targetWhoseNoticeIsWithdrawnServesAgainAfterItWasIsolated)
