--- a/unittests/Fleet/SimulatedFleet.h
+++ b/benchmarks/Fleet/SimulatedFleet.h
@@ -26,7 +26,8 @@
         bool up = true;
         bool paused = false;
         TimePoint nextTick;
-        TrafficCounters sent;
+        TrafficCounters membershipSent;
+        TrafficCounters configurationSent;
     };
 
     /// A member's state as one daemon saw it.
@@ -158,12 +159,13 @@
     {
         return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](const Daemon& it) { return it.up; }));
     }
-    TrafficCounters traffic() const
+    /// What all daemons have sent of one kind, such as &Daemon::membershipSent.
+    TrafficCounters traffic(TrafficCounters Daemon::*kind) const
     {
         TrafficCounters sum;
         for (const Daemon& daemon : m_daemons) {
-            sum.messages += daemon.sent.messages;
-            sum.bytes += daemon.sent.bytes;
+            sum.messages += (daemon.*kind).messages;
+            sum.bytes += (daemon.*kind).bytes;
         }
         return sum;
     }
@@ -230,8 +232,9 @@
 
     void send(std::size_t from, std::size_t to, bool membership, std::string bytes)
     {
-        m_daemons[from].sent.messages += 1;
-        m_daemons[from].sent.bytes += bytes.size();
+        TrafficCounters& sent = membership ? m_daemons[from].membershipSent : m_daemons[from].configurationSent;
+        sent.messages += 1;
+        sent.bytes += bytes.size();
         if (to >= m_daemons.size() || (cut && cut(from, to)) || std::bernoulli_distribution(m_options.loss)(m_random))
             return;
         auto delay = std::chrono::microseconds(1'500 + m_random() % 1'000);
--- a/include/basilpoint/Fleet/KeyValueGovernor.h
+++ b/include/basilpoint/Fleet/KeyValueGovernor.h
@@ -22,8 +22,8 @@
 inline constexpr std::size_t keyValueCallKinds = 4;
 
 struct KeyValueGovernorSettings {
-    /// Rate of this daemon's calls; the service's rate divided by the daemons that share it.
-    double callsPerSecond = 6;
+    /// Rate of this daemon's calls: the service's rate divided by the daemons that share it.
+    double callsPerSecond = 2;
     /// Calls that may be made at once after a quiet time.
     double burst = 20;
     /// Part of the burst that only lease renewals may use.
@@ -71,6 +71,9 @@
     /// The call ended; \p answered is false if the service did not answer or reported a failure of its own.
     void finished(KeyValueCallKind, const std::string& key, bool answered, TimePoint now);
 
+    /// The daemon's share has changed, as members came or went.
+    void setRate(double callsPerSecond, TimePoint now);
+
     /// Whether calls are refused because the service fails.
     bool isOpen() const { return m_failures >= m_settings.breakerFailures; }
 
--- a/lib/Fleet/ChangeQueue.cpp
+++ b/lib/Fleet/ChangeQueue.cpp
@@ -4,6 +4,31 @@
 
 namespace basilpoint {
 
+/// Pause between two bursts.
+static constexpr auto burstPause = std::chrono::milliseconds(200);
+static constexpr unsigned burstsPerChange = 2;
+
+void ChangeQueue::pushUrgent(const InstanceId& id)
+{
+    push(id);
+    m_urgent.insert(id);
+    m_burstsLeft = burstsPerChange;
+}
+
+bool ChangeQueue::takeBurst(TimePoint now)
+{
+    if (m_burstsLeft == 0 || now < m_nextBurst)
+        return false;
+    --m_burstsLeft;
+    m_nextBurst = now + burstPause;
+    // Bursts use up the transmissions at once; the few members that they miss need gossip as well.
+    for (const InstanceId& id : m_urgent)
+        push(id);
+    if (m_burstsLeft == 0)
+        m_urgent.clear();
+    return true;
+}
+
 std::vector<InstanceId> ChangeQueue::leastSent() const
 {
     std::vector<InstanceId> ids;
--- a/lib/Fleet/ChangeQueue.h
+++ b/lib/Fleet/ChangeQueue.h
@@ -3,6 +3,7 @@
 #include "basilpoint/Fleet/Membership.h"
 
 #include <map>
+#include <set>
 
 namespace basilpoint {
 
@@ -12,6 +13,12 @@
     /// Passes \p id on anew.
     void push(const InstanceId& id) { m_sent[id] = 0; }
 
+    /// Passes \p id on by bursts as well, as others are to act on it soon.
+    void pushUrgent(const InstanceId&);
+
+    /// Whether a burst is due; the caller sends changes to a few random members then.
+    bool takeBurst(TimePoint now);
+
     /// Picks members that were passed on least often, as many as fit into \p budgetBytes.
     /// \p find returns what is known of a member, or null if it is forgotten.
     template <typename Find>
@@ -37,6 +44,10 @@
     static std::size_t encodedBytes(const MemberInfo&);
 
     std::map<InstanceId, unsigned> m_sent;
+    /// Members that the next bursts are about.
+    std::set<InstanceId> m_urgent;
+    unsigned m_burstsLeft = 0;
+    TimePoint m_nextBurst;
 };
 
 } // namespace basilpoint
--- a/lib/Fleet/ConfigurationSpread.cpp
+++ b/lib/Fleet/ConfigurationSpread.cpp
@@ -72,8 +72,9 @@
 
     void pull(ConfigurationActions& actions, const InstanceId& peer, TimePoint now)
     {
-        if (auto chunk = pulls.nextChunk(peer, now))
-            send(actions, peer, PullMessage { self, std::move(*chunk) });
+        auto chunk = pulls.nextChunk(peer, table, now);
+        if (!chunk.empty())
+            send(actions, peer, PullMessage { self, std::move(chunk) });
     }
 
     void handle(const RevisionDigestMessage& message, ConfigurationActions& actions, TimePoint now)
@@ -167,7 +168,7 @@
             raise(actions, id, stored, now);
         pulls.answered(message.from, !message.documents.empty(), table);
         pull(actions, message.from, now);
-        if (!ready)
+        if (!ready && !pulls.isWaitingFor(message.from))
             ask(actions, message.from);
     }
 
@@ -217,8 +218,11 @@
         }
         if (!ready && now >= nextStart) {
             nextStart = now + startPause;
-            for (const InstanceId& peer : randomPeers(requiredPeers))
-                ask(actions, peer);
+            for (const InstanceId& peer : randomPeers(requiredPeers)) {
+                pull(actions, peer, now);
+                if (!pulls.isWaitingFor(peer))
+                    ask(actions, peer);
+            }
         }
         if (ready && now >= nextGossip) {
             nextGossip = now + gossipPeriod;
--- a/lib/Fleet/KeyValueGovernor.cpp
+++ b/lib/Fleet/KeyValueGovernor.cpp
@@ -60,6 +60,12 @@
         drawPause(now);
 }
 
+void KeyValueGovernor::setRate(double callsPerSecond, TimePoint now)
+{
+    refill(now);
+    m_settings.callsPerSecond = callsPerSecond;
+}
+
 void KeyValueGovernor::refill(TimePoint now)
 {
     std::chrono::duration<double> elapsed = now - m_lastRefill;
--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -2,11 +2,12 @@
 
 #include "ChangeQueue.h"
 #include "MemberTable.h"
+#include "PendingProbes.h"
+#include "ProbeRound.h"
 
 #include <algorithm>
 #include <bit>
 #include <deque>
-#include <map>
 #include <optional>
 #include <set>
 
@@ -14,10 +15,6 @@
 
 /// A longer gap between two ticks means that this process was paused and heard nothing meanwhile.
 static constexpr auto pauseThreshold = std::chrono::milliseconds(1'000);
-/// Pause between two bursts.
-static constexpr auto burstPause = std::chrono::milliseconds(200);
-/// Bursts after each death or planned stop that is heard of.
-static constexpr unsigned burstsPerChange = 2;
 /// Members told in one burst.
 static constexpr unsigned burstFanOut = 3;
 /// Members called dead by others and alive by some that are probed in one tick.
@@ -33,24 +30,6 @@
 /// Relays of indirect probes are forgotten after this.
 static constexpr auto relayLifetime = std::chrono::seconds(5);
 
-namespace {
-
-    struct Probe {
-        InstanceId target;
-        TimePoint askOthersAt;
-        TimePoint failsAt;
-        bool askedOthers = false;
-    };
-
-    /// A probe made for another member.
-    struct Relay {
-        InstanceId asker;
-        std::uint64_t askerSequence = 0;
-        TimePoint expiresAt;
-    };
-
-} // namespace
-
 struct Membership::Impl {
     Impl(MemberInfo own, const MembershipSettings& chosen, RandomEngine::result_type seed)
         : self(std::move(own))
@@ -141,15 +120,11 @@
 
     void learnedChange(const MemberInfo& claim, bool isNew, bool passOn, TimePoint now)
     {
-        // A round lasts as many periods as there are members: too long to wait for the first probe.
         if (isNew)
-            round.insert(round.begin() + static_cast<std::ptrdiff_t>(draw(round.size() + 1)), claim.id);
-        if (!passOn)
-            return;
-        if (claim.state == MemberState::Alive && !isNew)
-            spread(claim.id, claim.state, now);
-        else
-            spreadSoon(claim.id, claim.state, now);
+            round.add(claim.id, random);
+        bool soon = isNew || claim.state == MemberState::Leaving || claim.state == MemberState::Dead;
+        if (passOn)
+            spread(claim.id, claim.state, soon, now);
     }
 
     void report(const InstanceId& id, MembershipActions& actions)
@@ -157,24 +132,17 @@
         actions.emplace_back(MemberChangedAction { *find(id) });
     }
 
-    /// Passes on that \p id is in \p state.
-    void spread(const InstanceId& id, MemberState state, TimePoint now)
+    /// Passes on that \p id is in \p state; soon if others are to act on it.
+    void spread(const InstanceId& id, MemberState state, bool soon, TimePoint now)
     {
         bool accusation = state == MemberState::Suspect || state == MemberState::Dead;
         // A daemon that hears nothing would accuse all others.
         if (accusation && isolated(now))
             return;
-        changes.push(id);
-    }
-
-    /// Passes \p id on by bursts, as others are to act on it soon.
-    void spreadSoon(const InstanceId& id, MemberState state, TimePoint now)
-    {
-        spread(id, state, now);
-        if (state == MemberState::Suspect)
-            return;
-        urgent.insert(id);
-        burstsPending = burstsPerChange;
+        if (soon)
+            changes.pushUrgent(id);
+        else
+            changes.push(id);
     }
 
     void refute(const MemberInfo& claim)
@@ -225,27 +193,21 @@
 
     void handle(const AckMessage& message, MembershipActions& actions, TimePoint now)
     {
-        noticeReplacement(message, actions, now);
-        auto relay = relays.find(message.sequence);
-        if (relay != relays.end() && message.from == message.subject) {
-            if (const MemberInfo* asker = find(relay->second.asker))
-                actions.emplace_back(SendMembershipAction { asker->id, asker->peer, AckMessage { relay->second.askerSequence, self.id, message.subject, changesFor(asker->id, false) } });
-            relays.erase(relay);
+        if (const InstanceId* target = probes.target(message.sequence)) {
+            bool replaced = message.from == message.subject && message.from != *target;
+            // Another daemon answers where the target was: the target's process is gone.
+            if (replaced)
+                declareDead(*target, actions, now);
+            if (replaced || message.subject == *target)
+                probes.erase(message.sequence);
             return;
         }
-        auto probe = probes.find(message.sequence);
-        if (probe != probes.end() && probe->second.target == message.subject)
-            probes.erase(probe);
-    }
-
-    /// Another daemon answered where a member was: the member's process is gone.
-    void noticeReplacement(const AckMessage& message, MembershipActions& actions, TimePoint now)
-    {
-        auto probe = probes.find(message.sequence);
-        if (probe == probes.end() || message.from != message.subject || message.from == probe->second.target)
+        if (message.from != message.subject)
             return;
-        declareDead(probe->second.target, actions, now);
-        probes.erase(probe);
+        auto relay = probes.takeRelay(message.sequence);
+        const MemberInfo* asker = relay ? find(relay->asker) : nullptr;
+        if (asker)
+            actions.emplace_back(SendMembershipAction { asker->id, asker->peer, AckMessage { relay->askerSequence, self.id, message.subject, changesFor(asker->id, false) } });
     }
 
     void handle(const PingRequestMessage& message, MembershipActions& actions, TimePoint now)
@@ -254,7 +216,7 @@
         if (!subject || !find(message.from))
             return;
         std::uint64_t sequence = ping(actions, subject->id, subject->peer, false);
-        relays[sequence] = { message.from, message.sequence, now + relayLifetime };
+        probes.add(sequence, PendingProbes::Relay { message.from, message.sequence, now + relayLifetime });
     }
 
     void declareDead(const InstanceId& id, MembershipActions& actions, TimePoint now)
@@ -264,7 +226,7 @@
             return;
         table.markDead(id, now);
         report(id, actions);
-        spreadSoon(id, MemberState::Dead, now);
+        spread(id, MemberState::Dead, true, now);
     }
 
     /// Whether nothing at all was heard lately: then it is this daemon that is cut off, not the others.
@@ -281,30 +243,22 @@
         table.merge(claim, timeout, now);
         ownSuspects.insert(id);
         report(id, actions);
-        spread(id, MemberState::Suspect, now);
+        spread(id, MemberState::Suspect, false, now);
     }
 
     void runProbes(MembershipActions& actions, TimePoint now)
     {
-        for (auto it = probes.begin(); it != probes.end();) {
-            auto& [sequence, probe] = *it;
-            if (!probe.askedOthers && now >= probe.askOthersAt)
-                askOthers(sequence, probe, actions);
-            if (now < probe.failsAt) {
-                ++it;
-                continue;
-            }
-            InstanceId target = probe.target;
-            it = probes.erase(it);
-            suspect(target, actions, now);
-        }
+        PendingProbes::Due due = probes.takeDue(now);
+        for (const auto& [sequence, target] : due.toAskOthers)
+            askOthers(sequence, target, actions);
+        for (const InstanceId& id : due.failed)
+            suspect(id, actions, now);
     }
 
-    void askOthers(std::uint64_t sequence, Probe& probe, MembershipActions& actions)
+    void askOthers(std::uint64_t sequence, const InstanceId& target, MembershipActions& actions)
     {
-        probe.askedOthers = true;
-        for (const InstanceId& id : randomLive(settings.indirectProbes, probe.target))
-            actions.emplace_back(SendMembershipAction { id, find(id)->peer, PingRequestMessage { sequence, self.id, probe.target, changesFor(id, true) } });
+        for (const InstanceId& id : randomLive(settings.indirectProbes, target))
+            actions.emplace_back(SendMembershipAction { id, find(id)->peer, PingRequestMessage { sequence, self.id, target, changesFor(id, true) } });
     }
 
     std::vector<InstanceId> randomLive(unsigned n, const InstanceId& except)
@@ -319,39 +273,19 @@
         return drawn;
     }
 
-    /// The next member in a random order that is drawn anew after each round, which bounds the time to detect.
-    std::optional<InstanceId> nextTarget()
-    {
-        for (bool redrawn = false;;) {
-            while (!round.empty()) {
-                InstanceId id = round.back();
-                round.pop_back();
-                const auto* entry = table.find(id);
-                if (entry && !entry->isDead())
-                    return id;
-            }
-            if (redrawn)
-                return {};
-            redrawn = true;
-            round = randomLive(static_cast<unsigned>(table.liveCount()), {});
-            std::shuffle(round.begin(), round.end(), random);
-        }
-    }
-
     void probe(const InstanceId& id, MembershipActions& actions, TimePoint now)
     {
         std::uint64_t sequence = ping(actions, id, find(id)->peer, false);
-        probes[sequence] = { id, now + settings.ackTimeout, now + settings.probePeriod };
+        probes.add(sequence, PendingProbes::Probe { id, now + settings.ackTimeout, now + settings.probePeriod });
     }
 
     void beginPeriod(MembershipActions& actions, TimePoint now)
     {
-        if (auto id = nextTarget())
+        if (auto id = round.next(table, random))
             probe(*id, actions, now);
         probeSuspects(actions, now);
         contactOne(actions);
         table.forgetDead(now - settings.deadRetention);
-        std::erase_if(relays, [&](const auto& it) { return it.second.expiresAt < now; });
     }
 
     /// Tells own suspects of the suspicion, so that one lost message does not cost a member its place.
@@ -404,18 +338,10 @@
 
     void sendBurst(MembershipActions& actions, TimePoint now)
     {
-        if (burstsPending == 0 || now < nextBurst)
+        if (!changes.takeBurst(now))
             return;
-        --burstsPending;
-        nextBurst = now + burstPause;
         for (const InstanceId& id : randomLive(burstFanOut, {}))
             ping(actions, id, find(id)->peer, false);
-        if (burstsPending > 0)
-            return;
-        // Bursts use up the transmissions at once; the few members that they miss need gossip as well.
-        for (const InstanceId& id : urgent)
-            changes.push(id);
-        urgent.clear();
     }
 
     void noticeOwnPause(TimePoint now)
@@ -425,7 +351,7 @@
         if (gap < pauseThreshold)
             return;
         table.postponeDeadlines(gap);
-        probes.clear();
+        probes.dropOwn();
         lastReceived += gap;
     }
 
@@ -434,7 +360,7 @@
         noticeOwnPause(now);
         for (const InstanceId& id : table.expireSuspicions(now)) {
             report(id, actions);
-            spreadSoon(id, MemberState::Dead, now);
+            spread(id, MemberState::Dead, true, now);
         }
         runProbes(actions, now);
         probeContradicted(actions);
@@ -451,12 +377,9 @@
     MemberTable table;
     ChangeQueue changes;
     std::uint64_t lastSequence = 0;
-    std::map<std::uint64_t, Probe> probes;
-    std::map<std::uint64_t, Relay> relays;
-    std::vector<InstanceId> round;
+    PendingProbes probes;
+    ProbeRound round;
     std::set<InstanceId> ownSuspects;
-    /// Members that the next bursts are about.
-    std::set<InstanceId> urgent;
     std::set<InstanceId> contradicted;
     std::deque<InstanceId> contradictedOrder;
     std::set<Endpoint> listedPeers;
@@ -467,8 +390,6 @@
     std::optional<TimePoint> differsSince;
     TimePoint lastExchange;
     TimePoint nextPeriod;
-    TimePoint nextBurst;
-    unsigned burstsPending = 0;
 };
 
 /// Whether \p message holds all members; the others come to know them in the same way.
@@ -521,7 +442,7 @@
     self.state = MemberState::Leaving;
     ++self.incarnation;
     m_impl->report(self.id, actions);
-    m_impl->spreadSoon(self.id, MemberState::Leaving, now);
+    m_impl->spread(self.id, MemberState::Leaving, true, now);
     m_impl->sendBurst(actions, now);
     return actions;
 }
--- /dev/null
+++ b/lib/Fleet/PendingProbes.cpp
@@ -0,0 +1,37 @@
+#include "PendingProbes.h"
+
+namespace basilpoint {
+
+PendingProbes::Due PendingProbes::takeDue(TimePoint now)
+{
+    Due due;
+    for (auto& [sequence, probe] : m_probes) {
+        if (now >= probe.failsAt)
+            due.failed.push_back(probe.target);
+        else if (now >= probe.askOthersAt && !probe.askedOthers) {
+            probe.askedOthers = true;
+            due.toAskOthers.emplace_back(sequence, probe.target);
+        }
+    }
+    std::erase_if(m_probes, [&](const auto& it) { return now >= it.second.failsAt; });
+    std::erase_if(m_relays, [&](const auto& it) { return now >= it.second.expiresAt; });
+    return due;
+}
+
+const InstanceId* PendingProbes::target(std::uint64_t sequence) const
+{
+    auto it = m_probes.find(sequence);
+    return it == m_probes.end() ? nullptr : &it->second.target;
+}
+
+std::optional<PendingProbes::Relay> PendingProbes::takeRelay(std::uint64_t sequence)
+{
+    auto it = m_relays.find(sequence);
+    if (it == m_relays.end())
+        return {};
+    Relay relay = it->second;
+    m_relays.erase(it);
+    return relay;
+}
+
+} // namespace basilpoint
--- a/unittests/Fleet/ConfigurationSpreadTest.cpp
+++ b/unittests/Fleet/ConfigurationSpreadTest.cpp
@@ -165,10 +165,14 @@
         it.list(n);
     it.fleet.run(5s);
     BOOST_TEST(it.inForceEverywhere());
+    auto before = it.fleet.traffic(&SimulatedFleet::Daemon::configurationSent);
     std::size_t joined = it.fleet.start();
     BOOST_TEST(!it.fleet.daemons()[joined].configuration->ready());
     BOOST_TEST((it.fleet.runUntil([&] { return it.fleet.daemons()[joined].configuration->ready(); }, spreadBound) < spreadBound));
     BOOST_TEST(it.inForceEverywhere());
+    auto after = it.fleet.traffic(&SimulatedFleet::Daemon::configurationSent);
+    // 2,000 documents of 50 B with their ids, each once and few twice; answers must not set off further ones.
+    BOOST_TEST(after.bytes - before.bytes < 2'000U * 50 * 5);
     it.restart(2);
     BOOST_TEST((it.fleet.runUntil([&] { return it.fleet.daemons().back().configuration->ready(); }, spreadBound) < spreadBound));
     BOOST_TEST(it.violations == 0U);
--- a/unittests/Fleet/KeyValueGovernorTest.cpp
+++ b/unittests/Fleet/KeyValueGovernorTest.cpp
@@ -56,6 +56,10 @@
     TimePoint now(1h);
     while (std::holds_alternative<MakeCall>(governor.admit(KeyValueCallKind::Write, "k", now))) { }
     BOOST_TEST((governor.admit(KeyValueCallKind::LeaseRenewal, "lease", now) == KeyValueDecision(MakeCall {})));
+    auto slow = std::get<RefuseCall>(governor.admit(KeyValueCallKind::Write, "k", now));
+    governor.setRate(20, now);
+    auto fast = std::get<RefuseCall>(governor.admit(KeyValueCallKind::Write, "k", now));
+    BOOST_TEST((slow.retryAfter == 1'000ms && fast.retryAfter == 100ms));
 }
 
 BOOST_AUTO_TEST_CASE(pausesOfDaemonsThatFailTogetherDifferAndStayBounded)
