--- a/lib/Fleet/Membership.cpp
+++ b/lib/Fleet/Membership.cpp
@@ -1,13 +1,13 @@
 #include "basilpoint/Fleet/Membership.h"
 
 #include "ChangeQueue.h"
+#include "ContactList.h"
 #include "MemberTable.h"
 #include "PendingProbes.h"
 #include "ProbeRound.h"
 
 #include <algorithm>
 #include <bit>
-#include <deque>
 #include <optional>
 #include <set>
 
@@ -17,8 +17,6 @@
 static constexpr auto pauseThreshold = std::chrono::milliseconds(1'000);
 /// Members told in one burst.
 static constexpr unsigned burstFanOut = 3;
-/// Members called dead by others and alive by some that are probed in one tick.
-static constexpr unsigned contradictionsPerTick = 8;
 /// Suspected members probed again in one period, so that they can refute.
 static constexpr unsigned suspectProbesPerPeriod = 4;
 /// Times that a change is sent beyond once per doubling of the members.
@@ -112,8 +110,7 @@
             learnedChange(claim, isNew, passOn, now);
             return;
         case MergeResult::Contradicted:
-            if (contradicted.insert(claim.id).second)
-                contradictedOrder.push_back(claim.id);
+            contacts.addContradicted(claim.id);
             return;
         }
     }
@@ -301,35 +298,15 @@
             probe(id, actions, now);
     }
 
-    /// Tries one listed address where no member is known; else, less often, a dead member: after a
-    /// partition nobody else would.
     void contactOne(MembershipActions& actions)
     {
-        std::set<Endpoint> known { self.peer };
-        std::vector<const MemberInfo*> dead;
-        for (const auto& [id, entry] : table.entries()) {
-            known.insert(entry.info.peer);
-            if (entry.isDead())
-                dead.push_back(&entry.info);
-        }
-        std::vector<Endpoint> unknown;
-        std::set_difference(listedPeers.begin(), listedPeers.end(), known.begin(), known.end(), std::back_inserter(unknown));
-        if (!unknown.empty()) {
-            ping(actions, {}, unknown[draw(unknown.size())], true);
-        } else if (!dead.empty() && ++periods % settings.contactPeriods == 0) {
-            const MemberInfo& member = *dead[draw(dead.size())];
-            ping(actions, member.id, member.peer, true);
-        }
+        if (auto contact = contacts.next(table, self.peer, settings.contactPeriods, random))
+            ping(actions, contact->id, contact->address, true);
     }
 
-    std::size_t draw(std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random); }
-
     void probeContradicted(MembershipActions& actions)
     {
-        for (unsigned n = 0; n < contradictionsPerTick && !contradictedOrder.empty(); ++n) {
-            InstanceId id = contradictedOrder.front();
-            contradictedOrder.pop_front();
-            contradicted.erase(id);
+        for (const InstanceId& id : contacts.takeContradicted()) {
             const auto* entry = table.find(id);
             if (entry && entry->isDead())
                 ping(actions, id, entry->info.peer, false);
@@ -380,10 +357,7 @@
     PendingProbes probes;
     ProbeRound round;
     std::set<InstanceId> ownSuspects;
-    std::set<InstanceId> contradicted;
-    std::deque<InstanceId> contradictedOrder;
-    std::set<Endpoint> listedPeers;
-    unsigned periods = 0;
+    ContactList contacts;
     std::optional<TimePoint> lastTick;
     TimePoint lastReceived;
     /// Since when no other daemon had the same view.
@@ -409,7 +383,7 @@
 MembershipActions Membership::listed(const std::vector<Endpoint>& peers, TimePoint)
 {
     // Addresses are tried one at a time by tick(); the first answer brings all members.
-    m_impl->listedPeers = { peers.begin(), peers.end() };
+    m_impl->contacts.setListed(peers);
     return {};
 }
 
