--- /dev/null
+++ b/unittests/Journal/SegmentLogTest.cpp
@@ -0,0 +1,299 @@
+#include "Journal/SegmentLog.h"
+
+#include "TemporaryFolder.h"
+
+#include "basilpoint/Journal/Errors.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <map>
+#include <sys/stat.h>
+
+using namespace basilpoint;
+
+namespace {
+
+using Operations = std::vector<std::string>;
+
+/// A disk that fails when told to, and forgets what was not synced. Counts the calls that change it.
+struct FaultyDisk {
+    FileHooks hooks()
+    {
+        FileHooks system = systemFileHooks();
+        auto write = [this, system](int fd, const void* data, std::size_t size) {
+            if (calls++ != failingCall)
+                return system.write(fd, data, size);
+            // A short write, then none at all.
+            ++failingCall;
+            return system.write(fd, data, size / 2);
+        };
+        auto sync = [this](int fd) {
+            if (calls++ == failingCall)
+                return -1;
+            struct stat status { };
+            ::fstat(fd, &status);
+            syncedSizes[status.st_ino] = status.st_size;
+            return 0;
+        };
+        return { write, sync, [this](const std::filesystem::path&) { return freeBytes; } };
+    }
+
+    /// Takes half of what was written since a file's last sync.
+    void losePower(const std::filesystem::path& folder) const
+    {
+        for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+            struct stat status { };
+            ::stat(entry.path().c_str(), &status);
+            auto synced = syncedSizes.find(status.st_ino);
+            off_t kept = synced == syncedSizes.end() ? 0 : synced->second;
+            std::filesystem::resize_file(entry.path(), static_cast<std::uintmax_t>(kept + (status.st_size - kept) / 2));
+        }
+    }
+
+    std::map<ino_t, off_t> syncedSizes;
+    std::uint64_t freeBytes = 1 << 30;
+    int calls = 0;
+    int failingCall = -1;
+};
+
+struct Folder {
+    static constexpr std::uint64_t segmentBytes = 256;
+
+    SegmentLogSettings settings(FileHooks hooks = systemFileHooks()) const { return { folder.path(), segmentBytes, std::move(hooks) }; }
+
+    Operations load() const
+    {
+        SegmentLog log(settings());
+        return read(log);
+    }
+
+    static Operations read(SegmentLog& log)
+    {
+        Operations operations;
+        log.load([&](std::string_view it) { operations.emplace_back(it); });
+        return operations;
+    }
+
+    static void appendMarked(SegmentLog& log, const Operations& operations)
+    {
+        log.append(operations);
+        log.markSynced();
+    }
+
+    /// Three groups in one segment, the last of them not marked.
+    void writeGroups() const
+    {
+        SegmentLog log(settings());
+        read(log);
+        appendMarked(log, { "a", "bb" });
+        appendMarked(log, { "ccc" });
+        log.append({ "dddd" });
+    }
+
+    void writeSegments() const
+    {
+        SegmentLog log(settings());
+        read(log);
+        for (int n = 0; n < 30; ++n)
+            appendMarked(log, { std::string(40, 'x') });
+    }
+
+    std::filesystem::path segment(unsigned number) const
+    {
+        std::string digits = std::to_string(number);
+        return folder.path() / ("segment-" + std::string(20 - digits.size(), '0') + digits + ".log");
+    }
+
+    TemporaryFolder folder;
+};
+
+} // namespace
+
+static std::string contentOf(const std::filesystem::path& path)
+{
+    return readFile(path);
+}
+
+static void setContent(const std::filesystem::path& path, const std::string& bytes)
+{
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+static bool isPrefix(const Operations& part, const Operations& whole)
+{
+    return part.size() <= whole.size() && std::equal(part.begin(), part.end(), whole.begin());
+}
+
+BOOST_FIXTURE_TEST_SUITE(SegmentLogTest, Folder)
+
+BOOST_AUTO_TEST_CASE(keepsOperationsAndHolderOverRestarts)
+{
+    writeGroups();
+    SegmentLog log(settings());
+    HolderId holder = log.holder();
+    BOOST_TEST(holder.text().size() == holderIdDigits);
+    BOOST_TEST(read(log) == Operations({ "a", "bb", "ccc", "dddd" }));
+    for (int n = 0; n < 50; ++n)
+        appendMarked(log, { std::string(20, 'x') });
+    BOOST_TEST(std::filesystem::exists(segment(2)));
+    BOOST_CHECK_THROW(SegmentLog { settings() }, JournalFolderError);
+}
+
+BOOST_AUTO_TEST_CASE(emptiedFolderIsAnotherHolder)
+{
+    HolderId first = SegmentLog(settings()).holder();
+    BOOST_TEST((SegmentLog(settings()).holder() == first));
+    std::filesystem::remove(segment(1));
+    BOOST_TEST((SegmentLog(settings()).holder() != first));
+}
+
+BOOST_AUTO_TEST_CASE(tornTailIsCutAtEveryByte)
+{
+    writeGroups();
+    const std::string whole = contentOf(segment(1));
+    const Operations all { "a", "bb", "ccc", "dddd" };
+    for (std::size_t size = segmentHeaderBytes; size <= whole.size(); ++size) {
+        setContent(segment(1), whole.substr(0, size));
+        Operations kept = load();
+        BOOST_TEST(isPrefix(kept, all));
+        BOOST_TEST(kept.size() != 1U, "groups are kept or cut as a whole");
+        {
+            SegmentLog log(settings());
+            BOOST_TEST(read(log) == kept);
+            log.append({ "after" });
+        }
+        kept.emplace_back("after");
+        BOOST_TEST(load() == kept);
+        kept.pop_back();
+        // A hole as well as a missing end: the system writes pages in any order.
+        setContent(segment(1), whole.substr(0, size) + std::string(whole.size() - size, '\0'));
+        BOOST_TEST(load() == kept);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(flippedBitInAcknowledgedDataIsFound)
+{
+    {
+        SegmentLog log(settings());
+        read(log);
+        appendMarked(log, { "a", "bb" });
+        appendMarked(log, { "ccc" });
+    }
+    const std::string whole = contentOf(segment(1));
+    const std::size_t lastMark = whole.size() - (encodeFrame(1, 0, {}).size());
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        std::string flipped = whole;
+        flipped[at] = static_cast<char>(flipped[at] ^ (1 << (at % 8)));
+        setContent(segment(1), flipped);
+        if (at < lastMark)
+            BOOST_CHECK_THROW(load(), JournalCorruptError);
+        else
+            BOOST_TEST(load() == Operations({ "a", "bb", "ccc" }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(groupCountsOnlyWhereItWasWritten)
+{
+    writeGroups();
+    const std::string whole = contentOf(segment(1));
+    const std::size_t groupSize = encodeFrame(1, 0, { "dddd" }).size();
+    setContent(segment(1), whole + whole.substr(whole.size() - groupSize));
+    BOOST_TEST(load() == Operations({ "a", "bb", "ccc", "dddd" }));
+}
+
+BOOST_AUTO_TEST_CASE(missingOrForeignSegmentIsFound)
+{
+    writeSegments();
+    const std::string second = contentOf(segment(2));
+    std::filesystem::remove(segment(2));
+    BOOST_CHECK_THROW(load(), JournalCorruptError);
+    Folder other;
+    other.writeSegments();
+    setContent(segment(2), contentOf(other.segment(2)));
+    BOOST_CHECK_THROW(load(), JournalCorruptError);
+    setContent(segment(2), second);
+    BOOST_TEST(load().size() == 30U);
+    std::filesystem::remove(segment(1));
+    BOOST_CHECK_THROW(load(), JournalCorruptError);
+}
+
+BOOST_AUTO_TEST_CASE(crashBetweenCompactionStepsKeepsOneWholeLog)
+{
+    writeGroups();
+    const std::string old = contentOf(segment(1));
+    {
+        SegmentLog log(settings());
+        read(log);
+        log.compact({ "sum" });
+        BOOST_TEST(!std::filesystem::exists(segment(1)));
+        BOOST_TEST(log.bytes() == std::filesystem::file_size(segment(2)));
+        appendMarked(log, { "e" });
+    }
+    const std::string compacted = contentOf(segment(2));
+    // Before the rename: the old log counts, whatever the unfinished file holds.
+    std::filesystem::remove(segment(2));
+    for (std::size_t size = 0; size <= compacted.size(); size += 7) {
+        setContent(segment(1), old);
+        setContent(segment(2) += ".tmp", compacted.substr(0, size));
+        BOOST_TEST(load() == Operations({ "a", "bb", "ccc", "dddd" }));
+    }
+    // After the rename, before the old segment goes.
+    setContent(segment(2), compacted);
+    BOOST_TEST(load() == Operations({ "sum", "e" }));
+    BOOST_TEST(!std::filesystem::exists(segment(1)));
+}
+
+BOOST_AUTO_TEST_CASE(refusesCompactionWithoutRoomAndGoesOn)
+{
+    FaultyDisk disk;
+    SegmentLog log(settings(disk.hooks()));
+    read(log);
+    appendMarked(log, { "a" });
+    disk.freeBytes = 10;
+    BOOST_CHECK_THROW(log.compact({ std::string(100, 'x') }), JournalFullError);
+    appendMarked(log, { "b" });
+    BOOST_TEST(std::filesystem::exists(segment(1)));
+}
+
+BOOST_AUTO_TEST_CASE(failureAtEveryCallLosesNothingAcknowledged)
+{
+    auto work = [](SegmentLog& log, Operations& acknowledged) {
+        read(log);
+        for (int n = 0; n < 12; ++n) {
+            std::string operation = std::string(30, 'x') + std::to_string(n);
+            log.append({ operation });
+            acknowledged.push_back(operation);
+            log.markSynced();
+            if (n == 8) {
+                log.compact({ "snapshot" });
+                acknowledged = { "snapshot" };
+            }
+        }
+    };
+    FaultyDisk sound;
+    {
+        Folder scratch;
+        Operations acknowledged;
+        SegmentLog log(scratch.settings(sound.hooks()));
+        work(log, acknowledged);
+    }
+    for (int call = 0; call < 2 * sound.calls; ++call) {
+        Folder scratch;
+        FaultyDisk disk;
+        disk.failingCall = call / 2;
+        Operations acknowledged;
+        auto run = [&] {
+            SegmentLog log(scratch.settings(disk.hooks()));
+            work(log, acknowledged);
+        };
+        BOOST_CHECK_THROW(run(), JournalWriteError);
+        if (call % 2 == 1)
+            disk.losePower(scratch.folder.path());
+        Operations kept = scratch.load();
+        // The failed step itself may have reached the disk or not.
+        bool compacted = kept == Operations { "snapshot" };
+        BOOST_TEST((isPrefix(acknowledged, kept) || (compacted && acknowledged.size() == 9)), "failing call " << call / 2);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
