--- a/lib/Shard/HolderChange.cpp
+++ b/lib/Shard/HolderChange.cpp
@@ -18,7 +18,7 @@
 
 bool ShardOwner::prepareChange(const HolderId& lost, const HolderId& added)
 {
-    bool isMember = lost.empty() || contains(m_holders, lost);
+    bool isMember = lost.empty() ? m_holders.size() < holdersPerShard : contains(m_holders, lost);
     if (!isMember || added.empty() || contains(m_holders, added))
         return false;
     Change change { m_holders, added, m_holders };
@@ -163,11 +163,15 @@
 void ShardOwner::sendSyncChunk(const HolderId& holder, TimePoint now)
 {
     SyncCursor& cursor = m_cursors[holder];
-    SyncRequest request { m_tag, m_syncPosition, cursor.keep, cursor.next, {}, {}, true };
+    SyncRequest request { m_tag, m_syncPosition, cursor.keep, cursor.next, {}, {}, false, true };
     if (m_change)
         request.pairs = { m_change->target };
-    else if (!m_isUnregistered)
+    else if (!m_isUnregistered) {
+        // No other change of holders can reach the record any more: earlier pairs, pending ones
+        // included, would only make take-overs without the service ask for more holders.
         request.pairs = { m_holders };
+        request.replacesPairs = true;
+    }
     std::size_t bytes = 0;
     for (std::uint64_t n = cursor.next; n < m_log.size() && bytes < m_settings.chunkBytes; ++n) {
         request.entries.push_back(m_log[n]);
