Test that a silent peer ends a call; forget peers that were replaced

A paused instance keeps its connections open: the call ends once the peer has answered neither a ping nor the call for silenceTimeout. Peers without a link are dropped after idleTimeout, so that the table follows the fleet as it is.

--- a/lib/Net/PeerLink.cpp
+++ b/lib/Net/PeerLink.cpp
@@ -347,6 +347,8 @@
     }
     for (const auto& [link, reason] : victims)
         transport->close(link, reason);
+    // Peers that were replaced are not kept for good.
+    std::erase_if(peers, [&](const auto& entry) { return entry.second.link == 0 && now() - entry.second.retryAt > settings.idleTimeout; });
 }
 
 PeerLinks::PeerLinks(asio::io_context& io, const PeerLinkSettings& settings, MessageHandler onMessage, CallHandler onCall)
--- a/unittests/Net/HttpFuzzTest.cpp
+++ b/unittests/Net/HttpFuzzTest.cpp
@@ -66,7 +66,7 @@
 BOOST_AUTO_TEST_CASE(damagedAnswerOfTheKeyValueServiceIsATypedError)
 {
     static const std::string body = R"({"header":{"revision":"5"},"succeeded":true,"ID":"7","result":{"TTL":"3"},"kvs":[{"key":"YQ==","value":"YQ==","mod_revision":"4"}]})";
-    RawServer raw;
+    RawServer raw(RawServer::After::Close);
     HttpClient client(testRuntime().io());
     HttpKeyValueStore store(client, raw.endpoint());
     static const std::vector<std::function<void(HttpKeyValueStore&)>> calls {
@@ -80,7 +80,8 @@
     BOOST_TEST(checkInFiber([&] {
         std::string json = *rc::gen::arbitrary<bool>() ? mutated(body) : body;
         std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(json.size() + 1) + "\r\nConnection: close\r\n\r\n" + json + "\n";
-        raw.answerWith(*rc::gen::arbitrary<bool>() ? mutated(whole) : whole);
+        std::string answer = *rc::gen::arbitrary<bool>() ? mutated(whole) : whole;
+        raw.answerWith([answer](const std::string&) { return answer; });
         try {
             (*rc::gen::elementOf(calls))(store);
         } catch (const KeyValueUnavailableError&) {
--- a/unittests/Net/PeerLinkTest.cpp
+++ b/unittests/Net/PeerLinkTest.cpp
@@ -178,6 +178,21 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(silentPeerEndsTheCallLongBeforeItsTimeout)
+{
+    inFiber([] {
+        PeerLinkSettings settings;
+        settings.silenceTimeout = 100ms;
+        Node a(settings), b;
+        RawServer paused(RawServer::After::Silence);
+        paused.answerWith(acceptWebSocket);
+        BOOST_CHECK_THROW(a.links.call(paused.endpoint(), channel, "x", 1h), PeerUnreachableError);
+        BOOST_TEST(a.links.counters().linksOpened == 1U);
+        // A peer that answers late but is alive keeps its link.
+        BOOST_TEST(a.call(b, "delay 400") == "re:delay 400");
+    });
+}
+
 BOOST_AUTO_TEST_CASE(linkOpensAgainAfterThePeerReturns)
 {
     inFiber([] {
--- a/unittests/Net/RawSocket.h
+++ b/unittests/Net/RawSocket.h
@@ -2,6 +2,7 @@
 
 #include "basilpoint/Support/Endpoint.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -11,14 +12,20 @@
 /// \param halfClose whether this side says that nothing more comes.
 std::string exchangeRaw(const Endpoint& to, const std::string& bytes, bool halfClose = false);
 
-/// Listener that answers each connection's first bytes with fixed bytes and closes it.
+/// Listener that answers each connection's first bytes and then closes it, or keeps it open in silence.
 class RawServer {
 public:
-    RawServer();
+    enum class After {
+        Close,
+        Silence,
+    };
+    using Answer = std::function<std::string(const std::string& request)>;
+
+    explicit RawServer(After);
     ~RawServer();
 
-    /// Bytes that the next connections get.
-    void answerWith(std::string bytes);
+    /// What the next connections get.
+    void answerWith(Answer);
     Endpoint endpoint() const;
 
 private:
@@ -26,4 +33,7 @@
     std::shared_ptr<State> m_state;
 };
 
+/// The answer that opens a WebSocket connection for \p request.
+std::string acceptWebSocket(const std::string& request);
+
 } // namespace basilpoint
