Settings: refuse words that are not among a setting's choices

A wrong word named its flag only where the program looked itself. The list now stands in the setting, and the error names flag, value and what is allowed, as for numbers.

--- a/include/basilpoint/Config/Settings.h
+++ b/include/basilpoint/Config/Settings.h
@@ -24,6 +24,8 @@
     std::string allowed;
     /// Least and greatest value of a numeric setting.
     std::optional<std::pair<std::int64_t, std::int64_t>> range = std::nullopt;
+    /// Values that a setting of words may have; empty for any.
+    std::vector<std::string> choices {};
 };
 
 /// Values of a program's settings after flags, environment variables and defaults.
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -25,8 +25,11 @@
     return n;
 }
 
-static void checkRange(const SettingSpec& spec, const std::string& value)
+static void checkValue(const SettingSpec& spec, const std::string& value)
 {
+    bool isChoice = spec.choices.empty() || std::find(spec.choices.begin(), spec.choices.end(), value) != spec.choices.end();
+    if (!isChoice)
+        throw InvalidInputError("--" + spec.name, value, spec.allowed);
     if (!spec.range)
         return;
     std::int64_t n = parseNumber(spec.name, value, spec.allowed);
@@ -87,7 +90,7 @@
             std::optional<std::string> variable = environment(variableOf(spec.name));
             bool given = parsed.count(spec.name) > 0;
             values[spec.name] = given || !variable ? parsed[spec.name].as<std::string>() : *variable;
-            checkRange(spec, values[spec.name]);
+            checkValue(spec, values[spec.name]);
         }
     } catch (const cxxopts::exceptions::exception& error) {
         throw InvalidInputError("arguments", error.what(), "flags as --help lists them");
--- a/tools/basilpoint-standin/Main.cpp
+++ b/tools/basilpoint-standin/Main.cpp
@@ -5,13 +5,14 @@
 #include "basilpoint/Support/Error.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <cassert>
 #include <cstdio>
 #include <fmt/format.h>
 
 using namespace basilpoint;
 
 static const std::vector<SettingSpec> specs {
-    { "kind", "engine", "What to stand in for.", "engine, tool, kv or platform" },
+    { "kind", "engine", "What to stand in for.", "engine, tool, kv or platform", {}, { "engine", "tool", "kv", "platform" } },
     { "listen", "127.0.0.1:0", "Address to listen on; port 0 takes a free one, which is printed.", "ADDRESS:PORT" },
     { "prefill-ms", "20", "Engine: milliseconds to the first token per 1,000 prompt tokens.", "0 to 60000", { { 0, 60'000 } } },
     { "token-ms", "2", "Engine: milliseconds between tokens.", "0 to 60000", { { 0, 60'000 } } },
@@ -33,9 +34,8 @@
         return standin::makeTool(io, settings);
     if (kind == "kv")
         return standin::makeKeyValue(io, clock);
-    if (kind == "platform")
-        return standin::makePlatform(clock, settings);
-    throw InvalidInputError("--kind", kind, "engine, tool, kv or platform");
+    assert(kind == "platform" && "the settings allow these kinds only");
+    return standin::makePlatform(clock, settings);
 }
 
 static void serve(const SettingValues& values)
--- a/tools/basilpoint/Main.cpp
+++ b/tools/basilpoint/Main.cpp
@@ -20,7 +20,7 @@
     { "daemons", "127.0.0.1:8081", "Operators' listeners of the daemons to ask.", "ADDRESS:PORT, separated by commas" },
     { "operator-token", "", "Bearer token to show to the daemons.", "any text" },
     { "base", "-1", "Revision that an edit is based on; -1 takes the current one.", "-1 to 9007199254740991", { { noBase, 9'007'199'254'740'991 } } },
-    { "output", "table", "How to print.", "table or json" },
+    { "output", "table", "How to print.", "table or json", {}, { "table", "json" } },
 };
 
 static constexpr auto usage = R"(Usage: basilpoint [flags] COMMAND
@@ -61,10 +61,7 @@
 
 static OutputOptions outputOptions(const SettingValues& values)
 {
-    const std::string& output = values.text("output");
-    if (output != "table" && output != "json")
-        throw InvalidInputError("--output", output, "table or json");
-    OutputOptions options { output == "json", std::nullopt };
+    OutputOptions options { values.text("output") == "json", std::nullopt };
     if (std::int64_t base = values.number("base"); base != noBase)
         options.base = Revision(static_cast<std::uint64_t>(base));
     return options;
--- a/unittests/Config/EnvironmentTest.cpp
+++ b/unittests/Config/EnvironmentTest.cpp
@@ -114,16 +114,17 @@
 
 BOOST_AUTO_TEST_CASE(settingsErrorsNameFlagValueAndRange)
 {
-    const std::vector<SettingSpec> specs { { "size", "5", "Size.", "1 to 9", { { 1, 9 } } } };
+    const std::vector<SettingSpec> specs { { "size", "5", "Size.", "1 to 9", { { 1, 9 } } }, { "form", "a", "Form.", "a or b", {}, { "a", "b" } } };
     auto failure = [&](const std::vector<std::string>& arguments, std::optional<std::string> variable) -> std::string {
         try {
-            resolveSettings(specs, arguments, [&](const std::string&) { return variable; });
+            resolveSettings(specs, arguments, [&](const std::string& name) { return name == "BASILPOINT_SIZE" ? variable : std::nullopt; });
         } catch (const InvalidInputError& error) {
             return error.what();
         }
         return "valid";
     };
     BOOST_TEST(failure({ "--size", "10" }, {}) == "invalid-input field=--size value=10 allowed=1 to 9");
+    BOOST_TEST(failure({ "--form", "c" }, {}) == "invalid-input field=--form value=c allowed=a or b");
     BOOST_TEST(failure({}, "x") == "invalid-input field=--size value=x allowed=1 to 9");
     BOOST_TEST(failure({ "--size", "9" }, "x") == "valid");
     BOOST_TEST(failure({ "--sise", "9" }, {}).find("sise") != std::string::npos);
