Take a peer's address by value while a call waits

Cause: FleetController passed a reference into its table of members, which a change of members replaced while the call was suspended; daemons ended by bad_alloc as soon as two others were paused (seen as five dead daemons of seven in pausedOwnerThatWakesDoublesNothing, backtrace in Endpoint::text). Change: PeerLinks::call takes the address by value.

Before: the test never ended.

--- a/include/basilpoint/Net/PeerLink.h
+++ b/include/basilpoint/Net/PeerLink.h
@@ -82,10 +82,11 @@
     /// Sends \p body without waiting; drops it if the queue is full or the peer cannot be reached.
     void send(const Endpoint& to, PeerChannel, std::string body);
 
-    /// Sends \p body and suspends the fiber until the answer comes.
+    /// Sends \p body and suspends the fiber until the answer comes. Takes the address by value, since
+    /// what the caller holds of its peers may change meanwhile.
     /// \throws PeerUnreachableError after \p timeout, when the link breaks and at stop();
     /// TooLargeError if \p body exceeds the limit.
-    std::string call(const Endpoint& to, PeerChannel, std::string body, Milliseconds timeout);
+    std::string call(Endpoint to, PeerChannel, std::string body, Milliseconds timeout);
 
     /// Closes the listener and all links; calls under way fail.
     void stop();
--- a/lib/Daemon/OwnerFilter.cpp
+++ b/lib/Daemon/OwnerFilter.cpp
@@ -17,13 +17,13 @@
 namespace {
 
     struct EraseOnExit {
-    ~EraseOnExit() { forwards.erase(entry); }
+        ~EraseOnExit() { forwards.erase(entry); }
 
-    std::multimap<InstanceId, HttpCancellation*>& forwards;
-    std::multimap<InstanceId, HttpCancellation*>::iterator entry;
-};
+        std::multimap<InstanceId, HttpCancellation*>& forwards;
+        std::multimap<InstanceId, HttpCancellation*>::iterator entry;
+    };
 
-// One request on its way to whichever daemon owns its shard.
+    // One request on its way to whichever daemon owns its shard.
     class Passage {
     public:
         Passage(RequestContext& context, HttpClient& client, DecisionLog& log)
--- a/lib/Net/PeerLink.cpp
+++ b/lib/Net/PeerLink.cpp
@@ -67,7 +67,7 @@
 
     /// \returns the reason why \p frame was not taken for sending, or nothing.
     std::optional<std::string> enqueue(const Endpoint& to, std::string frame);
-    std::string call(const Endpoint& to, PeerChannel, std::string body, Milliseconds timeout);
+    std::string call(Endpoint to, PeerChannel, std::string body, Milliseconds timeout);
 
     void opened(LinkId);
     void closed(LinkId, const std::string& reason);
@@ -300,7 +300,7 @@
     return std::any_of(calls.begin(), calls.end(), [&](const auto& entry) { return entry.second->link == link; });
 }
 
-std::string PeerLinks::Impl::call(const Endpoint& to, PeerChannel channel, std::string body, Milliseconds timeout)
+std::string PeerLinks::Impl::call(Endpoint to, PeerChannel channel, std::string body, Milliseconds timeout)
 {
     if (body.size() > settings.maxMessageBytes)
         throw TooLargeError("peer message", settings.maxMessageBytes);
@@ -369,7 +369,7 @@
         ++m_impl->counters.dropped;
 }
 
-std::string PeerLinks::call(const Endpoint& to, PeerChannel channel, std::string body, Milliseconds timeout)
+std::string PeerLinks::call(Endpoint to, PeerChannel channel, std::string body, Milliseconds timeout)
 {
     auto impl = m_impl;
     return impl->call(to, channel, std::move(body), timeout);
