Spread notices of leaving targets and killing requests; govern key-value calls

Cause: verdicts were broadcast once, so a daemon that joined later never heard; a leaving target was known only to the daemon that was told; key-value calls had no rate budget. Change: NoticeController over NoticeSpread, one TargetLeavingTracker for engines and tools, GovernedKeyValueStore over KeyValueGovernor.

--- a/include/basilpoint/Fleet/NoticeSpread.h
+++ b/include/basilpoint/Fleet/NoticeSpread.h
@@ -17,6 +17,8 @@
     QuarantinedRequest,
     /// Target that leaves; no daemon gives it new work.
     LeavingTarget,
+    /// Digest of a request that was in flight when a target died; it runs only alone.
+    SuspectedRequest,
 };
 
 struct NoticeSubject {
--- a/include/basilpoint/Net/PeerLink.h
+++ b/include/basilpoint/Net/PeerLink.h
@@ -22,7 +22,7 @@
     Membership = 1,
     Configuration = 2,
     Journal = 3,
-    Quarantine = 4,
+    Notice = 4,
     Ownership = 5,
 };
 
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -2,7 +2,9 @@
 
 #include "ConfigurationController.h"
 #include "FleetController.h"
+#include "GovernedKeyValueStore.h"
 #include "JsonBody.h"
+#include "NoticeController.h"
 #include "Operations.h"
 #include "OperatorApi.h"
 #include "OwnerFilter.h"
@@ -56,7 +58,8 @@
         RandomEngine m_random;
         InstanceId m_id;
         HttpClient m_client;
-        HttpKeyValueStore m_store;
+        HttpKeyValueStore m_service;
+    GovernedKeyValueStore m_store;
         EnvironmentController m_environments;
         DecisionLog m_log;
         Metrics m_metrics;
@@ -68,7 +71,9 @@
         PeerLinks m_links;
         FleetController m_fleet;
         ConfigurationController m_configuration;
-        SchedulerDriver m_dispatcher;
+        NoticeController m_notices;
+    TargetLeavingTracker m_leavingTargets;
+    SchedulerDriver m_dispatcher;
         ProgramGate m_gate;
         ModelCallController m_modelCalls;
         ToolCallController m_toolCalls;
@@ -132,7 +137,8 @@
     , m_random(std::random_device {}())
     , m_id("i-" + randomHex(m_random, instanceDigits))
     , m_client(io)
-    , m_store(m_client, values.endpoint("key-value"))
+    , m_service(m_client, values.endpoint("key-value"))
+    , m_store(m_service, m_clock, m_random())
     , m_log(m_clock)
     , m_journal(io, values.text("data-folder"), HolderId(memoryHolderPrefix + m_id.text()))
     , m_driver(m_clock, m_random, m_store, m_id, ShardOwnerSettings {}, [this](const HolderId& holder, ShardId shard, const HolderRequest& request) { return m_fleet.callHolder(holder, shard, request); })
@@ -143,9 +149,10 @@
           io, peerLinkSettings(values), [this](PeerChannel channel, const std::string& body) { receive(channel, body); }, [this](PeerChannel channel, const std::string& body) { return answer(channel, body); })
     , m_fleet(m_clock, describeSelf(), m_random(), fleetSettings(values), m_client, m_store, m_driver, m_shards, m_journal)
     , m_configuration(m_clock, m_id, m_random(), m_store, m_environments, [this](const InstanceId& to, const std::string& body) { m_fleet.send(to, PeerChannel::Configuration, body); })
-    , m_dispatcher(m_clock, m_client, schedulerSettings(values), m_random())
+    , m_notices(m_clock, m_id, m_random(), [this](const InstanceId& to, const std::string& body) { m_fleet.send(to, PeerChannel::Notice, body); })
+    , m_dispatcher(m_clock, m_client, m_leavingTargets, schedulerSettings(values), m_random())
     , m_modelCalls(m_clock, m_client, m_environments, m_shards, m_gate, m_dispatcher, m_log)
-    , m_toolCalls(m_clock, m_client, m_environments, m_shards, m_gate, m_dispatcher, m_log)
+    , m_toolCalls(m_clock, m_client, m_environments, m_shards, m_gate, m_dispatcher, m_leavingTargets, m_log)
     , m_programs(m_clock, m_random, m_environments, m_shards, m_gate, m_dispatcher, m_modelCalls, m_toolCalls, m_log)
     , m_chain(makeChain())
     , m_operatorApi(operatorToken(values), m_log, m_metrics, makeOperatorHooks())
@@ -182,7 +189,8 @@
     hooks.state = [this] { return state(); };
     hooks.refreshMetrics = [this](Metrics& metrics) { refreshMetrics(metrics); };
     hooks.drain = [this] { m_stopRequested.notifyAll(); };
-    hooks.targetLeaving = [this](const Endpoint& target) { m_dispatcher.targetLeaving(target); };
+    hooks.targetLeaving = [this](const Endpoint& target) { m_dispatcher.targetLeaving(TargetId(target.text()), LeavingSource::Operator); };
+    hooks.targetReturned = [this](const Endpoint& target) { m_notices.lift({ NoticeKind::LeavingTarget, target.text() }); };
     return hooks;
 }
 
@@ -190,9 +198,14 @@
 {
     m_driver.attach(m_shards);
     m_fleet.attach(m_links);
-    m_fleet.onMembers([this](const std::vector<InstanceId>& others) { m_configuration.setPeers(others); });
+    m_fleet.onMembers([this](const std::vector<InstanceId>& others) {
+        m_configuration.setPeers(others);
+        m_notices.setPeers(others);
+        m_store.setMembers(others.size() + 1);
+    });
     m_configuration.onChange([this] { m_dispatcher.updateTargets(m_environments); });
-    m_dispatcher.onVerdict([this](const std::string& verdict) { m_fleet.broadcast(PeerChannel::Quarantine, verdict); });
+    m_dispatcher.onNotice([this](const NoticeSubject& subject) { m_notices.raise(subject); });
+    m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { m_dispatcher.apply(subject, inForce); });
 }
 
 void Daemon::receive(PeerChannel channel, const std::string& body)
@@ -203,8 +216,8 @@
             return m_fleet.received(body);
         case PeerChannel::Configuration:
             return m_configuration.received(body);
-        case PeerChannel::Quarantine:
-            return m_dispatcher.received(body);
+        case PeerChannel::Notice:
+            return m_notices.received(body);
         case PeerChannel::Journal:
         case PeerChannel::Ownership:
             return;
@@ -225,7 +238,7 @@
         return m_fleet.handOver(body);
     case PeerChannel::Membership:
     case PeerChannel::Configuration:
-    case PeerChannel::Quarantine:
+    case PeerChannel::Notice:
         break;
     }
     throw InvalidInputError("peer call", std::to_string(static_cast<int>(channel)), "a channel that answers calls");
@@ -302,7 +315,7 @@
 void Daemon::refreshMetrics(Metrics& metrics) const
 {
     const PeerLinkCounters& peers = m_links.counters();
-    const KeyValueCounters& store = m_store.counters();
+    const KeyValueCounters& store = m_service.counters();
     metrics.gauge("basilpoint_owned_shards", static_cast<double>(m_shards.owned().size()));
     metrics.gauge("basilpoint_active_requests", static_cast<double>(m_callers.activeRequests()));
     metrics.gauge("basilpoint_waiting_calls", static_cast<double>(m_dispatcher.waiting()));
@@ -325,6 +338,7 @@
     spdlog::info("instance {} listens for callers on {}, for operators on {}, for peers on {}", m_id.text(), m_callers.endpoint().text(), m_operators.endpoint().text(), m_links.endpoint().text());
     m_fleet.start();
     m_configuration.start();
+    m_notices.start();
     m_dispatcher.start();
     spawnFiber([this] {
         for (;;) {
--- /dev/null
+++ b/lib/Daemon/NoticeController.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "basilpoint/Fleet/NoticeSpread.h"
+
+#include <functional>
+
+namespace basilpoint {
+
+/// Brings notices about requests and targets to every daemon and those of others to this one.
+class NoticeController {
+public:
+    using Sender = std::function<void(const InstanceId&, const std::string& body)>;
+    using ChangeHandler = std::function<void(const NoticeSubject&, bool inForce)>;
+
+    NoticeController(const Clock&, InstanceId self, RandomEngine::result_type seed, Sender);
+
+    void start();
+    void setPeers(std::vector<InstanceId> peers) { m_spread.setPeers(std::move(peers)); }
+
+    /// Called with each notice that comes into force here or is lifted, whoever raised it.
+    void onChange(ChangeHandler hook) { m_onChange = std::move(hook); }
+
+    void raise(const NoticeSubject&);
+    void lift(const NoticeSubject&);
+    void received(const std::string& body);
+
+    bool inForce(const NoticeSubject&) const;
+
+private:
+    void perform(const NoticeActions&);
+
+    const Clock& m_clock;
+    NoticeSpread m_spread;
+    Sender m_send;
+    ChangeHandler m_onChange;
+};
+
+} // namespace basilpoint
--- a/lib/Daemon/OperatorApi.cpp
+++ b/lib/Daemon/OperatorApi.cpp
@@ -64,10 +64,11 @@
         m_hooks.drain();
         return sendJson(writer, statusAccepted, { { "draining", true } });
     }
-    if (request.path() == "/targets/leave") {
+    if (request.path() == "/targets/leave" || request.path() == "/targets/return") {
         Endpoint target = parseEndpoint("/address", jsonMember<std::string>(parseJsonBody(request), "address", "", "ADDRESS:PORT"));
-        m_hooks.targetLeaving(target);
-        return sendJson(writer, statusOk, { { "leaving", target.text() } });
+        bool leaving = request.path() == "/targets/leave";
+        (leaving ? m_hooks.targetLeaving : m_hooks.targetReturned)(target);
+        return sendJson(writer, statusOk, { { "target", target.text() }, { "leaving", leaving } });
     }
     throw RouteNotFoundError(request.method, std::string(request.path()));
 }
--- a/lib/Daemon/OperatorApi.h
+++ b/lib/Daemon/OperatorApi.h
@@ -26,6 +26,8 @@
     std::function<void()> drain;
     /// The target at this address gets nothing new.
     std::function<void(const Endpoint&)> targetLeaving;
+    /// The target at this address gets work again.
+    std::function<void(const Endpoint&)> targetReturned;
 };
 
 /// Operators' listener: health, metrics, state, explanations, drain.
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -11,8 +11,6 @@
 
 using Json = nlohmann::json;
 
-static constexpr std::string_view quarantinePrefix = "quarantine ";
-static constexpr std::string_view suspectPrefix = "suspect ";
 static constexpr Milliseconds tickInterval { 50 };
 static constexpr Milliseconds loadPollInterval { 500 };
 static constexpr Milliseconds loadTimeout { 1'000 };
@@ -55,10 +53,11 @@
     return fmt::format("{}@{:016x}", model.name, hash64(members));
 }
 
-SchedulerDriver::SchedulerDriver(const Clock& clock, HttpClient& client, SchedulerSettings settings, RandomEngine::result_type seed)
+SchedulerDriver::SchedulerDriver(const Clock& clock, HttpClient& client, TargetLeavingTracker& leaving, SchedulerSettings settings, RandomEngine::result_type seed)
     : m_clock(clock)
     , m_client(client)
     , m_scheduler(settings, seed)
+    , m_leaving(leaving)
 {
 }
 
@@ -87,15 +86,21 @@
         auto it = m_targets.find(target);
         if (it == m_targets.end() || it->second != pool)
             perform(m_scheduler.addTarget(target, pool, m_clock.now()));
+        if (!m_leaving.admitsWork(target))
+            perform(m_scheduler.targetLeaving(target, m_clock.now()));
     }
     m_targets = std::move(wanted);
 }
 
-void SchedulerDriver::targetLeaving(const Endpoint& target)
+void SchedulerDriver::targetLeaving(const TargetId& target, LeavingSource source)
 {
-    TargetId id(target.text());
-    if (m_targets.contains(id) && m_leaving.insert(id).second)
-        perform(m_scheduler.targetLeaving(id, m_clock.now()));
+    if (!m_leaving.notice(target, source, m_clock.now()))
+        return;
+    spdlog::info("target {} is leaving", target.text());
+    if (m_targets.contains(target))
+        perform(m_scheduler.targetLeaving(target, m_clock.now()));
+    if (source != LeavingSource::Peer)
+        announce(NoticeKind::LeavingTarget, target.text());
 }
 
 DispatchGrant SchedulerDriver::acquire(ModelCall call)
@@ -137,14 +142,37 @@
     perform(m_scheduler.programEnded(program, m_clock.now()));
 }
 
-void SchedulerDriver::received(const std::string& verdict)
+void SchedulerDriver::apply(const NoticeSubject& subject, bool inForce)
 {
-    std::string_view text(verdict);
-    if (text.starts_with(quarantinePrefix))
-        return perform(m_scheduler.quarantined(parseDigest(text.substr(quarantinePrefix.size())), m_clock.now()));
-    if (text.starts_with(suspectPrefix))
-        return perform(m_scheduler.suspected(parseDigest(text.substr(suspectPrefix.size())), m_clock.now()));
-    throw InvalidInputError("verdict", verdict.substr(0, 80), "a suspect or quarantined digest");
+    switch (subject.kind) {
+    case NoticeKind::QuarantinedRequest:
+        if (inForce)
+            perform(m_scheduler.quarantined(parseDigest(subject.text), m_clock.now()));
+        return;
+    case NoticeKind::SuspectedRequest:
+        if (inForce)
+            perform(m_scheduler.suspected(parseDigest(subject.text), m_clock.now()));
+        return;
+    case NoticeKind::LeavingTarget:
+        if (inForce)
+            targetLeaving(TargetId(subject.text), LeavingSource::Peer);
+        else
+            readmit(TargetId(subject.text));
+        return;
+    }
+}
+
+// The scheduler forgets the target and learns it anew, since it may have been replaced meanwhile.
+void SchedulerDriver::readmit(const TargetId& target)
+{
+    if (m_leaving.admitsWork(target))
+        return;
+    m_leaving.readmit(target);
+    auto it = m_targets.find(target);
+    if (it == m_targets.end())
+        return;
+    perform(m_scheduler.removeTarget(target, m_clock.now()));
+    perform(m_scheduler.addTarget(target, it->second, m_clock.now()));
 }
 
 void SchedulerDriver::perform(const SchedulerActions& actions)
@@ -191,19 +219,19 @@
 void SchedulerDriver::perform(const QuarantineAction& action)
 {
     spdlog::warn("request quarantined: {}", action.content.text());
-    announce(quarantinePrefix, action.content);
+    announce(NoticeKind::QuarantinedRequest, action.content.text());
 }
 
 void SchedulerDriver::perform(const SuspectAction& action)
 {
     spdlog::warn("request suspected: {}", action.content.text());
-    announce(suspectPrefix, action.content);
+    announce(NoticeKind::SuspectedRequest, action.content.text());
 }
 
-void SchedulerDriver::announce(std::string_view prefix, const Digest& digest)
+void SchedulerDriver::announce(NoticeKind kind, std::string text)
 {
-    if (m_onVerdict)
-        m_onVerdict(std::string(prefix) + digest.text());
+    if (m_onNotice)
+        m_onNotice({ kind, std::move(text) });
 }
 
 void SchedulerDriver::tickLoop()
@@ -236,7 +264,7 @@
         if (!json.is_object())
             return;
         if (json.value("leaving", false))
-            targetLeaving(parseEndpoint("target", target.text()));
+            targetLeaving(target, LeavingSource::TargetReport);
         perform(m_scheduler.loadReported({ target, json.value("running", std::uint64_t(0)), json.value("waiting", std::uint64_t(0)), json.value("cacheUse", 0.0), measuredAt }, m_clock.now()));
     } catch (const Error& error) {
         spdlog::debug("no load report: {}", error.what());
--- a/lib/Daemon/SchedulerDriver.h
+++ b/lib/Daemon/SchedulerDriver.h
@@ -3,19 +3,20 @@
 #include "EnvironmentController.h"
 #include "ModelDispatcher.h"
 
+#include "basilpoint/Fleet/NoticeSpread.h"
+#include "basilpoint/Fleet/TargetLeavingTracker.h"
 #include "basilpoint/Net/FiberSignal.h"
 #include "basilpoint/Net/HttpClient.h"
 
 #include <map>
 #include <memory>
-#include <set>
 
 namespace basilpoint {
 
 /// Feeds the model scheduler with what happens and carries out what it decides.
 class SchedulerDriver final : public ModelDispatcher {
 public:
-    SchedulerDriver(const Clock&, HttpClient&, SchedulerSettings, RandomEngine::result_type seed);
+    SchedulerDriver(const Clock&, HttpClient&, TargetLeavingTracker&, SchedulerSettings, RandomEngine::result_type seed);
 
     /// Starts the fibers that tick the scheduler and poll the replicas' load.
     void start();
@@ -23,8 +24,8 @@
     /// Takes over the replicas of the environments in force.
     void updateTargets(const EnvironmentController&);
 
-    /// \p target gets nothing new from here on.
-    void targetLeaving(const Endpoint& target);
+    /// \p target gets nothing new from here on; all daemons hear of it.
+    void targetLeaving(const TargetId& target, LeavingSource);
 
     DispatchGrant acquire(ModelCall call) override;
     void firstToken(CallId) override;
@@ -33,11 +34,11 @@
     void toolEnded(const ProgramId&) override;
     void programEnded(const ProgramId&) override;
 
-    /// What another daemon has said by a message that onVerdict() was called with there.
-    /// \throws InvalidInputError if it is not such a message.
-    void received(const std::string& verdict);
-    /// Called with each message about a suspect or quarantined request that all daemons must hear.
-    void onVerdict(std::function<void(const std::string&)> hook) { m_onVerdict = std::move(hook); }
+    /// Takes over a notice, whoever raised it.
+    /// \throws InvalidInputError if its text does not fit its kind.
+    void apply(const NoticeSubject&, bool inForce);
+    /// Called with each notice that all daemons must hear.
+    void onNotice(std::function<void(const NoticeSubject&)> hook) { m_onNotice = std::move(hook); }
 
     std::size_t waiting() const { return m_scheduler.waiting(); }
     const std::map<TargetId, std::string>& targets() const { return m_targets; }
@@ -56,7 +57,8 @@
     void perform(const MoveCacheAction&);
     void perform(const QuarantineAction&);
     void perform(const SuspectAction&);
-    void announce(std::string_view prefix, const Digest&);
+    void announce(NoticeKind, std::string text);
+    void readmit(const TargetId&);
 
     void tickLoop();
     void pollLoop();
@@ -69,8 +71,8 @@
     std::map<CallId, std::shared_ptr<PendingCall>> m_pending;
     /// Model pool of each target.
     std::map<TargetId, std::string> m_targets;
-    std::set<TargetId> m_leaving;
-    std::function<void(const std::string&)> m_onVerdict;
+    TargetLeavingTracker& m_leaving;
+    std::function<void(const NoticeSubject&)> m_onNotice;
 };
 
 /// Name of the pool that \p model stands for: equal lists of replicas share one.
--- a/lib/Daemon/ToolCallController.cpp
+++ b/lib/Daemon/ToolCallController.cpp
@@ -37,13 +37,14 @@
 
 } // namespace
 
-ToolCallController::ToolCallController(const Clock& clock, HttpClient& client, EnvironmentController& environments, ShardController& shards, ProgramGate& gate, ModelDispatcher& dispatcher, DecisionLog& log)
+ToolCallController::ToolCallController(const Clock& clock, HttpClient& client, EnvironmentController& environments, ShardController& shards, ProgramGate& gate, ModelDispatcher& dispatcher, const TargetLeavingTracker& leaving, DecisionLog& log)
     : m_clock(clock)
     , m_client(client)
     , m_environments(environments)
     , m_shards(shards)
     , m_gate(gate)
     , m_dispatcher(dispatcher)
+    , m_leaving(leaving)
     , m_log(log)
 {
 }
@@ -90,7 +91,17 @@
     options.readTimeout = tool.timeout;
     // A kept-alive connection that closes as the request goes out leaves open whether it ran.
     options.reuseConnection = tool.idempotent;
-    return m_client.call(tool.addresses[m_nextAddress++ % tool.addresses.size()], request, options);
+    return m_client.call(pickAddress(tool), request, options);
+}
+
+const Endpoint& ToolCallController::pickAddress(const ToolService& tool)
+{
+    for (std::size_t n = 0; n < tool.addresses.size(); ++n) {
+        const Endpoint& address = tool.addresses[m_nextAddress++ % tool.addresses.size()];
+        if (m_leaving.admitsWork(TargetId(address.text())))
+            return address;
+    }
+    throw TargetError(tool.addresses.front(), Executed::No, "every address is leaving");
 }
 
 void ToolCallController::runOnce(RequestContext& context, const ProgramId& program, const ToolService& tool, const RequestKey& key)
--- a/lib/Daemon/ToolCallController.h
+++ b/lib/Daemon/ToolCallController.h
@@ -7,6 +7,7 @@
 #include "ShardController.h"
 
 #include "basilpoint/Daemon/Filter.h"
+#include "basilpoint/Fleet/TargetLeavingTracker.h"
 #include "basilpoint/Net/HttpClient.h"
 
 namespace basilpoint {
@@ -14,7 +15,7 @@
 /// Serves the tool calls of programs whose shard this daemon owns.
 class ToolCallController {
 public:
-    ToolCallController(const Clock&, HttpClient&, EnvironmentController&, ShardController&, ProgramGate&, ModelDispatcher&, DecisionLog&);
+    ToolCallController(const Clock&, HttpClient&, EnvironmentController&, ShardController&, ProgramGate&, ModelDispatcher&, const TargetLeavingTracker&, DecisionLog&);
 
     /// Answers the request. A repeat of a running non-idempotent call waits for its outcome.
     void handle(RequestContext&, const ToolCallOperation&);
@@ -24,6 +25,7 @@
 
     void runOnce(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
     void runIdempotent(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
+    const Endpoint& pickAddress(const ToolService&);
     HttpResponse send(const RequestContext&, const ToolService&, const RequestKey&);
     std::optional<HttpResponse> askByKey(const ToolService&, const RequestKey&);
     HttpResponse settle(const ProgramId&, const ToolService&, const RequestKey&, const std::exception_ptr& failure);
@@ -34,6 +36,7 @@
     ShardController& m_shards;
     ProgramGate& m_gate;
     ModelDispatcher& m_dispatcher;
+    const TargetLeavingTracker& m_leaving;
     DecisionLog& m_log;
     std::map<CallName, std::shared_ptr<FiberSignal>> m_running;
     std::uint64_t m_nextAddress = 0;
--- a/lib/Fleet/ConfigurationCodec.cpp
+++ b/lib/Fleet/ConfigurationCodec.cpp
@@ -42,7 +42,7 @@
 {
     Json documents = Json::object();
     for (const auto& [id, stored] : message.documents)
-        documents[id.text()] = Json::array({ stored.revision.value(), stored.document });
+        documents[id.text()] = encodeStoredEnvironment(stored);
     return Json::array({ static_cast<unsigned>(MessageType::Documents), message.from.text(), std::move(documents) });
 }
 
@@ -66,7 +66,7 @@
 {
     DocumentsMessage message { std::move(from), {} };
     for (const auto& [id, stored] : json.at(2).items())
-        message.documents.emplace(EnvironmentId(id), StoredEnvironment { Revision(stored.at(0).get<std::uint64_t>()), stored.at(1).get<std::string>() });
+        message.documents.emplace(EnvironmentId(id), decodeStoredEnvironment(stored.get<std::string>()));
     return message;
 }
 
