--- a/unittests/Journal/GroupCommitterTest.cpp
+++ b/unittests/Journal/GroupCommitterTest.cpp
@@ -1,4 +1,4 @@
-#include "Journal/GroupCommitter.h"
+#include "../../lib/Journal/GroupCommitter.h"
 
 #include "TemporaryFolder.h"
 
--- a/unittests/Journal/SegmentLogTest.cpp
+++ b/unittests/Journal/SegmentLogTest.cpp
@@ -1,4 +1,4 @@
-#include "Journal/SegmentLog.h"
+#include "../../lib/Journal/SegmentLog.h"
 
 #include "TemporaryFolder.h"
 
