Refuse waiting calls when no replica stays

Cause: a call without a deadline waited without end after the last replica of its model was gone; weights of programs without notice of their end stayed. Change: after the aging bound such calls are refused NoReplica; weights go with the last cache. Tests for both and for moves from a leaving target.

--- a/benchmarks/Policy/ProgramDriver.cpp
+++ b/benchmarks/Policy/ProgramDriver.cpp
@@ -40,7 +40,6 @@
 {
     if (run.over)
         return;
-    const Turn& turn = run.shape->turns[run.turn];
     ModelCall call;
     call.id = CallId(m_nextCall++);
     call.program = run.id;
@@ -54,7 +53,6 @@
     call.deadline = EventQueue::at(run.root->arrivedAt + run.root->shape->deadlineSeconds);
     call.latencyWeight = run.root->shape->latencyWeight;
     call.cacheWeight = run.root->shape->cacheWeight;
-    static_cast<void>(turn);
     run.call = call.id;
     run.target.reset();
     m_byCall[call.id] = &run;
--- a/include/basilpoint/Policy/ReplicaSet.h
+++ b/include/basilpoint/Policy/ReplicaSet.h
@@ -5,7 +5,6 @@
 #include "basilpoint/Policy/LoadEstimate.h"
 #include "basilpoint/Support/Clock.h"
 #include "basilpoint/Support/Ids.h"
-#include "basilpoint/Support/Random.h"
 
 #include <cstdint>
 #include <optional>
--- a/lib/Policy/SchedulerCaches.cpp
+++ b/lib/Policy/SchedulerCaches.cpp
@@ -70,11 +70,11 @@
     if (!replica || m_replicas.at(*replica).leaving)
         return;
     m_replicas.update(*replica, [](Replica& changed) { changed.leaving = true; });
-    moveCachesFrom(*replica, now);
+    moveCachesFrom(*replica);
     serve(m_replicas.at(*replica).model, now);
 }
 
-void SchedulerState::moveCachesFrom(ReplicaIndex from, TimePoint)
+void SchedulerState::moveCachesFrom(ReplicaIndex from)
 {
     const Replica& source = m_replicas.at(from);
     std::size_t moves = 0;
--- a/lib/Policy/SchedulerState.cpp
+++ b/lib/Policy/SchedulerState.cpp
@@ -323,6 +323,20 @@
     }
 }
 
+void SchedulerState::refuseWithoutReplica(ModelLane& lane, const std::string& model, TimePoint now)
+{
+    if (lane.waiting() == 0 || m_replicas.staying(model) > 0)
+        return;
+    // A short gap is bridged; after the aging bound the caller had better know.
+    std::vector<CallId> stranded;
+    for (const auto& [id, record] : m_calls) {
+        if (!record.replica && record.call.model == model && now - record.submittedAt >= m_settings.agingBound)
+            stranded.push_back(id);
+    }
+    for (CallId id : stranded)
+        refuse(m_calls.at(id), lane, RefusalReason::NoReplica, now);
+}
+
 void SchedulerState::tick(TimePoint now)
 {
     for (const TargetId& target : m_ejection.takeReturning(now)) {
@@ -331,6 +345,7 @@
     }
     for (auto& [model, lane] : m_lanes) {
         refuseExpired(lane, now);
+        refuseWithoutReplica(lane, model, now);
         auto oldest = lane.queue.oldestArrival();
         Milliseconds oldestWait = oldest ? std::chrono::duration_cast<Milliseconds>(now - *oldest) : Milliseconds(0);
         lane.admission.tick(lane.service.size(), oldestWait, now);
@@ -340,8 +355,11 @@
         }
         serve(model, now);
     }
-    for (const OwnedCache& cache : m_caches.takeExpired(now))
+    for (const OwnedCache& cache : m_caches.takeExpired(now)) {
         release(cache.program, cache.entry);
+        if (m_caches.of(cache.program).empty())
+            m_weightsOf.erase(cache.program);
+    }
     if (now < m_sweepAt)
         return;
     m_quarantine.sweep(now);
--- a/lib/Policy/SchedulerState.h
+++ b/lib/Policy/SchedulerState.h
@@ -75,8 +75,9 @@
     void release(const ProgramId&, const CacheEntry&);
     void releaseAll(const ProgramId&);
     void holdFor(const ProgramId&, const std::string& tool, TimePoint now);
-    void moveCachesFrom(ReplicaIndex, TimePoint now);
+    void moveCachesFrom(ReplicaIndex);
     void refuseExpired(ModelLane&, TimePoint now);
+    void refuseWithoutReplica(ModelLane&, const std::string& model, TimePoint now);
     RouteRequest routeRequest(const CallRecord&, bool mayWait) const;
 
     SchedulerSettings m_settings;
--- a/unittests/Policy/ModelSchedulerTest.cpp
+++ b/unittests/Policy/ModelSchedulerTest.cpp
@@ -233,6 +233,36 @@
     BOOST_TEST(oracle.isRunning(oracle.submit("other", 0)));
 }
 
+BOOST_AUTO_TEST_CASE(waitingCallIsRefusedWhenAllReplicasStayAway)
+{
+    SchedulerOracle oracle(smallSettings());
+    oracle.addTarget("a");
+    for (int n = 0; n < 3; ++n)
+        oracle.submit("q" + std::to_string(n), 0);
+    CallId waiting = oracle.submit("p", 0);
+    oracle.kill("a");
+    oracle.advance(9s);
+    BOOST_TEST(oracle.isWaiting(waiting));
+    oracle.advance(2s);
+    BOOST_TEST((oracle.refusal(waiting) == RefusalReason::NoReplica));
+}
+
+BOOST_AUTO_TEST_CASE(cacheOfALeavingTargetMovesAndIdleOnesAreReleased)
+{
+    SchedulerOracle oracle({});
+    oracle.addTarget("a");
+    oracle.addTarget("b");
+    CallId call = oracle.submit("p", 0);
+    TargetId home = *oracle.targetOf(call);
+    oracle.end(call);
+    oracle.leave(home.text());
+    BOOST_TEST_REQUIRE(oracle.moved.size() == 1U);
+    BOOST_TEST((oracle.moved.front().from == home));
+    oracle.advance(oracle.settings.maxCacheIdle);
+    BOOST_TEST(oracle.scheduler.heldCaches() == 0U);
+    BOOST_TEST((oracle.released.back().target == oracle.moved.front().to));
+}
+
 BOOST_AUTO_TEST_CASE(fullQueueRefusesWithRetryAfter)
 {
     SchedulerOracle oracle(smallSettings());
