--- a/include/basilpoint/Shard/ShardOwner.h
+++ b/include/basilpoint/Shard/ShardOwner.h
@@ -30,6 +30,9 @@
 ///
 /// Takes events and the time, returns actions; does no input or output. Safety does not depend on
 /// the clock: an owner that was paused cannot append, and acts only on acknowledged entries.
+///
+/// With allowWithoutService, a daemon keeps one object per shard for its whole life: the object knows
+/// which epochs it has used, and an epoch must not be used twice under one instance id.
 class ShardOwner {
 public:
     enum class State {
