Share the key-value rate among members; rank holders before hashing

Cause: with a burst of 20 for each of 302 daemons, a lost data centre allowed 6,040 calls at once; with a small burst, a fleet of seven would start slowly. Placement runs for each change of members. The governor's test draws the members; the expected waits of its second case are unchanged.

--- a/include/basilpoint/Fleet/KeyValueGovernor.h
+++ b/include/basilpoint/Fleet/KeyValueGovernor.h
@@ -22,12 +22,12 @@
 inline constexpr std::size_t keyValueCallKinds = 4;
 
 struct KeyValueGovernorSettings {
-    /// Rate of this daemon's calls: the service's rate divided by the daemons that share it.
-    double callsPerSecond = 2;
-    /// Calls that may be made at once after a quiet time.
-    double burst = 20;
+    /// Rate that all daemons share; well below what the service handles.
+    double fleetCallsPerSecond = 600;
+    /// Least number of calls that a daemon may make at once after a quiet time.
+    double minBurst = 6;
     /// Part of the burst that only lease renewals may use.
-    double reservedBurst = 4;
+    double reservedBurst = 3;
     /// Failures in a row after which calls are refused for a time.
     unsigned breakerFailures = 5;
     Milliseconds minPause { 200 };
@@ -71,8 +71,8 @@
     /// The call ended; \p answered is false if the service did not answer or reported a failure of its own.
     void finished(KeyValueCallKind, const std::string& key, bool answered, TimePoint now);
 
-    /// The daemon's share has changed, as members came or went.
-    void setRate(double callsPerSecond, TimePoint now);
+    /// Sets the daemon's share of the rate, and a burst of a second's worth. One member until first called.
+    void setMembers(std::size_t members, TimePoint now);
 
     /// Whether calls are refused because the service fails.
     bool isOpen() const { return m_failures >= m_settings.breakerFailures; }
@@ -86,6 +86,8 @@
 
     KeyValueGovernorSettings m_settings;
     RandomEngine m_random;
+    double m_callsPerSecond;
+    double m_burst;
     double m_tokens;
     TimePoint m_lastRefill;
     unsigned m_failures = 0;
--- a/lib/Fleet/KeyValueGovernor.cpp
+++ b/lib/Fleet/KeyValueGovernor.cpp
@@ -8,7 +8,9 @@
 KeyValueGovernor::KeyValueGovernor(const KeyValueGovernorSettings& settings, RandomEngine::result_type seed)
     : m_settings(settings)
     , m_random(seed)
-    , m_tokens(settings.burst)
+    , m_callsPerSecond(settings.fleetCallsPerSecond)
+    , m_burst(std::max(m_callsPerSecond, settings.minBurst))
+    , m_tokens(m_burst)
     , m_pause(settings.minPause)
 {
 }
@@ -36,7 +38,7 @@
     refill(now);
     double needed = 1 + (kind == KeyValueCallKind::LeaseRenewal ? 0 : m_settings.reservedBurst);
     if (m_tokens < needed)
-        return RefuseCall { Milliseconds(static_cast<std::int64_t>(std::ceil((needed - m_tokens) / m_settings.callsPerSecond * 1'000))) };
+        return RefuseCall { Milliseconds(static_cast<std::int64_t>(std::ceil((needed - m_tokens) / m_callsPerSecond * 1'000))) };
     m_tokens -= 1;
     m_trialUnderWay = isOpen();
     if (kind == KeyValueCallKind::Read)
@@ -60,17 +62,19 @@
         drawPause(now);
 }
 
-void KeyValueGovernor::setRate(double callsPerSecond, TimePoint now)
+void KeyValueGovernor::setMembers(std::size_t members, TimePoint now)
 {
     refill(now);
-    m_settings.callsPerSecond = callsPerSecond;
+    m_callsPerSecond = m_settings.fleetCallsPerSecond / static_cast<double>(std::max<std::size_t>(members, 1));
+    m_burst = std::max(m_callsPerSecond, m_settings.minBurst);
+    m_tokens = std::min(m_tokens, m_burst);
 }
 
 void KeyValueGovernor::refill(TimePoint now)
 {
     std::chrono::duration<double> elapsed = now - m_lastRefill;
     m_lastRefill = now;
-    m_tokens = std::min(m_settings.burst, m_tokens + elapsed.count() * m_settings.callsPerSecond);
+    m_tokens = std::min(m_burst, m_tokens + elapsed.count() * m_callsPerSecond);
 }
 
 void KeyValueGovernor::drawPause(TimePoint now)
--- a/lib/Fleet/ShardPlacement.cpp
+++ b/lib/Fleet/ShardPlacement.cpp
@@ -105,16 +105,22 @@
 static const MemberInfo* bestHolder(const std::vector<Candidate>& holders, std::uint64_t shard, const MemberInfo& owner, const MemberInfo* first)
 {
     const MemberInfo* best = nullptr;
-    std::tuple<bool, bool, bool, std::uint64_t> bestRank;
+    std::tuple<bool, bool, bool> bestRank;
+    std::uint64_t bestWeight = 0;
     for (const auto& [member, hash] : holders) {
         if (member == first)
             continue;
         bool elsewhere = first && member->dataCentre != first->dataCentre;
-        std::tuple rank(elsewhere, member->durable, member->id != owner.id, weightOf(hash, shard));
+        std::tuple rank(elsewhere, member->durable, member->id != owner.id);
+        // Most candidates fall out by rank, before the hash that takes most of the time.
         if (best && rank < bestRank)
             continue;
+        std::uint64_t weight = weightOf(hash, shard);
+        if (best && rank == bestRank && weight < bestWeight)
+            continue;
         best = member;
         bestRank = rank;
+        bestWeight = weight;
     }
     return best;
 }
--- a/unittests/Fleet/KeyValueGovernorTest.cpp
+++ b/unittests/Fleet/KeyValueGovernorTest.cpp
@@ -15,6 +15,10 @@
         KeyValueGovernorSettings settings;
         KeyValueGovernor governor(settings, *rc::gen::arbitrary<std::uint64_t>());
         TimePoint now(1h);
+        auto members = *rc::gen::inRange<std::size_t>(50, 400);
+        governor.setMembers(members, now);
+        double rate = settings.fleetCallsPerSecond / static_cast<double>(members);
+        double burst = std::max(rate, settings.minBurst);
         std::deque<TimePoint> made;
         std::vector<std::pair<KeyValueCallKind, std::string>> underWay;
         unsigned failuresInARow = 0;
@@ -44,7 +48,7 @@
             }
             for (std::size_t from = 0; from < made.size(); ++from) {
                 std::chrono::duration<double> window = now - made[from];
-                RC_ASSERT(static_cast<double>(made.size() - from) <= settings.burst + window.count() * settings.callsPerSecond + 1e-6);
+                RC_ASSERT(static_cast<double>(made.size() - from) <= burst + window.count() * rate + 1e-6);
             }
         }
     }));
@@ -54,10 +58,11 @@
 {
     KeyValueGovernor governor({}, 1);
     TimePoint now(1h);
+    governor.setMembers(300, now);
     while (std::holds_alternative<MakeCall>(governor.admit(KeyValueCallKind::Write, "k", now))) { }
     BOOST_TEST((governor.admit(KeyValueCallKind::LeaseRenewal, "lease", now) == KeyValueDecision(MakeCall {})));
     auto slow = std::get<RefuseCall>(governor.admit(KeyValueCallKind::Write, "k", now));
-    governor.setRate(20, now);
+    governor.setMembers(30, now);
     auto fast = std::get<RefuseCall>(governor.admit(KeyValueCallKind::Write, "k", now));
     BOOST_TEST((slow.retryAfter == 1'000ms && fast.retryAfter == 100ms));
 }
