--- a/include/basilpoint/Net/Errors.h
+++ b/include/basilpoint/Net/Errors.h
@@ -21,7 +21,13 @@
 class TargetError final : public Error {
 public:
     /// \param executed No only if not one byte of the request was sent.
-    TargetError(const Endpoint&, Executed executed, const std::string& reason);
+    /// \param answered whether the target lives and has answered with a failure.
+    TargetError(const Endpoint&, Executed executed, const std::string& reason, bool answered = false);
+
+    bool answered() const noexcept { return m_answered; }
+
+private:
+    bool m_answered;
 };
 
 /// A message is larger than its limit.
--- a/lib/Daemon/FleetController.cpp
+++ b/lib/Daemon/FleetController.cpp
@@ -183,13 +183,13 @@
     });
 }
 
-// A journal in memory is gone with its instance.
-std::set<HolderId> FleetController::lostHolders(const ShardRecord& record) const
+// A journal in memory is gone with its instance, once that is known to be dead and not merely unheard of.
+std::set<HolderId> FleetController::lostHolders() const
 {
     std::set<HolderId> lost;
-    for (const HolderId& holder : record.holders) {
-        if (holder.text().starts_with(memoryHolderPrefix) && !findHolder(holder))
-            lost.insert(holder);
+    for (const auto& [id, member] : m_members) {
+        if (member.state == MemberState::Dead && member.holder.text().starts_with(memoryHolderPrefix))
+            lost.insert(member.holder);
     }
     return lost;
 }
@@ -198,6 +198,8 @@
 void FleetController::claim(ShardId shard, const ShardPlace& place)
 {
     bool enoughHolders = single() || place.holders.size() >= holdersPerShard;
+    if (m_driver.state(shard) == ShardOwner::State::TakingOver)
+        m_driver.takeOver(shard, place.holders, lostHolders());
     if (m_driver.active(shard) || m_claims.contains(shard) || !enoughHolders)
         return;
     m_claims[shard] = 1;
@@ -216,7 +218,7 @@
             }
             if (free) {
                 m_attempts.erase(shard);
-                m_driver.takeOver(shard, holders, record ? lostHolders(*record) : std::set<HolderId>());
+                m_driver.takeOver(shard, holders, lostHolders());
             }
         } catch (const Error& error) {
             spdlog::debug("shard {}: not claimed: {}", shard.value(), error.what());
--- a/lib/Daemon/FleetController.h
+++ b/lib/Daemon/FleetController.h
@@ -71,7 +71,7 @@
     bool ownerGone(const ShardRecord&) const;
     Milliseconds joinTime() const;
     void checkOwnership(ShardId);
-    std::set<HolderId> lostHolders(const ShardRecord&) const;
+    std::set<HolderId> lostHolders() const;
     std::vector<Endpoint> listedPeers();
     const MemberInfo* findMember(const InstanceId&) const;
     const MemberInfo* findHolder(const HolderId&) const;
--- a/lib/Daemon/GovernedKeyValueStore.cpp
+++ b/lib/Daemon/GovernedKeyValueStore.cpp
@@ -2,29 +2,18 @@
 
 namespace basilpoint {
 
-// The service takes several hundred writes a second; reads and writes together stay below that.
-static constexpr double serviceCallsPerSecond = 400;
-static constexpr double burstCalls = 96;
 static constexpr Milliseconds longestWait { 2'000 };
 
-static KeyValueGovernorSettings governorSettings()
-{
-    KeyValueGovernorSettings settings;
-    settings.callsPerSecond = serviceCallsPerSecond;
-    settings.burst = burstCalls;
-    return settings;
-}
-
 GovernedKeyValueStore::GovernedKeyValueStore(KeyValueStore& inner, const Clock& clock, RandomEngine::result_type seed)
     : m_inner(inner)
     , m_clock(clock)
-    , m_governor(governorSettings(), seed)
+    , m_governor(KeyValueGovernorSettings {}, seed)
 {
 }
 
 void GovernedKeyValueStore::setMembers(std::size_t members)
 {
-    m_governor.setRate(serviceCallsPerSecond / static_cast<double>(std::max<std::size_t>(members, 1)), m_clock.now());
+    m_governor.setMembers(members, m_clock.now());
 }
 
 // Short refusals are waited out here; a longer one means that the service fails.
--- a/lib/Daemon/JournalService.cpp
+++ b/lib/Daemon/JournalService.cpp
@@ -27,6 +27,8 @@
 
 HolderReply JournalService::handle(ShardId shard, const HolderRequest& request)
 {
+    if (m_store)
+        m_store->ensureSpace();
     HolderDecision decision = m_holder->handle(shard, request);
     if (decision.op && m_store)
         persist(*decision.op);
--- a/lib/Daemon/ModelCallController.cpp
+++ b/lib/Daemon/ModelCallController.cpp
@@ -126,6 +126,13 @@
     m_running.erase(program);
 }
 
+CallEnd ModelCallController::endOf(const RunningTurn& turn, const TargetError& error)
+{
+    if (turn.cancelled)
+        return CallEnd::Cancelled;
+    return error.answered() ? CallEnd::Failed : CallEnd::TargetDied;
+}
+
 std::string ModelCallController::runTurn(RunningTurn& turn)
 {
     const ProgramId& program = turn.request.program;
@@ -133,23 +140,22 @@
     m_log.record(program, DecisionKind::Queued, turn.model);
     std::string message;
     TokenCount used = wholeReservation;
-    bool started = false;
     for (unsigned attempt = 1;; ++attempt) {
         DispatchGrant grant;
         try {
             grant = m_dispatcher.acquire(describe(turn));
         } catch (const CallRefusedError& error) {
             m_log.record(program, DecisionKind::Refused, std::string(error.code()));
-            if (started)
+            if (turn.started)
                 commitFailure(turn);
             throw;
         }
         ChatStream answer([](std::string_view) {});
         try {
-            if (!started) {
+            if (!turn.started) {
                 CallDecision decision = m_shards.table(shard).startTurn(turn.request, m_clock.wallNow());
                 m_shards.commit(shard, std::get<ProgramRecord>(decision));
-                started = true;
+                turn.started = std::get<TurnStarted>(std::get<ProgramRecord>(decision));
             }
             m_log.record(program, DecisionKind::Dispatched, grant.replica.text());
             runOnce(turn, grant, answer);
@@ -158,7 +164,7 @@
             used = answer.totalTokens().value_or(wholeReservation);
             break;
         } catch (const TargetError& error) {
-            m_dispatcher.ended(grant.call, turn.cancelled ? CallEnd::Cancelled : CallEnd::TargetDied, answer.parts());
+            m_dispatcher.ended(grant.call, endOf(turn, error), answer.parts());
             if (!turn.cancelled && attempt < maxAttempts) {
                 m_log.record(program, DecisionKind::Retried, grant.replica.text());
                 continue;
@@ -172,13 +178,13 @@
             throw;
         } catch (const Error&) {
             m_dispatcher.ended(grant.call, CallEnd::Failed, answer.parts());
-            if (started)
+            if (turn.started)
                 commitFailure(turn);
             throw;
         }
     }
     try {
-        m_shards.commit(shard, m_shards.table(shard).finishTurn(program, message, used));
+        m_shards.commit(shard, m_shards.table(shard).finishTurn(*turn.started, message, used));
     } catch (const ShardLostError&) {
         throw ShardLostError(shard, Executed::Unknown);
     }
@@ -190,7 +196,7 @@
     ShardId shard = shardOf(turn.request.program);
     // What the engines have worked is not known exactly once something came.
     TokenCount charged = turn.stream.content().empty() ? 0 : wholeReservation;
-    m_shards.commit(shard, m_shards.table(shard).failTurn(turn.request.program, charged));
+    m_shards.commit(shard, m_shards.table(shard).failTurn(*turn.started, charged));
 }
 
 ModelCall ModelCallController::describe(const RunningTurn& turn)
@@ -252,7 +258,7 @@
     bool retryable = response.status == statusOk || response.status >= statusServerError || response.status == statusTooManyRequests;
     if (!retryable)
         throw EngineRefusedError(response.status, response.body);
-    throw TargetError(grant.replica, Executed::Unknown, "status " + std::to_string(response.status));
+    throw TargetError(grant.replica, Executed::Unknown, "status " + std::to_string(response.status), response.status != statusOk);
 }
 
 void ModelCallController::cancel(const ProgramId& program)
--- a/lib/Daemon/ModelCallController.h
+++ b/lib/Daemon/ModelCallController.h
@@ -15,6 +15,7 @@
 namespace basilpoint {
 
 class ChatStream;
+class TargetError;
 
 /// Serves the model calls of programs whose shard this daemon owns.
 class ModelCallController {
@@ -43,11 +44,14 @@
         std::shared_ptr<const Environment> environment;
         std::string model;
         TurnStream stream;
+        /// The journalled beginning; an answer that comes late ends this call and no other.
+        std::optional<TurnStarted> started;
         HttpCancellation cancellation;
         bool cancelled = false;
     };
 
     void pump(const std::shared_ptr<RunningTurn>&);
+    static CallEnd endOf(const RunningTurn&, const TargetError&);
     std::string runTurn(RunningTurn&);
     std::string runOnReplicas(RunningTurn&);
     void runOnce(RunningTurn&, const DispatchGrant&, ChatStream&);
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -79,6 +79,8 @@
     }
     for (const auto& [target, pool] : m_targets) {
         auto it = wanted.find(target);
+        if (it == wanted.end() || it->second != pool)
+            m_down.erase(target);
         if (it == wanted.end() || it->second != pool)
             perform(m_scheduler.removeTarget(target, m_clock.now()));
     }
@@ -114,6 +116,7 @@
     m_pending.erase(call.id);
     if (pending->refusal)
         throw CallRefusedError(call.program, pending->refusal->reason, pending->refusal->retryAfter);
+    m_granted[call.id] = pending->dispatch->target;
     return { call.id, parseEndpoint("target", pending->dispatch->target.text()), pending->dispatch->priority };
 }
 
@@ -124,9 +127,31 @@
 
 void SchedulerDriver::ended(CallId call, CallEnd end, TokenCount outputTokens)
 {
+    auto granted = m_granted.extract(call);
+    assert(!granted.empty() && "only a granted call ends");
+    if (end == CallEnd::TargetDied)
+        targetDown(granted.mapped());
     perform(m_scheduler.callEnded(call, end, outputTokens, m_clock.now()));
 }
 
+void SchedulerDriver::targetDown(const TargetId& target)
+{
+    if (!m_targets.contains(target) || !m_down.insert(target).second)
+        return;
+    spdlog::warn("target {} is down", target.text());
+    perform(m_scheduler.removeTarget(target, m_clock.now()));
+}
+
+void SchedulerDriver::targetUp(const TargetId& target)
+{
+    auto it = m_targets.find(target);
+    if (m_down.erase(target) == 0 || it == m_targets.end())
+        return;
+    perform(m_scheduler.addTarget(target, it->second, m_clock.now()));
+    if (!m_leaving.admitsWork(target))
+        perform(m_scheduler.targetLeaving(target, m_clock.now()));
+}
+
 void SchedulerDriver::toolStarted(const ProgramId& program, const std::string& tool)
 {
     perform(m_scheduler.toolStarted(program, tool, m_clock.now()));
@@ -263,6 +288,7 @@
         Json json = Json::parse(response.body, nullptr, false);
         if (!json.is_object())
             return;
+        targetUp(target);
         if (json.value("leaving", false))
             targetLeaving(target, LeavingSource::TargetReport);
         perform(m_scheduler.loadReported({ target, json.value("running", std::uint64_t(0)), json.value("waiting", std::uint64_t(0)), json.value("cacheUse", 0.0), measuredAt }, m_clock.now()));
--- a/lib/Daemon/SchedulerDriver.h
+++ b/lib/Daemon/SchedulerDriver.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace basilpoint {
 
@@ -60,6 +61,8 @@
     void announce(NoticeKind, std::string text);
     void readmit(const TargetId&);
 
+    void targetDown(const TargetId&);
+    void targetUp(const TargetId&);
     void tickLoop();
     void pollLoop();
     void pollLoad(const TargetId&);
@@ -71,6 +74,10 @@
     std::map<CallId, std::shared_ptr<PendingCall>> m_pending;
     /// Model pool of each target.
     std::map<TargetId, std::string> m_targets;
+    /// Targets of calls under way.
+    std::map<CallId, TargetId> m_granted;
+    /// Targets that did not answer; they come back with their next load report.
+    std::set<TargetId> m_down;
     TargetLeavingTracker& m_leaving;
     std::function<void(const NoticeSubject&)> m_onNotice;
 };
--- a/lib/Daemon/ShardDriver.cpp
+++ b/lib/Daemon/ShardDriver.cpp
@@ -53,8 +53,13 @@
 
 void ShardDriver::takeOver(ShardId shard, const HolderSet& holders, std::set<HolderId> lost)
 {
-    if (active(shard))
+    ShardPointer running = find(shard);
+    if (running && running->owner.state() != ShardOwner::State::TakingOver)
         return;
+    if (running) {
+        running->owner.declareLost(std::move(lost));
+        return perform(shard, running, running->owner.takeOver(holders, m_random, m_clock.now()));
+    }
     auto state = std::make_shared<Shard>(ShardOwner(shard, m_self, m_settings));
     m_shards[shard] = state;
     state->owner.declareLost(std::move(lost));
--- a/lib/Daemon/ShardDriver.h
+++ b/lib/Daemon/ShardDriver.h
@@ -31,7 +31,7 @@
     /// Shards are adopted by and released from \p controller.
     void attach(ShardController& controller) { m_controller = &controller; }
 
-    /// Begins to take \p shard over unless that is under way.
+    /// Begins to take \p shard over; while that is under way, only replaces the candidates.
     /// \param lost holders that are gone for good.
     void takeOver(ShardId, const HolderSet& holders, std::set<HolderId> lost);
 
--- a/lib/Net/Errors.cpp
+++ b/lib/Net/Errors.cpp
@@ -20,8 +20,9 @@
 {
 }
 
-TargetError::TargetError(const Endpoint& endpoint, Executed executed, const std::string& reason)
+TargetError::TargetError(const Endpoint& endpoint, Executed executed, const std::string& reason, bool answered)
     : Error({ "target-failed", statusBadGateway, executed }, { { "target", endpoint.text() }, { "reason", reason } })
+    , m_answered(answered)
 {
 }
 
