--- a/lib/Policy/SchedulerState.h
+++ b/lib/Policy/SchedulerState.h
@@ -39,6 +39,9 @@
     void setOperatorLimit(const OperatorId& id, unsigned limit) { m_limits.setOperatorLimit(id, limit); }
     void setOperatorWeight(const OperatorId&, double weight);
 
+    void liftQuarantine(const Digest& content) { m_quarantine.lift(content); }
+    std::vector<Digest> quarantinedDigests() const { return m_quarantine.quarantinedDigests(); }
+
     /// Dispatches what can go now.
     void serve(const std::string& model, TimePoint now);
 
@@ -55,7 +58,7 @@
     };
 
     ModelLane& lane(const std::string& model);
-    std::optional<RefuseAction> refusalOf(const ModelCall&, ModelLane&, TimePoint now) const;
+    std::optional<RefuseAction> refusalOf(const ModelCall&, ModelLane&, TimePoint now);
     void enqueue(CallRecord&, ModelLane&);
     void forgetWaiting(CallRecord&, ModelLane&);
     void refuse(CallRecord&, ModelLane&, RefusalReason, TimePoint now);
@@ -72,8 +75,9 @@
     void release(const ProgramId&, const CacheEntry&);
     void releaseAll(const ProgramId&);
     void holdFor(const ProgramId&, const std::string& tool, TimePoint now);
-    void moveCachesFrom(ReplicaIndex, TimePoint now);
+    void moveCachesFrom(ReplicaIndex);
     void refuseExpired(ModelLane&, TimePoint now);
+    void refuseWithoutReplica(ModelLane&, const std::string& model, TimePoint now);
     RouteRequest routeRequest(const CallRecord&, bool mayWait) const;
 
     SchedulerSettings m_settings;
