Honour weights by hours and idempotency per call; test quarantine and leaving targets

A request whose content kills its target, sent ten times at random daemons of seven, ended at most two of five engines and was refused from then on; a leaving engine got nothing new from any daemon 3 s after one was told.

--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -59,7 +59,7 @@
         InstanceId m_id;
         HttpClient m_client;
         HttpKeyValueStore m_service;
-    GovernedKeyValueStore m_store;
+        GovernedKeyValueStore m_store;
         EnvironmentController m_environments;
         DecisionLog m_log;
         Metrics m_metrics;
@@ -72,8 +72,8 @@
         FleetController m_fleet;
         ConfigurationController m_configuration;
         NoticeController m_notices;
-    TargetLeavingTracker m_leavingTargets;
-    SchedulerDriver m_dispatcher;
+        TargetLeavingTracker m_leavingTargets;
+        SchedulerDriver m_dispatcher;
         ProgramGate m_gate;
         ModelCallController m_modelCalls;
         ToolCallController m_toolCalls;
--- a/lib/Daemon/EnvironmentController.cpp
+++ b/lib/Daemon/EnvironmentController.cpp
@@ -21,12 +21,6 @@
     return true;
 }
 
-void EnvironmentController::refresh(KeyValueStore& store)
-{
-    for (const KeyValue& pair : store.list(environmentKeyPrefix))
-        accept(decodeStoredEnvironment(pair.value));
-}
-
 std::shared_ptr<const Environment> EnvironmentController::find(const EnvironmentId& id) const
 {
     auto it = m_environments.find(id);
--- a/lib/Daemon/EnvironmentController.h
+++ b/lib/Daemon/EnvironmentController.h
@@ -21,9 +21,6 @@
     /// \returns whether it was.
     bool accept(const StoredEnvironment& stored);
 
-    /// Reads all environments from the key-value service.
-    void refresh(KeyValueStore&);
-
     /// \throws EnvironmentNotFoundError.
     std::shared_ptr<const Environment> find(const EnvironmentId&) const;
 
--- a/lib/Daemon/ModelCallController.cpp
+++ b/lib/Daemon/ModelCallController.cpp
@@ -214,8 +214,9 @@
     call.content = turn.digest;
     if (opened.deadline)
         call.deadline = m_clock.now() + std::chrono::duration_cast<Milliseconds>(*opened.deadline - m_clock.wallNow());
-    call.latencyWeight = rules.latencyWeight;
-    call.cacheWeight = rules.cacheWeight;
+    PolicyWeights weights = rules.weightsAt(m_clock.wallNow());
+    call.latencyWeight = weights.latency;
+    call.cacheWeight = weights.cache;
     return call;
 }
 
--- a/lib/Daemon/ToolCallController.cpp
+++ b/lib/Daemon/ToolCallController.cpp
@@ -53,45 +53,50 @@
 {
     const ProgramId& program = operation.program;
     auto environment = m_environments.find(m_shards.table(shardOf(program)).opening(program).environment);
-    auto tool = environment->tools.find(operation.tool);
+    // "/tools/SERVICE" or "/tools/SERVICE/CALL".
+    auto slash = operation.tool.find('/');
+    std::string call = slash == std::string::npos ? "" : operation.tool.substr(slash + 1);
+    auto tool = environment->tools.find(operation.tool.substr(0, slash));
     if (tool == environment->tools.end())
         throw InvalidInputError("tool", operation.tool, "a tool of the environment");
     RequestKey key = idempotencyKeyOf(context.request);
-    if (!tool->second.idempotent && key.empty())
+    bool idempotent = tool->second.isIdempotent(call);
+    if (!idempotent && key.empty())
         throw InvalidInputError("Idempotency-Key", "", "a key, since the tool's calls must not be repeated");
     auto use = m_shards.use(shardOf(program));
     auto pass = m_gate.enter(program, CallOrder::Shared);
     ToolPause pause(m_dispatcher, program, operation.tool);
-    if (tool->second.idempotent)
-        runIdempotent(context, program, tool->second, key);
+    ToolCall toolCall { program, tool->second, operation.tool, key, idempotent };
+    if (idempotent)
+        runIdempotent(context, toolCall);
     else
-        runOnce(context, program, tool->second, key);
+        runOnce(context, toolCall);
 }
 
-void ToolCallController::runIdempotent(RequestContext& context, const ProgramId& program, const ToolService& tool, const RequestKey& key)
+void ToolCallController::runIdempotent(RequestContext& context, const ToolCall& call)
 {
-    m_log.record(program, DecisionKind::Dispatched, tool.name);
+    m_log.record(call.program, DecisionKind::Dispatched, call.path);
     for (unsigned attempt = 1;; ++attempt) {
         try {
-            return context.writer.send(send(context, tool, key));
+            return context.writer.send(send(context, call));
         } catch (const TargetError&) {
             if (attempt >= maxIdempotentAttempts)
                 throw;
-            m_log.record(program, DecisionKind::Retried, tool.name);
+            m_log.record(call.program, DecisionKind::Retried, call.path);
         }
     }
 }
 
-HttpResponse ToolCallController::send(const RequestContext& context, const ToolService& tool, const RequestKey& key)
+HttpResponse ToolCallController::send(const RequestContext& context, const ToolCall& call)
 {
-    HttpRequest request { "POST", "/" + tool.name, { { "content-type", "application/json" }, { "traceparent", context.traceParent } }, context.request.body };
-    if (!key.empty())
-        request.headers["idempotency-key"] = key.text();
+    HttpRequest request { "POST", "/" + call.path, { { "content-type", "application/json" }, { "traceparent", context.traceParent } }, context.request.body };
+    if (!call.key.empty())
+        request.headers["idempotency-key"] = call.key.text();
     HttpCallOptions options;
-    options.readTimeout = tool.timeout;
+    options.readTimeout = call.tool.timeout;
     // A kept-alive connection that closes as the request goes out leaves open whether it ran.
-    options.reuseConnection = tool.idempotent;
-    return m_client.call(pickAddress(tool), request, options);
+    options.reuseConnection = call.idempotent;
+    return m_client.call(pickAddress(call.tool), request, options);
 }
 
 const Endpoint& ToolCallController::pickAddress(const ToolService& tool)
@@ -104,13 +109,14 @@
     throw TargetError(tool.addresses.front(), Executed::No, "every address is leaving");
 }
 
-void ToolCallController::runOnce(RequestContext& context, const ProgramId& program, const ToolService& tool, const RequestKey& key)
+void ToolCallController::runOnce(RequestContext& context, const ToolCall& call)
 {
+    const auto& [program, tool, path, key, idempotent] = call;
     CallName name { program, key };
     while (auto running = m_running.contains(name) ? m_running[name] : nullptr)
         running->wait();
     ShardId shard = shardOf(program);
-    CallDecision decision = m_shards.table(shard).recordIntent({ program, key, tool.name, context.request.body }, m_clock.wallNow());
+    CallDecision decision = m_shards.table(shard).recordIntent({ program, key, path, context.request.body }, m_clock.wallNow());
     if (const auto* recorded = std::get_if<RecordedAnswer>(&decision)) {
         m_log.record(program, DecisionKind::AnsweredFromJournal, key.text());
         return context.writer.send({ recorded->status, { { "content-type", "application/json" } }, recorded->body });
@@ -139,12 +145,12 @@
     HttpResponse response;
     std::exception_ptr failure;
     try {
-        response = send(context, tool, key);
+        response = send(context, call);
     } catch (const TargetError&) {
         failure = std::current_exception();
     }
     if (failure)
-        response = settle(program, tool, key, failure);
+        response = settle(call, failure);
     try {
         m_shards.commit(shard, m_shards.table(shard).recordOutcome(program, key, Executed::Yes, response.status, response.body));
         m_log.record(program, DecisionKind::OutcomeRecorded, key.text() + " yes");
@@ -156,8 +162,9 @@
 }
 
 // Finds out what became of a call that got no answer. Only "it ran" settles the matter.
-HttpResponse ToolCallController::settle(const ProgramId& program, const ToolService& tool, const RequestKey& key, const std::exception_ptr& failure)
+HttpResponse ToolCallController::settle(const ToolCall& call, const std::exception_ptr& failure)
 {
+    const auto& [program, tool, path, key, idempotent] = call;
     ShardId shard = shardOf(program);
     try {
         std::rethrow_exception(failure);
--- a/lib/Daemon/ToolCallController.h
+++ b/lib/Daemon/ToolCallController.h
@@ -23,12 +23,22 @@
 private:
     using CallName = std::pair<ProgramId, RequestKey>;
 
-    void runOnce(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
-    void runIdempotent(RequestContext&, const ProgramId&, const ToolService&, const RequestKey&);
+    /// One call on its way. References live as long as the request.
+    struct ToolCall {
+        const ProgramId& program;
+        const ToolService& tool;
+        /// Service, or service and call.
+        const std::string& path;
+        const RequestKey& key;
+        bool idempotent = false;
+    };
+
+    void runOnce(RequestContext&, const ToolCall&);
+    void runIdempotent(RequestContext&, const ToolCall&);
     const Endpoint& pickAddress(const ToolService&);
-    HttpResponse send(const RequestContext&, const ToolService&, const RequestKey&);
+    HttpResponse send(const RequestContext&, const ToolCall&);
     std::optional<HttpResponse> askByKey(const ToolService&, const RequestKey&);
-    HttpResponse settle(const ProgramId&, const ToolService&, const RequestKey&, const std::exception_ptr& failure);
+    HttpResponse settle(const ToolCall&, const std::exception_ptr& failure);
 
     const Clock& m_clock;
     HttpClient& m_client;
--- a/unittests/EndToEnd/FleetTest.cpp
+++ b/unittests/EndToEnd/FleetTest.cpp
@@ -161,4 +161,50 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(requestThatKillsItsTargetsIsStoppedEverywhereAfterTwoDeaths)
+{
+    runInFiber([](HttpClient& client) {
+        static constexpr unsigned engines = 5;
+        TestFleet fleet(client, { daemons, engines, { "--token-ms", "5", "--crash-on", "poison" }, {}, 3 });
+        startFleet(fleet);
+        Workload workload(client, fleet, answerTokens);
+        workload.start(programs, turns);
+        waitForTurns(workload, 1);
+        Caller caller(client, fleet, 99);
+        // Its caller sends it again and again, by other programs at other daemons.
+        unsigned refused = 0;
+        for (unsigned n = 0; n < 10; ++n) {
+            std::string program = caller.open("poison-" + std::to_string(n));
+            Json body { { "model", "m" }, { "messages", Json::array({ { { "role", "user" }, { "content", "poison" } } }) } };
+            HttpResponse response = caller.send({ "POST", "/v1/chat/completions", { { "basilpoint-program", program } }, body.dump() });
+            BOOST_TEST(response.status / 100 != 2, response.body);
+            Json problem = Json::parse(response.body);
+            refused += problem.value("title", "") == "quarantined" ? 1 : 0;
+        }
+        BOOST_TEST(fleet.enginesRunning() >= engines - 2);
+        BOOST_TEST(refused >= 8U);
+        finish(fleet, workload);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(leavingTargetGetsNothingNewFromAnyDaemon)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, sevenDaemons);
+        startFleet(fleet);
+        Workload workload(client, fleet, answerTokens);
+        workload.start(programs, turns * 2);
+        waitForTurns(workload, programs / 4);
+        BOOST_TEST(fleet.operate(3, "/targets/leave", { { "address", fleet.engines()[0].text() } }).status == 200);
+        static constexpr Milliseconds noticeBound { 3'000 };
+        sleepFiber(noticeBound);
+        auto served = fleet.servedBy(0);
+        Workload later(client, fleet, answerTokens);
+        finish(fleet, workload);
+        workload.start(programs, turns);
+        finish(fleet, workload);
+        BOOST_TEST((fleet.servedBy(0) == served));
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/EndToEnd/TestFleet.cpp
+++ b/unittests/EndToEnd/TestFleet.cpp
@@ -151,6 +151,29 @@
     m_client.call(standIn, { "POST", "/standin/fault", {}, fault.dump() });
 }
 
+std::optional<std::uint64_t> TestFleet::servedBy(unsigned engine)
+{
+    try {
+        Json load = Json::parse(m_client.call(m_engines[engine], { "GET", "/load", {}, {} }).body);
+        return load.value("served", std::uint64_t(0)) + load.value("running", std::uint64_t(0));
+    } catch (const Error&) {
+        return std::nullopt;
+    }
+}
+
+unsigned TestFleet::enginesRunning()
+{
+    unsigned running = 0;
+    for (unsigned n = 0; n < m_engines.size(); ++n)
+        running += servedBy(n) ? 1 : 0;
+    return running;
+}
+
+HttpResponse TestFleet::operate(unsigned n, const std::string& path, const Json& body)
+{
+    return m_client.call(m_addresses[n].operators, { "POST", path, {}, body.dump() });
+}
+
 Json TestFleet::effects()
 {
     return Json::parse(m_client.call(m_tool, { "GET", "/effects", {}, {} }).body);
--- a/unittests/EndToEnd/TestFleet.h
+++ b/unittests/EndToEnd/TestFleet.h
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <vector>
 
 namespace basilpoint::test {
@@ -40,6 +41,11 @@
 
     const Endpoint& callers(unsigned n) const { return m_addresses[n].callers; }
     const std::vector<Endpoint>& engines() const { return m_engines; }
+    /// Calls that each engine has begun, or empty for one that is gone.
+    std::optional<std::uint64_t> servedBy(unsigned engine);
+    unsigned enginesRunning();
+    /// Posts \p body to the operators' listener of daemon \p n.
+    HttpResponse operate(unsigned n, const std::string& path, const nlohmann::json& body);
     const Endpoint& tool() const { return m_tool; }
     const Endpoint& keyValue() const { return m_keyValue; }
 
--- a/unittests/EndToEnd/Workload.cpp
+++ b/unittests/EndToEnd/Workload.cpp
@@ -17,8 +17,9 @@
 
 void Workload::start(unsigned programs, unsigned turns)
 {
+    unsigned first = m_programs;
     m_programs += programs;
-    for (unsigned n = 0; n < programs; ++n)
+    for (unsigned n = first; n < m_programs; ++n)
         spawnFiber([this, n, turns] { runProgram(n, turns); });
 }
 
