End-to-end tests: ports below the ephemeral range, logs taken after the wait

Cause: two flakes of the harness. A port that was found free could be taken by an outgoing connection before its daemon bound it, so one daemon of seven never started; and a test looked at an answer before its fiber had read the daemon's last bytes. Messages of Boost.Test macros are evaluated first, so the logs shown were those from before the wait.

--- a/unittests/EndToEnd/FleetTest.cpp
+++ b/unittests/EndToEnd/FleetTest.cpp
@@ -23,7 +23,8 @@
 static void startFleet(TestFleet& fleet)
 {
     BOOST_REQUIRE(fleet.apply(fleet.document()) == 0);
-    BOOST_REQUIRE_MESSAGE(eventually([&] { return fleet.allReady(); }, limit), fleet.logs());
+    requireEventually(
+        fleet, [&] { return fleet.allReady(); }, limit);
     auto configured = [&] {
         for (unsigned n = 0; n < daemons; ++n) {
             if (!fleet.state(n)["environments"].contains("test"))
@@ -36,7 +37,8 @@
 
 static void finish(TestFleet& fleet, Workload& workload)
 {
-    BOOST_REQUIRE_MESSAGE(eventually([&] { return workload.finished(); }, limit), fleet.logs());
+    requireEventually(
+        fleet, [&] { return workload.finished(); }, limit);
     workload.check();
     BOOST_TEST_MESSAGE("repeats " << workload.repeats() << ", unknown outcomes " << workload.unknownOutcomes());
 }
@@ -100,10 +102,12 @@
         waitForTurns(workload, programs / 4);
         for (unsigned n = 0; n < daemons; ++n) {
             fleet.daemon(n).signal(SIGTERM);
-            BOOST_REQUIRE_MESSAGE(eventually([&] { return !fleet.daemon(n).running(); }, limit), fleet.logs());
+            requireEventually(
+                fleet, [&] { return !fleet.daemon(n).running(); }, limit);
             BOOST_TEST(fleet.daemon(n).exitStatus() == 0);
             fleet.startDaemon(n);
-            BOOST_REQUIRE_MESSAGE(eventually([&] { return fleet.ready(n); }, limit), fleet.logs());
+            requireEventually(
+                fleet, [&] { return fleet.ready(n); }, limit);
         }
         finish(fleet, workload);
         // A planned stop may move work, but no call may end in an unknown outcome.
@@ -157,7 +161,8 @@
         fleet.daemon(2).signal(SIGKILL);
         BOOST_REQUIRE(eventually([&] { return !fleet.daemon(2).running(); }, limit));
         fleet.startDaemon(2);
-        BOOST_TEST(eventually([&] { return revisionEverywhere(fleet, 4); }, configurationBound), fleet.logs());
+        requireEventually(
+            fleet, [&] { return revisionEverywhere(fleet, 4); }, configurationBound);
     });
 }
 
--- a/unittests/EndToEnd/OneDaemonTest.cpp
+++ b/unittests/EndToEnd/OneDaemonTest.cpp
@@ -17,7 +17,8 @@
 static void startOne(TestFleet& fleet)
 {
     BOOST_REQUIRE(fleet.apply(fleet.document()) == 0);
-    BOOST_REQUIRE_MESSAGE(eventually([&] { return fleet.allReady() && fleet.state(0)["environments"].contains("test"); }, limit), fleet.logs());
+    requireEventually(
+        fleet, [&] { return fleet.allReady() && fleet.state(0)["environments"].contains("test"); }, limit);
 }
 
 BOOST_AUTO_TEST_SUITE(OneDaemonTest)
@@ -42,7 +43,8 @@
                 ++done;
             });
         }
-        BOOST_REQUIRE_MESSAGE(eventually([&] { return done == callers; }, limit), fleet.logs());
+        requireEventually(
+            fleet, [&] { return done == callers; }, limit);
         // An engine's label names its prompt: as many labels as prompts means that no answer went astray.
         BOOST_TEST(labels.size() == callers * 3);
     });
@@ -132,11 +134,18 @@
         Caller caller(client, fleet, 1);
         std::string program = caller.open("open");
         std::string content;
-        spawnFiber([&] { content = caller.chat(program, "turn", "long answer"); });
+        bool answered = false;
+        spawnFiber([&] {
+            content = caller.chat(program, "turn", "long answer");
+            answered = true;
+        });
         BOOST_REQUIRE(eventually([&] { return fleet.state(0).value("runningTurns", 0) == 1; }, limit));
         fleet.daemon(0).signal(SIGTERM);
-        BOOST_REQUIRE_MESSAGE(eventually([&] { return !fleet.daemon(0).running(); }, limit), fleet.logs());
+        requireEventually(
+            fleet, [&] { return !fleet.daemon(0).running(); }, limit);
         BOOST_TEST(fleet.daemon(0).exitStatus() == 0);
+        // The daemon's last bytes may still be on their way to the caller's fiber.
+        BOOST_REQUIRE(eventually([&] { return answered; }, limit));
         BOOST_TEST(isWholeAnswer(content, answerTokens), content);
         BOOST_TEST(caller.repeats() == 0U);
     });
@@ -155,7 +164,8 @@
         fleet.daemon(0).signal(SIGKILL);
         BOOST_REQUIRE(eventually([&] { return !fleet.daemon(0).running(); }, limit));
         fleet.startDaemon(0);
-        BOOST_REQUIRE_MESSAGE(eventually([&] { return fleet.allReady(); }, limit), fleet.logs());
+        requireEventually(
+            fleet, [&] { return fleet.allReady(); }, limit);
         BOOST_TEST(caller.show(program) == before);
         BOOST_TEST(caller.chat(program, "turn-1", "first") == first);
         BOOST_TEST((caller.pay(program, "payout-1") == ToolResult::Ran));
--- a/unittests/EndToEnd/Process.cpp
+++ b/unittests/EndToEnd/Process.cpp
@@ -74,17 +74,31 @@
     return buf.str();
 }
 
-unsigned freePort()
+static bool canBind(unsigned port)
 {
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t n = sizeof(address);
-    if (bind(fd, reinterpret_cast<sockaddr*>(&address), n) != 0 || getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) != 0)
-        throw std::runtime_error("no free port");
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    bool bound = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
     close(fd);
-    return ntohs(address.sin_port);
+    return bound;
+}
+
+// Below the range from which the system takes ports of outgoing connections: one of those could take
+// a port between this call and the start of the program that is to listen there.
+unsigned freePort()
+{
+    static constexpr unsigned firstPort = 12'000;
+    static constexpr unsigned portCount = 18'000;
+    static unsigned next = static_cast<unsigned>(getpid()) * 199;
+    for (unsigned n = 0; n < portCount; ++n) {
+        unsigned port = firstPort + next++ % portCount;
+        if (canBind(port))
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 } // namespace basilpoint::test
--- a/unittests/EndToEnd/TestFleet.cpp
+++ b/unittests/EndToEnd/TestFleet.cpp
@@ -4,6 +4,7 @@
 #include "basilpoint/Net/FiberSignal.h"
 #include "basilpoint/Support/Error.h"
 
+#include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <stdexcept>
 
@@ -34,6 +35,12 @@
     return condition();
 }
 
+void requireEventually(const TestFleet& fleet, const std::function<bool()>& condition, Milliseconds limit)
+{
+    bool holds = eventually(condition, limit);
+    BOOST_REQUIRE_MESSAGE(holds, (holds ? std::string() : fleet.logs()));
+}
+
 static Endpoint freeEndpoint()
 {
     return { "127.0.0.1", static_cast<std::uint16_t>(freePort()) };
@@ -179,11 +186,17 @@
     return Json::parse(m_client.call(m_tool, { "GET", "/effects", {}, {} }).body);
 }
 
+static std::string tail(const std::string& log)
+{
+    static constexpr std::size_t maxLogBytes = 3'000;
+    return log.size() > maxLogBytes ? log.substr(log.size() - maxLogBytes) : log;
+}
+
 std::string TestFleet::logs() const
 {
     std::string text;
     for (const auto& daemon : m_daemons)
-        text += daemon->log().substr(0, 20'000) + "\n----\n";
+        text += tail(daemon->log()) + "\n----\n";
     return text;
 }
 
--- a/unittests/EndToEnd/TestFleet.h
+++ b/unittests/EndToEnd/TestFleet.h
@@ -19,6 +19,11 @@
 /// Suspends until \p condition holds. \returns false if it does not within \p limit.
 bool eventually(const std::function<bool()>& condition, Milliseconds limit);
 
+class TestFleet;
+
+/// Ends the test with the daemons' logs if \p condition does not hold within \p limit.
+void requireEventually(const TestFleet&, const std::function<bool()>& condition, Milliseconds limit);
+
 /// Stand-ins and daemons as separate processes on loopback.
 class TestFleet {
 public:
