--- a/unittests/EndToEnd/OneDaemonTest.cpp
+++ b/unittests/EndToEnd/OneDaemonTest.cpp
@@ -87,6 +87,45 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(toolThatHangsEndsInAnUnknownOutcomeAndIsNeverSentAgain)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, { 1, 1, {}, {}, 0 });
+        Json document = fleet.document();
+        document["tools"][0]["timeoutMilliseconds"] = 200;
+        BOOST_REQUIRE(fleet.apply(document) == 0);
+        requireEventually(
+            fleet, [&] { return fleet.allReady() && fleet.state(0)["environments"].contains("test"); }, limit);
+        Caller caller(client, fleet, 1);
+        std::string program = caller.open("open");
+        fleet.setFault(fleet.tool(), { { "hang", true } });
+        BOOST_TEST((caller.pay(program, "payout-1") == ToolResult::Unknown));
+        fleet.setFault(fleet.tool(), { { "hang", false } });
+        BOOST_TEST((caller.pay(program, "payout-1") == ToolResult::Unknown));
+        BOOST_TEST(fleet.effects() == Json::object());
+        BOOST_TEST((caller.pay(program, "payout-2") == ToolResult::Ran));
+        caller.close(program);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(lostAnswerOfAToolIsAskedForByKeyWhereTheToolCanTell)
+{
+    runInFiber([](HttpClient& client) {
+        TestFleet fleet(client, { 1, 1, {}, {}, 0 });
+        Json document = fleet.document();
+        document["tools"][0]["askableByKey"] = true;
+        BOOST_REQUIRE(fleet.apply(document) == 0);
+        requireEventually(
+            fleet, [&] { return fleet.allReady() && fleet.state(0)["environments"].contains("test"); }, limit);
+        Caller caller(client, fleet, 1);
+        std::string program = caller.open("open");
+        fleet.setFault(fleet.tool(), { { "loseAnswers", 1 } });
+        BOOST_TEST((caller.pay(program, "payout-1") == ToolResult::Ran));
+        BOOST_TEST((caller.pay(program, "payout-1") == ToolResult::Ran));
+        BOOST_TEST(fleet.effects() == Json({ { "payout-1", 1 } }));
+    });
+}
+
 BOOST_AUTO_TEST_CASE(malformedRequestsGetTypedErrorsAndTheDaemonLives)
 {
     runInFiber([](HttpClient& client) {
