Arm the fiber scheduler's timer only when it would fire too late

Cause: each suspension set the timer anew, which completed the wait before it, and that completion ended the suspension at once: with a sleeping fiber beside others the loop never rested.

--- a/lib/Net/FiberRuntime.cpp
+++ b/lib/Net/FiberRuntime.cpp
@@ -49,10 +49,8 @@
 
         void suspend_until(const std::chrono::steady_clock::time_point& wakeTime) noexcept override
         {
-            if (wakeTime != std::chrono::steady_clock::time_point::max()) {
-                m_timer.expires_at(wakeTime);
-                m_timer.async_wait([](boost::system::error_code) {});
-            }
+            if (wakeTime < m_armedFor)
+                arm(wakeTime);
             m_io.run_one();
             m_io.poll();
         }
@@ -63,11 +61,25 @@
         }
 
     private:
+        // Setting the timer anew completes the wait before it, and that would end the next suspension at
+        // once; so it is set only if it would fire too late.
+        void arm(const std::chrono::steady_clock::time_point& wakeTime)
+        {
+            m_armedFor = wakeTime;
+            m_timer.expires_at(wakeTime);
+            m_timer.async_wait([this](boost::system::error_code ec) {
+                if (!ec)
+                    m_armedFor = std::chrono::steady_clock::time_point::max();
+            });
+        }
+
         boost::asio::io_context& m_io;
         boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
         boost::asio::steady_timer m_timer;
         boost::fibers::scheduler::ready_queue_type m_ready;
         std::size_t m_readyCount = 0;
+        /// When the pending wait of the timer ends; max() if there is none.
+        std::chrono::steady_clock::time_point m_armedFor = std::chrono::steady_clock::time_point::max();
     };
 
 } // namespace
