Limit copies of a request only until one has ended well

Cause: no more than two copies of a request were in flight at once, for good.

Change: a request that ended well lately has no limit; one that was in flight at a death loses that at once, so a killing request still has two copies at most.

--- a/include/basilpoint/Policy/Quarantine.h
+++ b/include/basilpoint/Policy/Quarantine.h
@@ -39,13 +39,14 @@
     Verdict verdict(const Digest&) const;
     SuspectRank rank(const Digest&) const;
 
-    /// Whether one more copy of the request may be sent, so that no more than two can die at once.
+    /// Whether one more copy of the request may be sent: of one that has not ended well yet, no more
+    /// than two, so that no more replicas can die at once.
     bool mayDispatch(const Digest&) const;
 
     void dispatched(const Digest&);
 
     /// The request ended without the death of its replica. \p finished tells whether it ended well.
-    void ended(const Digest&, bool finished);
+    void ended(const Digest&, bool finished, TimePoint now);
 
     /// The replica died with the request in flight. Returns the new verdict.
     Verdict died(const Digest&, ReplicaIndex, TimePoint dispatchedAt, TimePoint now);
@@ -77,6 +78,8 @@
     void explain(ReplicaIndex, TimePoint now);
 
     std::unordered_map<Digest, unsigned, DigestHash> m_inFlight;
+    /// Requests that ended well lately.
+    std::unordered_map<Digest, TimePoint, DigestHash> m_proven;
     std::unordered_map<Digest, Suspicion, DigestHash> m_suspects;
     std::unordered_map<Digest, TimePoint, DigestHash> m_quarantined;
     /// Replicas whose death a quarantined request explains; the others there are not to blame.
--- a/lib/Policy/Quarantine.cpp
+++ b/lib/Policy/Quarantine.cpp
@@ -4,8 +4,10 @@
 
 namespace basilpoint {
 
-// Identical requests are rare; two in flight bound the deaths before the first is noticed.
+// Two in flight bound the deaths before the first is noticed; greetings that many send alike are soon proven.
 static constexpr unsigned maxCopies = 2;
+static constexpr std::size_t maxProven = 10'000;
+static constexpr std::chrono::minutes provenLifetime { 10 };
 // How late the ends of a dead replica's other requests may be reported.
 static constexpr std::chrono::minutes explanationLifetime { 1 };
 
@@ -28,7 +30,7 @@
     unsigned copies = it == m_inFlight.end() ? 0 : it->second;
     switch (verdict(digest)) {
     case Verdict::Clear:
-        return copies < maxCopies;
+        return copies < maxCopies || m_proven.contains(digest);
     case Verdict::Suspect:
         return copies == 0;
     case Verdict::Quarantined:
@@ -42,18 +44,22 @@
     ++m_inFlight[digest];
 }
 
-void Quarantine::ended(const Digest& digest, bool finished)
+void Quarantine::ended(const Digest& digest, bool finished, TimePoint now)
 {
     auto it = m_inFlight.find(digest);
     if (it != m_inFlight.end() && --it->second == 0)
         m_inFlight.erase(it);
-    if (finished)
-        m_suspects.erase(digest);
+    if (!finished)
+        return;
+    m_suspects.erase(digest);
+    if (m_proven.size() < maxProven)
+        m_proven[digest] = now;
 }
 
 Quarantine::Verdict Quarantine::died(const Digest& digest, ReplicaIndex replica, TimePoint dispatchedAt, TimePoint now)
 {
-    ended(digest, false);
+    ended(digest, false, now);
+    m_proven.erase(digest);
     if (m_quarantined.contains(digest))
         return Verdict::Quarantined;
     auto it = m_suspects.find(digest);
@@ -101,6 +107,7 @@
 void Quarantine::sweep(TimePoint now)
 {
     std::erase_if(m_suspects, [&](const auto& entry) { return now - entry.second.rank.diedAt > suspicionLifetime; });
+    std::erase_if(m_proven, [&](const auto& entry) { return now - entry.second > provenLifetime; });
     std::erase_if(m_quarantined, [&](const auto& entry) { return now - entry.second > quarantineLifetime; });
     std::erase_if(m_explained, [&](const auto& entry) { return now - entry.second > explanationLifetime; });
 }
--- a/lib/Policy/SchedulerSuspects.cpp
+++ b/lib/Policy/SchedulerSuspects.cpp
@@ -60,7 +60,7 @@
     if (content == Digest())
         return;
     if (end != CallEnd::TargetDied) {
-        m_quarantine.ended(content, end == CallEnd::Finished);
+        m_quarantine.ended(content, end == CallEnd::Finished, now);
         return;
     }
     switch (m_quarantine.died(content, *record.replica, record.dispatchedAt, now)) {
--- a/unittests/Policy/DecisionsTest.cpp
+++ b/unittests/Policy/DecisionsTest.cpp
@@ -152,6 +152,23 @@
     BOOST_TEST(backoff.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(copiesAreLimitedUntilOneHasEndedWell)
+{
+    Quarantine quarantine;
+    ManualClock clock;
+    const Digest greeting = digestOf("good morning");
+    quarantine.dispatched(greeting);
+    quarantine.dispatched(greeting);
+    BOOST_TEST(!quarantine.mayDispatch(greeting));
+    quarantine.ended(greeting, true, clock.now());
+    for (unsigned n = 0; n < 10; ++n) {
+        BOOST_TEST(quarantine.mayDispatch(greeting));
+        quarantine.dispatched(greeting);
+    }
+    quarantine.died(greeting, ReplicaIndex(1), clock.now(), clock.now());
+    BOOST_TEST(!quarantine.mayDispatch(greeting));
+}
+
 BOOST_AUTO_TEST_CASE(copiesLostWithOneReplicaAreOneDeath)
 {
     Quarantine quarantine;
