Drop the chat stream's unused event hook and a condition that stood twice

Cause: callers read along in TurnStream now, so every ChatStream was given an empty hook; updateTargets tested one condition twice. Behaviour and assertions are as before.

--- a/lib/Daemon/ChatStream.cpp
+++ b/lib/Daemon/ChatStream.cpp
@@ -12,11 +12,6 @@
 static constexpr std::string_view dataPrefix = "data:";
 static constexpr std::string_view closingData = "[DONE]";
 
-ChatStream::ChatStream(EventHandler onEvent)
-    : m_onEvent(std::move(onEvent))
-{
-}
-
 void ChatStream::feed(std::string_view bytes)
 {
     for (;;) {
@@ -71,7 +66,6 @@
     } catch (const Json::exception&) {
         throw InvalidInputError("engine event", std::string(data.substr(0, 80)), "a chat completion chunk");
     }
-    m_onEvent(data);
 }
 
 std::string ChatStream::messageWith(const std::string& content) const
--- a/lib/Daemon/ChatStream.h
+++ b/lib/Daemon/ChatStream.h
@@ -2,7 +2,6 @@
 
 #include "basilpoint/Support/Ids.h"
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,11 +12,6 @@
 /// Reads a streamed chat completion and assembles the assistant's message from its parts.
 class ChatStream {
 public:
-    /// Receives each event's data but the closing one, as it comes.
-    using EventHandler = std::function<void(std::string_view data)>;
-
-    explicit ChatStream(EventHandler);
-
     /// Takes the next bytes of the body.
     /// \throws InvalidInputError if an event is not JSON or too long.
     void feed(std::string_view bytes);
@@ -48,7 +42,6 @@
 
     void takeEvent(std::string_view data);
 
-    EventHandler m_onEvent;
     std::string m_line;
     std::string m_content;
     std::map<int, ToolCallPart> m_toolCalls;
--- a/lib/Daemon/ForwardedAnswer.cpp
+++ b/lib/Daemon/ForwardedAnswer.cpp
@@ -13,7 +13,7 @@
 // Content is addressed by its length, so what all delivered events hold is what a caller has.
 static std::string contentOf(const std::string& events)
 {
-    ChatStream stream([](std::string_view) {});
+    ChatStream stream;
     stream.feed(events);
     return stream.content();
 }
--- a/lib/Daemon/ModelCallController.cpp
+++ b/lib/Daemon/ModelCallController.cpp
@@ -152,7 +152,7 @@
                 commitFailure(turn);
             throw;
         }
-        ChatStream answer([](std::string_view) {});
+        ChatStream answer;
         try {
             if (!turn.started) {
                 CallDecision decision = m_shards.table(shard).startTurn(turn.request, m_clock.wallNow());
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -79,10 +79,10 @@
     }
     for (const auto& [target, pool] : m_targets) {
         auto it = wanted.find(target);
-        if (it == wanted.end() || it->second != pool)
-            m_down.erase(target);
-        if (it == wanted.end() || it->second != pool)
-            perform(m_scheduler.removeTarget(target, m_clock.now()));
+        if (it != wanted.end() && it->second == pool)
+            continue;
+        m_down.erase(target);
+        perform(m_scheduler.removeTarget(target, m_clock.now()));
     }
     for (const auto& [target, pool] : wanted) {
         auto it = m_targets.find(target);
--- a/unittests/Daemon/ChatStreamTest.cpp
+++ b/unittests/Daemon/ChatStreamTest.cpp
@@ -20,7 +20,7 @@
 {
     std::mt19937_64 random(7);
     for (unsigned run = 0; run < 200; ++run) {
-        ChatStream stream([](std::string_view) {});
+        ChatStream stream;
         for (std::size_t n = 0; n < answer.size();) {
             std::size_t size = 1 + random() % 40;
             stream.feed(std::string_view(answer).substr(n, size));
@@ -41,7 +41,7 @@
         std::string damaged = answer;
         for (unsigned n = 0; n < 3; ++n)
             damaged[random() % damaged.size()] = static_cast<char>(random());
-        ChatStream stream([](std::string_view) {});
+        ChatStream stream;
         try {
             stream.feed(damaged);
             stream.messageWith(stream.content());
@@ -49,7 +49,7 @@
             continue;
         }
     }
-    ChatStream endless([](std::string_view) {});
+    ChatStream endless;
     BOOST_CHECK_THROW(endless.feed(std::string(2'000'000, 'x')), InvalidInputError);
 }
 
