--- /dev/null
+++ b/include/basilpoint/Gateway/JsonLog.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "basilpoint/Support/Clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace basilpoint {
+
+/// One line of the log, built field by field.
+class LogLine {
+public:
+    explicit LogLine(std::string_view event);
+
+    LogLine& field(std::string_view name, std::string_view text);
+    LogLine& field(std::string_view name, const char* text) { return field(name, std::string_view(text)); }
+    LogLine& field(std::string_view name, bool value);
+    template <typename Number>
+    requires std::is_arithmetic_v<Number>
+        LogLine& field(std::string_view name, Number value)
+    {
+        return raw(name, std::to_string(value));
+    }
+    LogLine& field(std::string_view name, Milliseconds duration) { return field(name, duration.count()); }
+
+    const std::string& text() const { return m_text; }
+
+private:
+    LogLine& raw(std::string_view name, std::string_view json);
+
+    std::string m_text;
+};
+
+/// Log of JSON lines that never blocks its writer.
+///
+/// Lines that the reader does not take wait up to a limit; beyond it they are dropped and counted,
+/// and the count is logged once there is room again.
+class JsonLog {
+public:
+    /// \param descriptor where lines go; it may be a pipe whose reader stalls.
+    JsonLog(const Clock&, int descriptor, std::string instance);
+
+    void write(const LogLine&);
+
+    /// Hands waiting lines to the descriptor as far as it takes them at once.
+    void flush();
+
+    std::uint64_t dropped() const { return m_dropped; }
+    std::size_t waitingBytes() const { return m_waitingBytes; }
+
+    /// Most bytes that wait for a reader.
+    static constexpr std::size_t maxWaitingBytes = 256 * 1024;
+
+private:
+    void append(std::string line);
+
+    const Clock& m_clock;
+    int m_descriptor;
+    std::string m_instance;
+    std::deque<std::string> m_lines;
+    std::size_t m_waitingBytes = 0;
+    /// Bytes of the first line that are written already.
+    std::size_t m_written = 0;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_droppedUnreported = 0;
+};
+
+} // namespace basilpoint
--- a/include/basilpoint/Net/HttpClient.h
+++ b/include/basilpoint/Net/HttpClient.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace basilpoint {
 
@@ -14,9 +15,17 @@
     /// Longest silence of the target before the call fails.
     Milliseconds readTimeout { 60'000 };
     std::size_t maxBodyBytes = 16 * 1024 * 1024;
-    /// Kept-alive connections are used only if the request may be sent twice: one that closes
-    /// as the request goes out leaves open whether the target has run it.
+    /// Kept-alive connections are used only if the request may be sent twice or \ref resendOnStale is
+    /// off: one that closes as the request goes out leaves open whether the target has run it.
     bool reuseConnection = true;
+    /// Sends the request once more, on a new connection, if a kept-alive one turns out to be closed.
+    bool resendOnStale = true;
+    /// Moment at which the call ends whatever happens; none if empty.
+    std::optional<TimePoint> deadline = std::nullopt;
+    /// Connections are shared only among calls of one group. Tells lifetimes of a target at one address apart.
+    std::string group {};
+    /// Tells whether an answer belongs to the request; one that does not is read and dropped. Empty: all do.
+    std::function<bool(const HttpResponse&)> isOwnAnswer = nullptr;
     /// Receives status and headers of the answer before its body, if set.
     std::function<void(const HttpResponse&)> onHeader = nullptr;
 };
@@ -50,13 +59,21 @@
     /// \throws TargetError as call() does, and if the body breaks off.
     HttpResponse stream(const Endpoint&, const HttpRequest& request, const ChunkHandler& onChunk, const HttpCallOptions& = {}, HttpCancellation* = nullptr);
 
+    /// Closes the idle connections of \p group.
+    void closeIdle(const std::string& group);
+
+    /// Connections opened so far.
+    std::uint64_t connectionsOpened() const;
+
 private:
     struct Connection;
     struct State;
 
     std::unique_ptr<Connection> connect(const Endpoint&, const HttpCallOptions&);
-    std::unique_ptr<Connection> takeIdle(const Endpoint&);
+    std::unique_ptr<Connection> takeIdle(const Endpoint&, const std::string& group);
+    void keepIdle(std::unique_ptr<Connection>, const Endpoint&, const std::string& group);
     void send(Connection&, const Endpoint&, const HttpRequest&, const HttpCallOptions&);
+    HttpResponse exchange(Connection&, const Endpoint&, const ChunkHandler&, const HttpCallOptions&, bool& isStale);
 
     std::unique_ptr<State> m_state;
 };
--- a/include/basilpoint/Net/HttpServer.h
+++ b/include/basilpoint/Net/HttpServer.h
@@ -30,6 +30,9 @@
 
     /// Whether send() or begin() was called.
     virtual bool started() const = 0;
+
+    /// Calls \p onGone once if the caller closes its connection before the answer has ended.
+    virtual void watchCaller(std::function<void()> onGone) { static_cast<void>(onGone); }
 };
 
 /// Listener for HTTP/1.1 with one fiber per connection.
@@ -49,9 +52,15 @@
     /// Starts accepting; returns at once.
     void start();
 
+    /// Announces the close in every answer from now on, and goes on accepting.
+    void announceClose();
+
     /// Accepts nothing more and closes idle connections; requests under way go on.
     void stop();
 
+    /// Replaces the limits for requests that are read from now on.
+    void setLimits(const HttpLimits&);
+
     /// Address with the port that was bound.
     Endpoint endpoint() const;
 
--- a/include/basilpoint/Net/HttpTypes.h
+++ b/include/basilpoint/Net/HttpTypes.h
@@ -38,6 +38,8 @@
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::size_t maxConnections = 4096;
     Milliseconds idleTimeout { 60'000 };
+    /// Longest time from a request's first bytes to its last.
+    Milliseconds readTimeout { 60'000 };
     Milliseconds writeTimeout { 30'000 };
 };
 
--- /dev/null
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "basilpoint/Turns/TurnRecord.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace basilpoint {
+
+/// A turn that a caller asks for.
+struct TurnRequest {
+    ProgramId program;
+    CallId turn;
+    /// Turn to continue; empty at the start of a chain.
+    CallId previous;
+    TokenCount budget = ProgramAccount::unlimited;
+    /// Most tokens that the turn generates.
+    TokenCount mostTokens = 0;
+    /// Until when the turn, its chain and the program's account are kept.
+    WallTimePoint keepUntil;
+};
+
+/// One change that must be stored before something may go on.
+using ChangeId = Number<struct ChangeTag>;
+
+/// The turn may run.
+struct TurnAdmitted {
+    /// Inputs and outputs of the chain before the turn.
+    std::string history;
+    /// Target that ran the turn to continue; empty if that is not known.
+    TargetId lastTarget;
+    /// Reservation that must be stored before a token reaches the caller; empty if it is already.
+    std::optional<ChangeId> reservation;
+    /// Whether the turn may be handed to an engine before the reservation is stored.
+    bool mayRunAhead = true;
+};
+
+/// The program's records must be read first; then ask again.
+struct TurnNeedsProgram {
+    ProgramId program;
+};
+
+/// The program that holds the turn \p previous must be looked up; then ask again.
+struct TurnNeedsOrigin {
+    CallId previous;
+};
+
+/// The budget does not hold one more turn.
+struct TurnBudgetSpent { };
+
+/// The turn to continue does not exist.
+struct TurnNotFound { };
+
+using TurnVerdict = std::variant<TurnAdmitted, TurnNeedsProgram, TurnNeedsOrigin, TurnBudgetSpent, TurnNotFound>;
+
+/// What a request has learned from the store so far, so that it never asks twice.
+struct TurnKnowledge {
+    /// The program's records were read for this request.
+    bool isProgramFresh = false;
+    /// Program that holds the turn to continue, if another one; set once it was looked up.
+    std::optional<ProgramId> origin;
+    bool isOriginKnown = false;
+    bool isOriginFresh = false;
+};
+
+/// One stored record as the store has it.
+struct StoredRecord {
+    std::string key;
+    std::string value;
+    std::int64_t revision = 0;
+};
+
+/// Writes of one or more programs that happen together.
+struct LedgerBatch {
+    std::uint64_t number = 0;
+    std::vector<std::pair<std::string, std::int64_t>> conditions;
+    std::vector<std::pair<std::string, std::string>> puts;
+
+    std::size_t entries() const { return conditions.size() + puts.size(); }
+};
+
+/// What became of a change.
+enum class ChangeOutcome {
+    Stored,
+    /// The budget did not hold the reservation.
+    Denied,
+};
+
+/// Limits of a ledger.
+struct LedgerSettings {
+    /// Conditions and writes in one batch.
+    std::size_t maxBatchEntries = 32;
+    /// Batches on their way at once.
+    std::size_t maxBatches = 4;
+    /// Bytes of turns and accounts that are kept in memory.
+    std::size_t maxCachedBytes = 12 * 1024 * 1024;
+};
+
+/// Turns and budgets of the programs that this daemon serves.
+///
+/// The store holds what lasts: an account for each program, changed under its revision, and a record
+/// for each whole turn. A daemon takes a hold on part of a budget and hands out tokens against it, so
+/// that the sum over all daemons never passes the budget, whichever of them dies when. A hold whose
+/// daemon died stays charged.
+class TurnLedger {
+public:
+    TurnLedger(DaemonLifetime self, LedgerSettings);
+
+    /// Decides on a turn. An admitted turn must be ended by end().
+    TurnVerdict begin(const TurnRequest&, const TurnKnowledge&);
+
+    /// The program's records as read from the store just now.
+    void programRead(const ProgramId&, const std::vector<StoredRecord>&);
+
+    /// An admitted turn ended. \p record is set if it was answered whole.
+    /// \returns the change that must be stored before the caller may see the end; empty if none must.
+    std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record);
+
+    /// Writes to be made now; empty if there are none, or enough are on their way.
+    std::optional<LedgerBatch> nextBatch();
+
+    /// The batch was stored at \p revision.
+    void batchStored(std::uint64_t number, std::int64_t revision);
+    /// A condition of the batch did not hold; \p current holds the conditions' keys that exist.
+    void batchRefused(std::uint64_t number, const std::vector<StoredRecord>& current);
+    /// The batch's fate is unknown; its changes go into another batch.
+    void batchLost(std::uint64_t number);
+
+    /// Changes whose fate became known since the last call.
+    std::vector<std::pair<ChangeId, ChangeOutcome>> takeOutcomes();
+
+    bool hasWork() const { return !m_waiting.empty(); }
+    std::size_t cachedBytes() const { return m_cachedBytes; }
+    std::size_t programs() const { return m_programs.size(); }
+
+    /// Prefix of all records of \p program.
+    static std::string programPrefix(const ProgramId&);
+    /// Key that holds the program of \p turn.
+    static std::string originKey(const CallId& turn);
+
+private:
+    struct Reserve {
+        ChangeId id;
+        std::uint64_t step = 0;
+        TokenCount atLeast = 0;
+        TokenCount budget = 0;
+        WallTimePoint keepUntil;
+    };
+    struct Settle {
+        ChangeId id;
+        std::uint64_t step = 0;
+        TokenCount used = 0;
+        std::optional<TurnRecord> record;
+        WallTimePoint keepUntil;
+    };
+    using Change = std::variant<Reserve, Settle>;
+
+    struct Program {
+        ProgramAccount account;
+        std::int64_t revision = 0;
+        bool isKnown = false;
+        std::map<CallId, std::shared_ptr<const TurnRecord>> turns;
+        /// Chains that were begun under another program and are not stored under this one yet.
+        std::set<CallId> imported;
+        std::deque<Change> changes;
+        bool isInBatch = false;
+        /// Most tokens of turns that run here.
+        TokenCount running = 0;
+        /// Tokens of ended turns whose settlement is not stored yet.
+        TokenCount unsettled = 0;
+        /// The hold after the batch that is on its way; no more than this may be used meanwhile.
+        std::optional<TokenCount> holdAfterBatch;
+        bool isQueued = false;
+        std::list<ProgramId>::iterator recent;
+        std::size_t bytes = 0;
+    };
+    struct Part {
+        ProgramId program;
+        ProgramAccount account;
+        /// Last change that the account holds.
+        std::uint64_t step = 0;
+        std::vector<CallId> imported;
+    };
+    struct Batch {
+        std::vector<Part> parts;
+    };
+
+    Program& touch(const ProgramId&);
+    TokenCount freeHold(const Program&) const;
+    static std::optional<std::string> historyOf(const Program&, const CallId& turn);
+    std::variant<std::string, TurnVerdict> findHistory(Program&, const TurnRequest&, const TurnKnowledge&);
+    TurnVerdict reserve(Program&, const TurnRequest&, bool isProgramFresh, TurnAdmitted admitted);
+    void queue(const ProgramId&, Program&);
+    void dropDenied(Program&);
+    bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
+    void putTurn(LedgerBatch&, const ProgramId&, const TurnRecord&) const;
+    bool apply(ProgramAccount&, const Reserve&) const;
+    void apply(ProgramAccount&, const Settle&) const;
+    void dropStored(Program&, std::uint64_t step);
+    void rebase(Program&, const ProgramAccount&, std::int64_t revision);
+    void endBatch(std::uint64_t number, const std::function<void(const Part&, Program&)>&);
+    void addTurn(Program&, TurnRecord);
+    void evict();
+
+    DaemonLifetime m_self;
+    LedgerSettings m_settings;
+    std::unordered_map<ProgramId, Program> m_programs;
+    /// Least recently used first.
+    std::list<ProgramId> m_recent;
+    std::deque<ProgramId> m_waiting;
+    std::map<std::uint64_t, Batch> m_batches;
+    std::vector<std::pair<ChangeId, ChangeOutcome>> m_outcomes;
+    std::uint64_t m_nextBatch = 1;
+    std::uint64_t m_nextChange = 1;
+    /// Steps rise over all programs, so that one that was forgotten and read again goes on above its last.
+    std::uint64_t m_nextStep = 1;
+    std::size_t m_cachedBytes = 0;
+};
+
+} // namespace basilpoint
--- a/lib/Daemon/OperatorApi.h
+++ b/lib/Daemon/OperatorApi.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "DecisionLog.h"
-#include "Metrics.h"
+#include "basilpoint/Support/Metrics.h"
 
 #include "basilpoint/Net/HttpServer.h"
 #include "basilpoint/Support/Error.h"
--- /dev/null
+++ b/lib/Forwarding/TargetDirectory.cpp
@@ -0,0 +1,87 @@
+#include "basilpoint/Forwarding/TargetDirectory.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+void TargetDirectory::put(const Registration& registration, TimePoint)
+{
+    auto& entry = m_entries[registration.id];
+    entry.registration = registration;
+    entry.dropAt = TimePoint::max();
+}
+
+// Right after an outage a removal may stem from a lease that ran out meanwhile.
+bool TargetDirectory::isLapseLikely(TimePoint now) const
+{
+    return m_isSourceLost || (m_regainedAt != TimePoint::min() && now < m_regainedAt + lapseGrace);
+}
+
+void TargetDirectory::remove(const TargetId& id, TimePoint now)
+{
+    auto it = m_entries.find(id);
+    if (it == m_entries.end())
+        return;
+    bool keep = !it->second.registration.isLeaving && isLapseLikely(now);
+    it->second.dropAt = keep ? std::max(now, m_regainedAt + lapseGrace) : now;
+}
+
+void TargetDirectory::replaceAll(const std::vector<Registration>& registrations, TimePoint now)
+{
+    sourceRegained(now);
+    m_isSourceLost = false;
+    std::map<TargetId, const Registration*> listed;
+    for (const auto& it : registrations)
+        listed[it.id] = &it;
+    for (auto& [id, entry] : m_entries)
+        if (!listed.contains(id))
+            entry.dropAt = !entry.registration.isLeaving && isLapseLikely(now) ? m_regainedAt + lapseGrace : now;
+    for (const auto& it : registrations)
+        put(it, now);
+}
+
+void TargetDirectory::sourceLost()
+{
+    m_isSourceLost = true;
+}
+
+void TargetDirectory::sourceRegained(TimePoint now)
+{
+    if (!m_isSourceLost || m_entries.empty())
+        return;
+    m_isSourceLost = false;
+    m_regainedAt = now;
+}
+
+std::vector<Registration> TargetDirectory::sweep(TimePoint now)
+{
+    std::vector<Registration> dropped;
+    if (m_isSourceLost)
+        return dropped;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (now < it->second.dropAt) {
+            ++it;
+            continue;
+        }
+        dropped.push_back(it->second.registration);
+        it = m_entries.erase(it);
+    }
+    return dropped;
+}
+
+std::vector<const Registration*> TargetDirectory::usable(const ServiceId& service) const
+{
+    std::vector<const Registration*> result;
+    for (const auto& [id, entry] : m_entries)
+        if (entry.registration.service == service && !entry.registration.isLeaving)
+            result.push_back(&entry.registration);
+    return result;
+}
+
+const Registration* TargetDirectory::find(const TargetId& id) const
+{
+    auto it = m_entries.find(id);
+    return it == m_entries.end() ? nullptr : &it->second.registration;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/CallController.cpp
@@ -0,0 +1,113 @@
+#include "CallController.h"
+
+#include "basilpoint/Net/Errors.h"
+
+#include <algorithm>
+#include <cassert>
+#include <fmt/format.h>
+
+namespace basilpoint {
+
+// Refused callers come back after this part of the time that they have left, so that they can try again
+// as often as they will before it is over.
+static constexpr double returnShare = 0.15;
+static constexpr Milliseconds soonestReturn { 50 };
+static constexpr Milliseconds latestReturn { 1'300 };
+
+CallController::CallController(const ConfigurationHolder& configuration, Forwarder& forwarder, TurnController& turns, LedgerWriter& writer, const WireFormat& format, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
+    : m_configuration(configuration)
+    , m_forwarder(forwarder)
+    , m_turns(turns)
+    , m_writer(writer)
+    , m_format(format)
+    , m_dataCentre(std::move(dataCentre))
+    , m_clock(clock)
+    , m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+static std::string_view hostWithoutPort(std::string_view host)
+{
+    return host.substr(0, host.rfind(':'));
+}
+
+void CallController::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    TimePoint arrivedAt = m_clock.now();
+    CallAttributes attributes = m_format.readCall(request);
+    std::shared_ptr<const RouteTable> table = m_configuration.current();
+    Milliseconds timeLeft = attributes.timeLeft.value_or(latestReturn);
+    if (!table)
+        return refuse(attributes, { 503, "no configuration yet" }, timeLeft, arrivedAt, writer);
+    if (attributes.call.empty())
+        return refuse(attributes, { 400, "no request id" }, timeLeft, arrivedAt, writer);
+    const ForwardingRoute* route = table->match(hostWithoutPort(request.header("host")), request.path());
+    if (!route)
+        return refuse(attributes, { 404, "no route" }, timeLeft, arrivedAt, writer);
+    serve(*route, table, request, std::move(attributes), arrivedAt, writer);
+}
+
+void CallController::serve(const ForwardingRoute& route, const std::shared_ptr<const RouteTable>& table, const HttpRequest& request, CallAttributes attributes, TimePoint arrivedAt, ResponseWriter& writer)
+{
+    Milliseconds limit = std::min(attributes.timeLeft.value_or(route.timeout), route.timeout);
+    // The watch on the caller may fire until the server ends it, after this function.
+    auto call = std::make_shared<ForwardedCall>(ForwardedCall { request, std::move(attributes), table, route, arrivedAt, arrivedAt + limit });
+    call->query.dataCentre = m_dataCentre;
+    writer.watchCaller([this, call] {
+        call->isCallerGone = true;
+        // What may not be repeated is left to finish.
+        if (call->route.kind != CallKind::NonIdempotent)
+            call->cancellation.cancel();
+        m_writer.wakeWaiters();
+    });
+    bool isTurn = route.kind == CallKind::Stream && route.keepsTurns();
+    auto refusal = isTurn ? m_turns.serve(*call, writer) : forward(*call, writer);
+    m_metrics.observe("request_seconds", m_clock.now() - arrivedAt);
+    if (!refusal) {
+        m_metrics.count("requests_total{status=\"delivered\"}");
+        return;
+    }
+    if (refusal->isBrokenOff || writer.started()) {
+        m_metrics.count("requests_total{status=\"broken-off\"}");
+        m_log.write(LogLine("broken-off").field("request", call->attributes.call.text()).field("callerGone", call->isCallerGone).field("reason", refusal->reason));
+        throw ConnectionLostError(refusal->reason);
+    }
+    refuse(call->attributes, *refusal, std::chrono::duration_cast<Milliseconds>(call->deadline - m_clock.now()), arrivedAt, writer);
+}
+
+std::optional<TurnController::Refusal> CallController::forward(ForwardedCall& call, ResponseWriter& writer)
+{
+    switch (m_forwarder.forward(call, writer, {})) {
+    case ForwardEnd::Delivered:
+        return std::nullopt;
+    case ForwardEnd::NotRun:
+        return TurnController::Refusal { 503, "no target took the call" };
+    case ForwardEnd::MayHaveRun:
+        return TurnController::Refusal { m_clock.now() >= call.deadline ? 504 : 502, "no answer" };
+    case ForwardEnd::BrokenOff:
+        return TurnController::Refusal { 502, "stream broke off", true };
+    }
+    assert(false && "unhandled enumerator");
+    return std::nullopt;
+}
+
+void CallController::refuse(const CallAttributes& attributes, const TurnController::Refusal& refusal, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter& writer)
+{
+    m_metrics.count(fmt::format("requests_total{{status=\"{}\"}}", refusal.status));
+    HttpResponse response { refusal.status, { { "content-type", "text/plain" } }, refusal.reason };
+    LogLine line("refused");
+    line.field("request", attributes.call.text()).field("status", refusal.status).field("reason", refusal.reason);
+    line.field("configuration", m_configuration.current() ? m_configuration.current()->configuration().version : 0);
+    line.field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - arrivedAt));
+    if (refusal.status == 503) {
+        Milliseconds wait(static_cast<std::int64_t>(returnShare * static_cast<double>(timeLeft.count())));
+        wait = std::clamp(wait, soonestReturn, latestReturn);
+        response.headers["retry-after"] = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
+        line.field("retryAfterMs", wait);
+    }
+    m_log.write(line);
+    writer.send(response);
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/CallController.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "TurnController.h"
+
+namespace basilpoint {
+
+/// Serves callers' requests: finds the route, then forwards the call or serves the turn.
+class CallController {
+public:
+    CallController(const ConfigurationHolder&, Forwarder&, TurnController&, LedgerWriter&, const WireFormat&, DataCentreId, const Clock&, JsonLog&, Metrics&);
+
+    void handle(const HttpRequest&, ResponseWriter&);
+
+private:
+    struct Answer;
+
+    void serve(const ForwardingRoute&, const std::shared_ptr<const RouteTable>&, const HttpRequest&, CallAttributes, TimePoint arrivedAt, ResponseWriter&);
+    std::optional<TurnController::Refusal> forward(ForwardedCall&, ResponseWriter&);
+    void refuse(const CallAttributes&, const TurnController::Refusal&, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter&);
+
+    const ConfigurationHolder& m_configuration;
+    Forwarder& m_forwarder;
+    TurnController& m_turns;
+    LedgerWriter& m_writer;
+    const WireFormat& m_format;
+    DataCentreId m_dataCentre;
+    const Clock& m_clock;
+    JsonLog& m_log;
+    Metrics& m_metrics;
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/Forwarder.cpp
@@ -0,0 +1,303 @@
+#include "Forwarder.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Support/Hash.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace basilpoint {
+
+// Longest wait for a connection; targets are milliseconds away.
+static constexpr Milliseconds connectTimeout { 250 };
+// A target answers its own deadline error within this time after the deadline.
+static constexpr Milliseconds answerGrace { 50 };
+// Sends of one call that end without running it; more would only delay the refusal.
+static constexpr unsigned maxRefusals = 4;
+// An idempotent call goes to another target once it has taken this many times its target latency.
+static constexpr int hedgeFactor = 4;
+// Urgency of the most urgent route's calls. Engines take 0 to 9, and 5 for calls without one.
+static constexpr unsigned firstUrgency = 4;
+static constexpr unsigned lastUrgency = 9;
+static constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+
+struct Forwarder::Attempt {
+    Attempt(ResponseWriter& responseWriter, const StreamHooks& streamHooks)
+        : writer(responseWriter)
+        , hooks(streamHooks)
+    {
+    }
+
+    ResponseWriter& writer;
+    const StreamHooks& hooks;
+    HttpResponse response;
+    AnswerAttributes attributes;
+    bool isStream = false;
+    bool isUnreachable = false;
+    EventStreamSplitter splitter;
+    std::string reason;
+};
+
+namespace {
+
+    // The hooks ended the call; its caller learns that the stream is not whole.
+    class StreamRejectedError final : public Error {
+    public:
+        StreamRejectedError()
+            : Error({ "stream-rejected", 502, Executed::Yes }, {})
+        {
+        }
+    };
+
+} // namespace
+
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+    : m_client(client)
+    , m_directory(directory)
+    , m_selector(selector)
+    , m_format(format)
+    , m_clock(clock)
+    , m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+// Calls of one program stay with one service of a split.
+ServiceId Forwarder::chooseService(const ForwardingRoute& route, const CallAttributes& attributes) const
+{
+    if (route.services.size() == 1)
+        return route.services.front().service;
+    unsigned total = 0;
+    for (const auto& it : route.services)
+        total += it.weight;
+    if (total == 0)
+        return route.services.front().service;
+    const std::string& subject = attributes.program.empty() ? attributes.call.text() : attributes.program.text();
+    auto draw = static_cast<unsigned>(hash64(subject) % total);
+    for (const auto& it : route.services) {
+        if (draw < it.weight)
+            return it.service;
+        draw -= it.weight;
+    }
+    return route.services.back().service;
+}
+
+const Registration* Forwarder::chooseTarget(ForwardedCall& call)
+{
+    return m_selector.choose(m_directory.usable(call.query.service), call.query, m_clock.now());
+}
+
+static bool isHopHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 9> names { "connection", "keep-alive", "transfer-encoding", "content-length",
+        "proxy-connection", "te", "trailer", "upgrade", "expect" };
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+static void dropHopHeaders(HttpHeaders& headers)
+{
+    std::erase_if(headers, [](const auto& it) { return isHopHeader(it.first); });
+}
+
+HttpRequest Forwarder::requestFor(const ForwardedCall& call, const Registration& target) const
+{
+    HttpRequest request = call.request;
+    if (call.body)
+        request.body = *call.body;
+    dropHopHeaders(request.headers);
+    auto timeLeft = std::chrono::duration_cast<Milliseconds>(call.deadline - m_clock.now());
+    std::optional<unsigned> urgency;
+    const ForwardingService* service = call.table->service(call.query.service);
+    if (service && service->engine)
+        urgency = std::min(firstUrgency + call.route.priority, lastUrgency);
+    m_format.writeTargetCall(request, { target.id, std::max(timeLeft, Milliseconds(1)), urgency });
+    return request;
+}
+
+std::string lifetimeOf(const Registration& target)
+{
+    return fmt::format("{}/{}", target.id.text(), target.startedAt);
+}
+
+HttpCallOptions Forwarder::optionsFor(const ForwardedCall& call, const Registration& target, bool isLast) const
+{
+    HttpCallOptions options;
+    options.connectTimeout = connectTimeout;
+    options.maxBodyBytes = maxAnswerBytes;
+    options.resendOnStale = false;
+    options.deadline = call.deadline + answerGrace;
+    if (call.route.kind == CallKind::Idempotent && !isLast)
+        options.deadline = std::min(*options.deadline, m_clock.now() + hedgeFactor * call.route.latencyTarget);
+    options.group = lifetimeOf(target);
+    options.isOwnAnswer = [this, &call](const HttpResponse& response) {
+        CallId answered = m_format.readAnswer(response).call;
+        return answered.empty() || answered == call.attributes.call;
+    };
+    return options;
+}
+
+void Forwarder::passEvents(ForwardedCall& call, Attempt& attempt, std::string_view chunk)
+{
+    for (const StreamEvent& event : attempt.splitter.append(chunk)) {
+        if (!attempt.writer.started()) {
+            if (attempt.hooks.beforeFirstEvent && !attempt.hooks.beforeFirstEvent())
+                throw StreamRejectedError();
+            m_metrics.observe("first_event_seconds", m_clock.now() - call.arrivedAt);
+            attempt.writer.begin(attempt.response.status, attempt.response.headers);
+        }
+        if (attempt.hooks.onEvent)
+            attempt.hooks.onEvent(event);
+        attempt.writer.write(event.bytes);
+    }
+}
+
+void Forwarder::receive(ForwardedCall& call, Attempt& attempt, const Registration& target, const HttpCallOptions& base)
+{
+    HttpCallOptions options = base;
+    options.onHeader = [&](const HttpResponse& response) {
+        attempt.response = response;
+        dropHopHeaders(attempt.response.headers);
+        attempt.attributes = m_format.readAnswer(response);
+        attempt.isStream = call.route.kind == CallKind::Stream && response.status == 200 && attempt.attributes.isSigned && !attempt.attributes.call.empty();
+    };
+    HttpResponse response = m_client.stream(
+        target.endpoint, requestFor(call, target), [&](std::string_view chunk) {
+            if (attempt.isStream)
+                passEvents(call, attempt, chunk);
+            else
+                attempt.response.body.append(chunk);
+        },
+        options, &call.cancellation);
+    if (response.status != 200)
+        attempt.response.body = std::move(response.body);
+}
+
+ForwardEnd Forwarder::deliver(ForwardedCall& call, Attempt& attempt, const Registration& target)
+{
+    if (!attempt.isStream) {
+        if (attempt.attributes.isNotRun) {
+            attempt.reason = "refused by the target";
+            return ForwardEnd::NotRun;
+        }
+        bool isOwn = attempt.attributes.isSigned && attempt.attributes.call == call.attributes.call;
+        if (!isOwn) {
+            attempt.reason = "answer without signature";
+            return ForwardEnd::MayHaveRun;
+        }
+        attempt.writer.send(attempt.response);
+        return ForwardEnd::Delivered;
+    }
+    if (attempt.splitter.hasPartialEvent() || !attempt.writer.started()) {
+        attempt.reason = "stream without a whole event at its end";
+        return attempt.writer.started() ? ForwardEnd::BrokenOff : ForwardEnd::MayHaveRun;
+    }
+    if (attempt.hooks.beforeEnd && !attempt.hooks.beforeEnd(target.id)) {
+        attempt.reason = "end not recorded";
+        return ForwardEnd::BrokenOff;
+    }
+    attempt.writer.end();
+    return ForwardEnd::Delivered;
+}
+
+ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Registration& target, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
+{
+    Attempt attempt(writer, hooks);
+    // The directory may drop the entry while the call waits.
+    Registration chosen = target;
+    ForwardEnd end = ForwardEnd::MayHaveRun;
+    m_selector.sent(chosen.id);
+    ++m_active;
+    try {
+        receive(call, attempt, chosen, optionsFor(call, chosen, isLast));
+        end = deliver(call, attempt, chosen);
+    } catch (const TargetError& error) {
+        attempt.reason = error.what();
+        attempt.isUnreachable = error.executed() == Executed::No;
+        end = attempt.isUnreachable ? ForwardEnd::NotRun : ForwardEnd::MayHaveRun;
+    } catch (const StreamRejectedError& error) {
+        attempt.reason = error.what();
+    } catch (const ConnectionLostError& error) {
+        attempt.reason = error.what();
+        call.isCallerGone = true;
+    }
+    --m_active;
+    if (writer.started() && end == ForwardEnd::MayHaveRun)
+        end = ForwardEnd::BrokenOff;
+    m_selector.ended(chosen.id, outcomeOf(call, end, attempt.isUnreachable), m_clock.now());
+    logAttempt(call, chosen, attempt, end);
+    return end;
+}
+
+TargetOutcome Forwarder::outcomeOf(const ForwardedCall& call, ForwardEnd end, bool isUnreachable) const
+{
+    bool isOver = call.isCallerGone || m_clock.now() >= call.deadline;
+    switch (end) {
+    case ForwardEnd::Delivered:
+        return TargetOutcome::Answered;
+    case ForwardEnd::NotRun:
+        return isUnreachable ? (call.isCallerGone ? TargetOutcome::Abandoned : TargetOutcome::Failed) : TargetOutcome::Refused;
+    case ForwardEnd::MayHaveRun:
+    case ForwardEnd::BrokenOff:
+        return isOver ? TargetOutcome::Abandoned : TargetOutcome::Failed;
+    }
+    assert(false && "unhandled enumerator");
+    return TargetOutcome::Abandoned;
+}
+
+static const char* toString(ForwardEnd end)
+{
+    switch (end) {
+    case ForwardEnd::Delivered:
+        return "delivered";
+    case ForwardEnd::NotRun:
+        return "not-run";
+    case ForwardEnd::MayHaveRun:
+        return "may-have-run";
+    case ForwardEnd::BrokenOff:
+        return "broken-off";
+    }
+    assert(false && "unhandled enumerator");
+    return "";
+}
+
+void Forwarder::logAttempt(const ForwardedCall& call, const Registration& target, const Attempt& attempt, ForwardEnd end) const
+{
+    m_metrics.count(fmt::format("attempts_total{{end=\"{}\"}}", toString(end)));
+    LogLine line("attempt");
+    line.field("request", call.attributes.call.text()).field("route", call.route.name).field("configuration", call.table->configuration().version);
+    line.field("target", target.id.text()).field("startedAt", target.startedAt).field("inFlight", m_selector.inFlight(target.id));
+    line.field("end", toString(end)).field("status", attempt.response.status).field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - call.arrivedAt));
+    line.field("timeLeftMs", std::chrono::duration_cast<Milliseconds>(call.deadline - m_clock.now()));
+    if (!attempt.reason.empty())
+        line.field("reason", attempt.reason);
+    m_log.write(line);
+}
+
+ForwardEnd Forwarder::forward(ForwardedCall& call, ResponseWriter& writer, const StreamHooks& hooks)
+{
+    call.query.service = chooseService(call.route, call.attributes);
+    unsigned runs = 0;
+    unsigned refusals = 0;
+    ForwardEnd end = ForwardEnd::NotRun;
+    while (!call.isCallerGone && m_clock.now() < call.deadline) {
+        const Registration* target = chooseTarget(call);
+        if (!target)
+            break;
+        call.query.tried.insert(target->id);
+        ForwardEnd last = tryTarget(call, *target, runs + 1 >= call.route.maxAttempts, writer, hooks);
+        if (last == ForwardEnd::Delivered || last == ForwardEnd::BrokenOff)
+            return last;
+        if (last == ForwardEnd::NotRun) {
+            if (++refusals >= maxRefusals)
+                break;
+            continue;
+        }
+        end = ForwardEnd::MayHaveRun;
+        if (call.route.kind != CallKind::Idempotent || ++runs >= call.route.maxAttempts)
+            break;
+    }
+    return end;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/Gateway.cpp
@@ -0,0 +1,263 @@
+#include "basilpoint/Gateway/Gateway.h"
+
+#include "CallController.h"
+#include "StoreWatch.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+#include "basilpoint/Support/Random.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+
+namespace basilpoint {
+
+static constexpr Milliseconds tickInterval { 200 };
+// The balancer asks once a second and takes an instance out after two misses.
+static constexpr Milliseconds takenOutAfter { 2'600 };
+// Kept of the time to stop for the last writes and the exit.
+static constexpr Milliseconds stopReserve { 1'000 };
+static constexpr Milliseconds stopPollInterval { 50 };
+// While the store fails for this long, callers are better served by an instance that reaches it.
+static constexpr Milliseconds unreadyAfter { 1'000 };
+// Failures shorter than this let no registration lapse.
+static constexpr Milliseconds lapseAfter { 400 };
+
+namespace {
+
+    class Gateway {
+    public:
+        Gateway(boost::asio::io_context&, const GatewaySettings&, const WireFormat&, HttpClient&, TransactionalStore&, const Clock&);
+
+        void start();
+        void drain();
+        JsonLog& log() { return m_log; }
+
+    private:
+        bool isReady() const;
+        void answerReadiness(const HttpRequest&, ResponseWriter&);
+        void tick();
+        void probeStore();
+        void watchConfiguration();
+        void watchTargets();
+        void takeConfiguration(const std::string& bytes);
+        void takeRegistration(const KeyValue&);
+        void dropTarget(const Registration&);
+        void noteReadiness();
+
+        GatewaySettings m_settings;
+        WireFormat m_format;
+        const Clock& m_clock;
+        RandomEngine m_random;
+        JsonLog m_log;
+        Metrics m_metrics;
+        HttpClient& m_client;
+        StoreClient m_store;
+        ConfigurationHolder m_configuration;
+        TargetDirectory m_directory;
+        TargetSelector m_selector;
+        TurnLedger m_ledger;
+        LedgerWriter m_writer;
+        Forwarder m_forwarder;
+        TurnController m_turns;
+        CallController m_calls;
+        HttpServer m_callers;
+        HttpServer m_readiness;
+        bool m_isDraining = false;
+        bool m_wasReady = false;
+    };
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context& io, const GatewaySettings& settings, const WireFormat& format, HttpClient& client, TransactionalStore& store, const Clock& clock)
+    : m_settings(settings)
+    , m_format(format)
+    , m_clock(clock)
+    , m_random(std::random_device()())
+    , m_log(clock, settings.logDescriptor, settings.instance)
+    , m_client(client)
+    , m_store(store, clock, m_log, m_metrics)
+    , m_selector(m_random())
+    , m_ledger(DaemonLifetime(randomHex(m_random, 12)), LedgerSettings {})
+    , m_writer(m_store, m_ledger, clock, m_log)
+    , m_forwarder(client, m_directory, m_selector, m_format, clock, m_log, m_metrics)
+    , m_turns(m_forwarder, m_store, m_ledger, m_writer, clock, m_log)
+    , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
+    , m_callers(io, settings.callers, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
+    , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
+{
+}
+
+bool Gateway::isReady() const
+{
+    return !m_isDraining && m_configuration.current() && !m_directory.isEmpty() && !m_store.health().isFailingFor(unreadyAfter, m_clock.now());
+}
+
+void Gateway::answerReadiness(const HttpRequest& request, ResponseWriter& writer)
+{
+    if (request.path() == "/metrics")
+        return writer.send({ 200, { { "content-type", "text/plain; version=0.0.4" } }, m_metrics.render() });
+    writer.send({ request.path() != m_format.readinessPath ? 404 : isReady() ? 200
+                                                                             : 503,
+        {}, {} });
+}
+
+void Gateway::takeConfiguration(const std::string& bytes)
+{
+    auto configuration = m_format.decodeConfiguration(bytes);
+    if (!configuration) {
+        m_log.write(LogLine("configuration-unreadable").field("bytes", bytes.size()));
+        return;
+    }
+    std::uint64_t version = configuration->version;
+    if (!m_configuration.offer(std::move(*configuration)))
+        return;
+    const CallerLimits& caller = m_configuration.current()->configuration().limits;
+    HttpLimits limits;
+    limits.maxHeaderBytes = caller.maxHeaderBytes;
+    limits.maxBodyBytes = caller.maxBodyBytes;
+    limits.idleTimeout = caller.idleTimeout;
+    limits.readTimeout = caller.readTimeout;
+    m_callers.setLimits(limits);
+    m_log.write(LogLine("configuration-in-force").field("version", version).field("routes", m_configuration.current()->configuration().routes.size()));
+}
+
+void Gateway::takeRegistration(const KeyValue& item)
+{
+    auto registration = m_format.decodeRegistration(item.key, item.value);
+    if (!registration) {
+        m_log.write(LogLine("registration-ignored").field("key", item.key).field("revision", item.modRevision));
+        return;
+    }
+    const Registration* known = m_directory.find(registration->id);
+    if (known && *known == *registration)
+        return;
+    if (known && known->startedAt != registration->startedAt)
+        dropTarget(*known);
+    m_log.write(LogLine("target").field("target", registration->id.text()).field("startedAt", registration->startedAt).field("address", registration->endpoint.text()).field("leaving", registration->isLeaving).field("revision", item.modRevision));
+    m_directory.put(*registration, m_clock.now());
+}
+
+void Gateway::dropTarget(const Registration& target)
+{
+    m_log.write(LogLine("target-gone").field("target", target.id.text()).field("startedAt", target.startedAt));
+    m_selector.forget(target.id);
+    m_client.closeIdle(lifetimeOf(target));
+}
+
+void Gateway::watchConfiguration()
+{
+    watchStore(
+        m_store, m_random, m_format.configurationKey,
+        [this](const std::vector<KeyValue>& items) {
+            for (const KeyValue& it : items)
+                if (it.key == m_format.configurationKey)
+                    takeConfiguration(it.value);
+        },
+        [this](const std::string& key, const std::optional<KeyValue>& item) {
+            if (item && key == m_format.configurationKey)
+                takeConfiguration(item->value);
+        });
+}
+
+void Gateway::watchTargets()
+{
+    watchStore(
+        m_store, m_random, m_format.registrationsPrefix,
+        [this](const std::vector<KeyValue>& items) {
+            std::vector<Registration> registrations;
+            for (const KeyValue& it : items) {
+                takeRegistration(it);
+                if (auto registration = m_format.decodeRegistration(it.key, it.value))
+                    registrations.push_back(std::move(*registration));
+            }
+            m_directory.replaceAll(registrations, m_clock.now());
+        },
+        [this](const std::string& key, const std::optional<KeyValue>& item) {
+            if (item)
+                return takeRegistration(*item);
+            m_directory.remove(TargetId(key.substr(m_format.registrationsPrefix.size())), m_clock.now());
+            m_log.write(LogLine("registration-removed").field("key", key));
+        });
+}
+
+// While turns are refused no other call would notice that the store is back.
+void Gateway::probeStore()
+{
+    for (;; sleepFiber(tickInterval)) {
+        if (!m_store.health().failingSince())
+            continue;
+        try {
+            m_store.get(m_format.configurationKey);
+        } catch (const KeyValueUnavailableError&) {
+            // The store's client keeps count and has logged the loss.
+            continue;
+        }
+    }
+}
+
+void Gateway::noteReadiness()
+{
+    bool ready = isReady();
+    if (ready == m_wasReady)
+        return;
+    m_wasReady = ready;
+    m_log.write(LogLine("readiness").field("ready", ready).field("targets", m_directory.size()).field("storeFailing", m_store.health().failingSince().has_value()));
+}
+
+void Gateway::tick()
+{
+    TimePoint now = m_clock.now();
+    if (m_store.health().isFailingFor(lapseAfter, now))
+        m_directory.sourceLost();
+    else if (!m_store.health().failingSince())
+        m_directory.sourceRegained(now);
+    for (const Registration& it : m_directory.sweep(now))
+        dropTarget(it);
+    m_writer.kick();
+    noteReadiness();
+    m_log.flush();
+}
+
+void Gateway::start()
+{
+    m_log.write(LogLine("start").field("callers", m_settings.callers.text()).field("dataCentre", m_settings.dataCentre.text()));
+    spawnFiber([this] { watchConfiguration(); });
+    spawnFiber([this] { watchTargets(); });
+    spawnFiber([this] { probeStore(); });
+    spawnFiber([this] {
+        for (;; sleepFiber(tickInterval))
+            tick();
+    });
+    m_callers.start();
+    m_readiness.start();
+}
+
+void Gateway::drain()
+{
+    TimePoint start = m_clock.now();
+    TimePoint end = start + m_settings.stopLimit - std::min(stopReserve, m_settings.stopLimit / 2);
+    m_isDraining = true;
+    m_callers.announceClose();
+    m_log.write(LogLine("stopping").field("active", m_callers.activeRequests()));
+    while (m_clock.now() < std::min(end, start + takenOutAfter))
+        sleepFiber(stopPollInterval);
+    m_callers.stop();
+    while (m_clock.now() < end && (m_callers.activeRequests() > 0 || m_ledger.hasWork()))
+        sleepFiber(stopPollInterval);
+    m_log.write(LogLine("stop").field("active", m_callers.activeRequests()).field("unwritten", m_ledger.hasWork()));
+    m_log.flush();
+}
+
+void runGateway(boost::asio::io_context& io, const GatewaySettings& settings, const WireFormat& format, HttpClient& targets, TransactionalStore& store, const Clock& clock, const ReloadHook& reload)
+{
+    // Fibers use the gateway until the process ends.
+    auto& gateway = *new Gateway(io, settings, format, targets, store, clock);
+    gateway.start();
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    while (awaitSignal(signals) == SIGHUP)
+        gateway.log().write(LogLine("reload").field("settings", reload()));
+    gateway.drain();
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/LedgerWriter.cpp
@@ -0,0 +1,99 @@
+#include "LedgerWriter.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+// Pauses after a failed write double up to the longest, which bounds how late a recovery is noticed.
+static constexpr Milliseconds shortestPause { 30 };
+static constexpr Milliseconds longestPause { 250 };
+
+LedgerWriter::LedgerWriter(StoreClient& store, TurnLedger& ledger, const Clock& clock, JsonLog& log)
+    : m_store(store)
+    , m_ledger(ledger)
+    , m_clock(clock)
+    , m_log(log)
+{
+}
+
+void LedgerWriter::kick()
+{
+    if (m_isPaused)
+        return;
+    while (auto batch = m_ledger.nextBatch())
+        spawnFiber([this, batch = std::move(*batch)] { run(batch); });
+    settle();
+}
+
+void LedgerWriter::settle()
+{
+    bool anyExpected = false;
+    for (auto [id, outcome] : m_ledger.takeOutcomes()) {
+        auto it = m_expected.find(id);
+        if (it == m_expected.end())
+            continue;
+        it->second = outcome;
+        anyExpected = true;
+    }
+    if (anyExpected)
+        m_changed.notifyAll();
+}
+
+void LedgerWriter::pause()
+{
+    m_pause = std::clamp(m_pause * 2, shortestPause, longestPause);
+    if (m_isPaused)
+        return;
+    m_isPaused = true;
+    spawnFiber([this] {
+        sleepFiber(m_pause);
+        m_isPaused = false;
+        kick();
+    });
+}
+
+void LedgerWriter::run(const LedgerBatch& batch)
+{
+    KeyTransaction transaction;
+    for (const auto& [key, revision] : batch.conditions)
+        transaction.conditions.push_back({ key, revision });
+    for (const auto& [key, value] : batch.puts)
+        transaction.puts.push_back({ key, value });
+    try {
+        KeyTransactionResult result = m_store.commit(transaction);
+        m_pause = Milliseconds(0);
+        if (result.revision)
+            m_ledger.batchStored(batch.number, *result.revision);
+        else {
+            std::vector<StoredRecord> current;
+            for (KeyValue& it : result.current)
+                current.push_back({ it.key, it.value, it.modRevision });
+            m_ledger.batchRefused(batch.number, current);
+        }
+    } catch (const KeyValueUnavailableError& error) {
+        m_log.write(LogLine("ledger-write-unknown").field("batch", batch.number).field("entries", batch.entries()).field("reason", error.what()));
+        m_ledger.batchLost(batch.number);
+        pause();
+    }
+    settle();
+    kick();
+}
+
+std::optional<ChangeOutcome> LedgerWriter::await(ChangeId id, TimePoint deadline, const std::function<bool()>& isCancelled)
+{
+    for (;;) {
+        auto it = m_expected.find(id);
+        if (it == m_expected.end())
+            return std::nullopt;
+        if (it->second)
+            return it->second;
+        TimePoint now = m_clock.now();
+        if (now >= deadline || isCancelled())
+            return std::nullopt;
+        m_changed.waitFor(std::chrono::ceil<Milliseconds>(deadline - now));
+    }
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/LedgerWriter.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "StoreClient.h"
+
+#include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Turns/TurnLedger.h"
+
+#include <map>
+
+namespace basilpoint {
+
+/// Writes the ledger's batches to the store and wakes who waits for their changes.
+class LedgerWriter {
+public:
+    LedgerWriter(StoreClient&, TurnLedger&, const Clock&, JsonLog&);
+
+    /// Starts whatever writes the ledger has.
+    void kick();
+
+    /// Keeps the outcome of \p change until forget().
+    void expect(ChangeId change) { m_expected.emplace(change, std::nullopt); }
+    void forget(ChangeId change) { m_expected.erase(change); }
+
+    /// Suspends until the outcome is known, \p deadline has passed or \p isCancelled says so.
+    std::optional<ChangeOutcome> await(ChangeId, TimePoint deadline, const std::function<bool()>& isCancelled);
+
+    /// Wakes waiters whose cancellation may have changed.
+    void wakeWaiters() { m_changed.notifyAll(); }
+
+private:
+    void run(const LedgerBatch&);
+    void settle();
+    void pause();
+
+    StoreClient& m_store;
+    TurnLedger& m_ledger;
+    const Clock& m_clock;
+    JsonLog& m_log;
+    std::map<ChangeId, std::optional<ChangeOutcome>> m_expected;
+    FiberSignal m_changed;
+    bool m_isPaused = false;
+    Milliseconds m_pause { 0 };
+};
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/TurnController.cpp
@@ -0,0 +1,192 @@
+#include "TurnController.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Turns/Errors.h"
+
+#include <fmt/format.h>
+
+namespace basilpoint {
+
+// Records outlive their retention by this, for clocks that differ.
+static constexpr Milliseconds retentionMargin { 10'000 };
+// While the store fails for this long, turns are refused at once, since none could be recorded.
+static constexpr Milliseconds failingLimit { 250 };
+// Reads of one record before the turn is refused.
+static constexpr int maxReads = 3;
+static constexpr Milliseconds pauseBetweenReads { 30 };
+
+/// A turn from its admission to its end.
+struct TurnController::Turn {
+    TurnRequest request;
+    TurnAdmitted admitted;
+    TokenCount handedOut = 0;
+    std::string output;
+    bool isEnded = false;
+    bool isDenied = false;
+};
+
+TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, const Clock& clock, JsonLog& log)
+    : m_forwarder(forwarder)
+    , m_store(store)
+    , m_ledger(ledger)
+    , m_writer(writer)
+    , m_clock(clock)
+    , m_log(log)
+{
+}
+
+template <typename Read>
+static auto readWithRetries(Read read)
+{
+    for (int n = 1;; ++n) {
+        try {
+            return read();
+        } catch (const KeyValueUnavailableError&) {
+            if (n == maxReads)
+                throw;
+        }
+        sleepFiber(pauseBetweenReads);
+    }
+}
+
+void TurnController::read(const ProgramId& program)
+{
+    KeySnapshot snapshot = readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), ReadMode::Current); });
+    std::vector<StoredRecord> records;
+    for (KeyValue& it : snapshot.items)
+        records.push_back({ std::move(it.key), std::move(it.value), it.modRevision });
+    m_ledger.programRead(program, records);
+}
+
+std::optional<ProgramId> TurnController::readOrigin(const CallId& previous)
+{
+    auto found = readWithRetries([&] { return m_store.get(TurnLedger::originKey(previous)); });
+    return found ? std::optional(ProgramId(found->value)) : std::nullopt;
+}
+
+std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, const TurnRequest& request)
+{
+    if (m_store.health().isFailingFor(failingLimit, m_clock.now()))
+        return Refusal { 503, "store out of reach" };
+    TurnKnowledge knowledge;
+    try {
+        for (;;) {
+            TurnVerdict verdict = m_ledger.begin(request, knowledge);
+            if (auto* admitted = std::get_if<TurnAdmitted>(&verdict))
+                return std::move(*admitted);
+            if (std::holds_alternative<TurnBudgetSpent>(verdict))
+                return Refusal { 402, "budget spent" };
+            if (std::holds_alternative<TurnNotFound>(verdict))
+                return Refusal { 404, "no such turn" };
+            if (auto* needed = std::get_if<TurnNeedsProgram>(&verdict)) {
+                read(needed->program);
+                (needed->program == request.program ? knowledge.isProgramFresh : knowledge.isOriginFresh) = true;
+            } else {
+                knowledge.origin = readOrigin(std::get<TurnNeedsOrigin>(verdict).previous);
+                knowledge.isOriginKnown = true;
+                // Another program's turn that lies under this one was read already.
+                knowledge.isOriginFresh = knowledge.origin == request.program;
+            }
+            if (call.isCallerGone || m_clock.now() >= call.deadline)
+                return Refusal { 503, "no time left" };
+        }
+    } catch (const KeyValueUnavailableError& error) {
+        return Refusal { 503, error.what() };
+    } catch (const DamagedRecordError& error) {
+        return Refusal { 503, error.what() };
+    }
+}
+
+bool TurnController::isReserved(const ForwardedCall& call, const TurnAdmitted& admitted, ChangeOutcome& outcome)
+{
+    if (!admitted.reservation)
+        return true;
+    auto known = m_writer.await(*admitted.reservation, call.deadline, [&] { return call.isCallerGone; });
+    if (known)
+        outcome = *known;
+    return known == ChangeOutcome::Stored;
+}
+
+bool TurnController::record(ForwardedCall& call, Turn& turn, const TargetId& target)
+{
+    turn.isEnded = true;
+    TurnRecord record { turn.request.turn, turn.request.previous, call.request.body, turn.output, target };
+    auto change = m_ledger.end(turn.request, turn.handedOut, std::move(record));
+    m_writer.expect(*change);
+    m_writer.kick();
+    auto outcome = m_writer.await(*change, call.deadline, [&] { return call.isCallerGone; });
+    m_writer.forget(*change);
+    return outcome == ChangeOutcome::Stored;
+}
+
+StreamHooks TurnController::hooksFor(ForwardedCall& call, Turn& turn)
+{
+    StreamHooks hooks;
+    hooks.beforeFirstEvent = [this, &call, &turn] {
+        ChangeOutcome outcome = ChangeOutcome::Stored;
+        bool reserved = isReserved(call, turn.admitted, outcome);
+        turn.isDenied = outcome == ChangeOutcome::Denied;
+        return reserved;
+    };
+    hooks.onEvent = [&call, &turn](const StreamEvent& event) {
+        const ForwardingService* service = call.table->service(call.query.service);
+        turn.handedOut += service && service->engine ? service->engine->tokensPerEvent : 1;
+        turn.output.append(event.data).append("\n");
+    };
+    hooks.beforeEnd = [this, &call, &turn](const TargetId& target) { return record(call, turn, target); };
+    return hooks;
+}
+
+std::optional<TurnController::Refusal> TurnController::serve(ForwardedCall& call, ResponseWriter& writer)
+{
+    const CallAttributes& attributes = call.attributes;
+    Turn turn;
+    // A turn outside any program is a program of its own line.
+    ProgramId program = attributes.program.empty() ? ProgramId("line-" + attributes.line) : attributes.program;
+    auto keepFor = std::chrono::duration_cast<Milliseconds>(call.deadline - call.arrivedAt) + call.route.turnRetention + retentionMargin;
+    turn.request = { program, attributes.call, attributes.previousTurn, attributes.budget.value_or(ProgramAccount::unlimited), attributes.mostTokens, m_clock.wallNow() + keepFor };
+    auto verdict = admit(call, turn.request);
+    if (auto* refusal = std::get_if<Refusal>(&verdict))
+        return *refusal;
+    turn.admitted = std::move(std::get<TurnAdmitted>(verdict));
+    if (turn.admitted.reservation) {
+        m_writer.expect(*turn.admitted.reservation);
+        m_writer.kick();
+    }
+    std::optional<Refusal> refusal;
+    ChangeOutcome outcome = ChangeOutcome::Stored;
+    if (!turn.admitted.mayRunAhead && !isReserved(call, turn.admitted, outcome))
+        refusal = outcome == ChangeOutcome::Denied ? Refusal { 402, "budget spent" } : Refusal { 503, "reservation not recorded" };
+    if (!refusal) {
+        call.body = std::move(turn.admitted.history);
+        call.body->append(call.request.body);
+        call.query.holder = turn.admitted.lastTarget;
+        call.query.heldTokens = turn.admitted.lastTarget.empty() ? 0 : attributes.promptTokens;
+        refusal = forward(call, turn, writer);
+    }
+    if (!turn.isEnded)
+        m_ledger.end(turn.request, turn.handedOut, std::nullopt);
+    if (turn.admitted.reservation)
+        m_writer.forget(*turn.admitted.reservation);
+    m_writer.kick();
+    return refusal;
+}
+
+std::optional<TurnController::Refusal> TurnController::forward(ForwardedCall& call, Turn& turn, ResponseWriter& writer)
+{
+    ForwardEnd end = m_forwarder.forward(call, writer, hooksFor(call, turn));
+    switch (end) {
+    case ForwardEnd::Delivered:
+        return std::nullopt;
+    case ForwardEnd::NotRun:
+        return Refusal { 503, "no target took the call" };
+    case ForwardEnd::MayHaveRun:
+        return Refusal { m_clock.now() >= call.deadline ? 504 : 502, turn.isDenied ? "budget spent meanwhile" : "no answer" };
+    case ForwardEnd::BrokenOff:
+        return Refusal { 502, "stream broke off", true };
+    }
+    assert(false && "unhandled enumerator");
+    return std::nullopt;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/TurnController.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Forwarder.h"
+#include "LedgerWriter.h"
+#include "StoreClient.h"
+
+#include "basilpoint/Turns/TurnLedger.h"
+
+namespace basilpoint {
+
+/// Serves turns: finds their history, keeps their program's budget, and records them.
+class TurnController {
+public:
+    TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, const Clock&, JsonLog&);
+
+    /// Why a turn got no answer of a target.
+    struct Refusal {
+        /// HTTP status; 402, 404 and 503 promise that the turn has not run.
+        int status = 503;
+        std::string reason;
+        /// The answer has begun and cannot be ended; its connection must be closed.
+        bool isBrokenOff = false;
+    };
+
+    /// Serves one turn. \returns what the caller must be told; empty if it has its answer.
+    std::optional<Refusal> serve(ForwardedCall&, ResponseWriter&);
+
+private:
+    struct Turn;
+
+    std::variant<TurnAdmitted, Refusal> admit(const ForwardedCall&, const TurnRequest&);
+    void read(const ProgramId&);
+    std::optional<ProgramId> readOrigin(const CallId& previous);
+    bool isReserved(const ForwardedCall&, const TurnAdmitted&, ChangeOutcome&);
+    StreamHooks hooksFor(ForwardedCall&, Turn&);
+    std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
+    bool record(ForwardedCall&, Turn&, const TargetId&);
+
+    Forwarder& m_forwarder;
+    StoreClient& m_store;
+    TurnLedger& m_ledger;
+    LedgerWriter& m_writer;
+    const Clock& m_clock;
+    JsonLog& m_log;
+};
+
+} // namespace basilpoint
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -7,7 +7,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
+#include <charconv>
 #include <map>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace basilpoint {
@@ -19,6 +23,15 @@
 
 static constexpr std::size_t maxIdlePerTarget = 64;
 static constexpr std::size_t streamBufferBytes = 16 * 1024;
+// Idle connections are given up this long before the target's own limit, so that no request meets the close.
+static constexpr Milliseconds idleMargin { 500 };
+// Used where the target states no limit of its own.
+static constexpr Milliseconds defaultIdleLimit { 4'000 };
+// Ends a connection whose peer acknowledges nothing, which shows no other sign.
+static constexpr unsigned unacknowledgedMilliseconds = 3'000;
+static constexpr int keepAliveIdleSeconds = 2;
+static constexpr int keepAliveIntervalSeconds = 1;
+static constexpr int keepAliveProbes = 2;
 
 struct HttpClient::Connection {
     explicit Connection(asio::io_context& io)
@@ -28,16 +41,20 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    TimePoint idleUntil = TimePoint::max();
 };
 
 struct HttpClient::State {
+    using Key = std::pair<std::string, Endpoint>;
+
     explicit State(asio::io_context& context)
         : io(context)
     {
     }
 
     asio::io_context& io;
-    std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle;
+    std::map<Key, std::vector<std::unique_ptr<Connection>>> idle;
+    std::uint64_t opened = 0;
 };
 
 void HttpCancellation::cancel()
@@ -56,10 +73,13 @@
 
 static http::request<http::string_body> toMessage(const Endpoint& endpoint, const HttpRequest& request)
 {
-    http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, endpoint.text());
     for (const auto& [name, value] : request.headers)
         message.set(name, value);
-    message.set(http::field::host, endpoint.text());
     message.keep_alive(true);
     message.body() = request.body;
     message.prepare_payload();
@@ -78,6 +98,28 @@
     return headers;
 }
 
+static void setSocketOptions(Tcp::socket& socket)
+{
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    // An option that cannot be set leaves the read timeouts to find a silent peer.
+    boost::system::error_code ec;
+    socket.set_option(Tcp::no_delay(true), ec);
+    socket.set_option(UserTimeout(unacknowledgedMilliseconds), ec);
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    socket.set_option(KeepIdle(keepAliveIdleSeconds), ec);
+    socket.set_option(KeepInterval(keepAliveIntervalSeconds), ec);
+    socket.set_option(KeepCount(keepAliveProbes), ec);
+}
+
+static void expireAfter(beast::tcp_stream& stream, Milliseconds limit, const HttpCallOptions& options)
+{
+    TimePoint end = std::chrono::steady_clock::now() + limit;
+    stream.expires_at(options.deadline ? std::min(end, *options.deadline) : end);
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::connect(const Endpoint& endpoint, const HttpCallOptions& options)
 {
     auto connection = std::make_unique<Connection>(m_state->io);
@@ -85,28 +127,64 @@
     auto address = asio::ip::make_address(endpoint.host, ec);
     if (ec)
         throw TargetError(endpoint, Executed::No, ec.message());
-    connection->stream.expires_after(options.connectTimeout);
+    expireAfter(connection->stream, options.connectTimeout, options);
+    ++m_state->opened;
     auto result = awaitIo([&](auto handler) { connection->stream.async_connect(Tcp::endpoint(address, endpoint.port), std::move(handler)); });
     if (result.ec)
         throw TargetError(endpoint, Executed::No, result.ec.message());
-    connection->stream.socket().set_option(Tcp::no_delay(true), ec);
+    setSocketOptions(connection->stream.socket());
     return connection;
 }
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const Endpoint& endpoint)
+// A connection with bytes to read holds a close or an answer that nobody asked for; neither may be used.
+static bool isQuiet(beast::tcp_stream& stream)
 {
-    auto& idle = m_state->idle[endpoint];
-    if (idle.empty())
+    char byte = 0;
+    ssize_t n = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const Endpoint& endpoint, const std::string& group)
+{
+    auto it = m_state->idle.find({ group, endpoint });
+    if (it == m_state->idle.end())
         return nullptr;
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    return connection;
+    auto& idle = it->second;
+    TimePoint now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (now < connection->idleUntil && isQuiet(connection->stream))
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClient::keepIdle(std::unique_ptr<Connection> connection, const Endpoint& endpoint, const std::string& group)
+{
+    auto& idle = m_state->idle[{ group, endpoint }];
+    if (idle.size() >= maxIdlePerTarget)
+        return;
+    connection->stream.expires_never();
+    idle.push_back(std::move(connection));
+}
+
+void HttpClient::closeIdle(const std::string& group)
+{
+    auto it = m_state->idle.lower_bound({ group, {} });
+    while (it != m_state->idle.end() && it->first.first == group)
+        it = m_state->idle.erase(it);
+}
+
+std::uint64_t HttpClient::connectionsOpened() const
+{
+    return m_state->opened;
 }
 
 void HttpClient::send(Connection& connection, const Endpoint& endpoint, const HttpRequest& request, const HttpCallOptions& options)
 {
     auto message = toMessage(endpoint, request);
-    connection.stream.expires_after(options.readTimeout);
+    expireAfter(connection.stream, options.readTimeout, options);
     auto result = awaitIo([&](auto handler) { http::async_write(connection.stream, message, std::move(handler)); });
     if (result.ec)
         throw TargetError(endpoint, Executed::Unknown, result.ec.message());
@@ -122,9 +200,65 @@
     return response;
 }
 
+// How long the target keeps the connection while it is idle, less a margin.
+static TimePoint idleEnd(std::string_view keepAlive)
+{
+    Milliseconds limit = defaultIdleLimit;
+    auto at = keepAlive.find("timeout=");
+    if (at != std::string_view::npos) {
+        std::string_view digits = keepAlive.substr(at + std::string_view("timeout=").size());
+        unsigned seconds = 0;
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec == std::errc())
+            limit = std::chrono::seconds(seconds);
+    }
+    return std::chrono::steady_clock::now() + limit - std::min(idleMargin, limit / 2);
+}
+
+HttpResponse HttpClient::exchange(Connection& connection, const Endpoint& endpoint, const ChunkHandler& onChunk, const HttpCallOptions& options, bool& isStale)
+{
+    for (;;) {
+        http::response_parser<http::buffer_body> parser;
+        parser.body_limit(options.maxBodyBytes);
+        auto header = awaitIo([&](auto handler) { http::async_read_header(connection.stream, connection.buffer, parser, std::move(handler)); });
+        if (header.ec) {
+            isStale = !parser.got_some();
+            throw TargetError(endpoint, Executed::Unknown, header.ec.message());
+        }
+        HttpResponse response { static_cast<int>(parser.get().result_int()), headersOf(parser.get()), {} };
+        bool own = !options.isOwnAnswer || options.isOwnAnswer(response);
+        if (own && options.onHeader)
+            options.onHeader(response);
+        std::string buf(streamBufferBytes, '\0');
+        while (!parser.is_done()) {
+            parser.get().body().data = buf.data();
+            parser.get().body().size = buf.size();
+            expireAfter(connection.stream, options.readTimeout, options);
+            auto result = awaitIo([&](auto handler) { http::async_read_some(connection.stream, connection.buffer, parser, std::move(handler)); });
+            if (result.ec && result.ec != http::error::need_buffer)
+                throw TargetError(endpoint, Executed::Unknown, result.ec.message());
+            std::string_view chunk(buf.data(), buf.size() - parser.get().body().size);
+            if (!own)
+                continue;
+            if (response.status == 200)
+                onChunk(chunk);
+            else
+                response.body.append(chunk);
+        }
+        bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
+        if (!own && !reusable)
+            throw TargetError(endpoint, Executed::Unknown, "answer of another request");
+        if (!own)
+            continue;
+        // Bytes after the answer belong to no request.
+        reusable = reusable && connection.buffer.size() == 0;
+        connection.idleUntil = reusable ? idleEnd(parser.get()[http::field::keep_alive]) : TimePoint::min();
+        return response;
+    }
+}
+
 HttpResponse HttpClient::stream(const Endpoint& endpoint, const HttpRequest& request, const ChunkHandler& onChunk, const HttpCallOptions& options, HttpCancellation* cancellation)
 {
-    std::unique_ptr<Connection> connection = options.reuseConnection ? takeIdle(endpoint) : nullptr;
+    std::unique_ptr<Connection> connection = options.reuseConnection ? takeIdle(endpoint, options.group) : nullptr;
     bool reused = connection != nullptr;
     if (!connection)
         connection = connect(endpoint, options);
@@ -142,54 +276,29 @@
         HttpCancellation* cancellation;
     } resetOnExit { cancellation };
 
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(options.maxBodyBytes);
-    IoResult header;
+    bool isStale = false;
     try {
+        isStale = true;
         send(*connection, endpoint, request, options);
-        header = awaitIo([&](auto handler) { http::async_read_header(connection->stream, connection->buffer, parser, std::move(handler)); });
+        isStale = false;
+        HttpResponse response = exchange(*connection, endpoint, onChunk, options, isStale);
+        if (connection->idleUntil != TimePoint::min())
+            keepIdle(std::move(connection), endpoint, options.group);
+        return response;
     } catch (const TargetError&) {
-        if (!reused)
+        bool cancelled = cancellation && cancellation->m_cancelled;
+        if (!isStale || !reused || !options.resendOnStale || cancelled)
             throw;
-        header.ec = http::error::end_of_stream;
     }
     // A kept-alive connection may have been closed before the request came; the request may be sent twice.
-    if (header.ec && reused && !parser.is_header_done()) {
-        HttpCallOptions fresh = options;
-        fresh.reuseConnection = false;
-        try {
-            return stream(endpoint, request, onChunk, fresh, cancellation);
-        } catch (const TargetError& error) {
-            // The first connection may have brought the request to the target before it broke.
-            throw TargetError(endpoint, Executed::Unknown, error.what());
-        }
-    }
-    if (header.ec)
-        throw TargetError(endpoint, Executed::Unknown, header.ec.message());
-
-    HttpResponse response { static_cast<int>(parser.get().result_int()), headersOf(parser.get()), {} };
-    if (options.onHeader)
-        options.onHeader(response);
-    std::string buf(streamBufferBytes, '\0');
-    while (!parser.is_done()) {
-        parser.get().body().data = buf.data();
-        parser.get().body().size = buf.size();
-        connection->stream.expires_after(options.readTimeout);
-        auto result = awaitIo([&](auto handler) { http::async_read_some(connection->stream, connection->buffer, parser, std::move(handler)); });
-        if (result.ec && result.ec != http::error::need_buffer)
-            throw TargetError(endpoint, Executed::Unknown, result.ec.message());
-        std::string_view chunk(buf.data(), buf.size() - parser.get().body().size);
-        if (response.status == 200)
-            onChunk(chunk);
-        else
-            response.body.append(chunk);
-    }
-    auto& idle = m_state->idle[endpoint];
-    if (parser.get().keep_alive() && idle.size() < maxIdlePerTarget) {
-        connection->stream.expires_never();
-        idle.push_back(std::move(connection));
+    HttpCallOptions fresh = options;
+    fresh.reuseConnection = false;
+    try {
+        return stream(endpoint, request, onChunk, fresh, cancellation);
+    } catch (const TargetError& error) {
+        // The first connection may have brought the request to the target before it broke.
+        throw TargetError(endpoint, Executed::Unknown, error.what());
     }
-    return response;
 }
 
 } // namespace basilpoint
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -5,13 +5,16 @@
 #include "basilpoint/Net/FiberRuntime.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <fmt/format.h>
 #include <set>
+#include <sys/socket.h>
 
 namespace basilpoint {
 
@@ -21,6 +24,8 @@
 using Tcp = asio::ip::tcp;
 
 static constexpr Milliseconds acceptRetryDelay { 50 };
+// Longest wait for a caller to close its end after the last answer.
+static constexpr Milliseconds lingerTime { 1'000 };
 
 struct HttpServer::State {
     State(asio::io_context& context, const Endpoint& address, HttpLimits limits, Handler handler)
@@ -55,11 +60,25 @@
     std::set<beast::tcp_stream*> idleStreams;
     std::size_t connections = 0;
     std::size_t activeRequests = 0;
+    bool closeAnnounced = false;
     bool stopped = false;
 };
 
 namespace {
 
+    // Waits beside the handler for the caller's close. Outlives the wait, which ends after the handler.
+    struct CallerWatch {
+        std::function<void()> onGone;
+        bool ended = false;
+    };
+
+    bool isClosed(Tcp::socket& socket)
+    {
+        char byte = 0;
+        ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     class StreamWriter final : public ResponseWriter {
     public:
         StreamWriter(beast::tcp_stream& stream, unsigned version, bool keepAlive, Milliseconds timeout)
@@ -112,6 +131,27 @@
             writeAll("0\r\n\r\n");
         }
 
+        void watchCaller(std::function<void()> onGone) override
+        {
+            assert(!m_watch && "one watch per request");
+            m_watch = std::make_shared<CallerWatch>(CallerWatch { std::move(onGone) });
+            m_stream.socket().async_wait(Tcp::socket::wait_read, [watch = m_watch, socket = &m_stream.socket()](boost::system::error_code ec) {
+                // Bytes instead of a close are the caller's next request; they are read after this answer.
+                if (!ec && !watch->ended && isClosed(*socket))
+                    watch->onGone();
+            });
+        }
+
+        // Ends the wait for the caller's close, so that the next request can be read.
+        void endWatch()
+        {
+            if (!m_watch)
+                return;
+            m_watch->ended = true;
+            boost::system::error_code ec;
+            m_stream.socket().cancel(ec);
+        }
+
         bool started() const override { return m_started; }
         bool complete() const { return m_started && !m_streaming && !m_lost; }
         bool keepAlive() const { return m_keepAlive && complete(); }
@@ -141,6 +181,7 @@
         }
 
         beast::tcp_stream& m_stream;
+        std::shared_ptr<CallerWatch> m_watch;
         Milliseconds m_timeout;
         unsigned m_version;
         bool m_keepAlive;
@@ -191,31 +232,58 @@
     }
 }
 
+// Only while nothing of a request has come may stop() close the connection.
+template <typename ServerState, typename Parser>
+static IoResult awaitFirstBytes(ServerState& state, beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser)
+{
+    stream.expires_after(state.limits.idleTimeout);
+    if (buffer.size() == 0)
+        state.idleStreams.insert(&stream);
+    auto result = awaitIo([&](auto handler) { http::async_read_some(stream, buffer, parser, std::move(handler)); });
+    state.idleStreams.erase(&stream);
+    return result;
+}
+
+// Reads on until the caller closes, since closing with unread bytes would reset the connection and
+// could take the last answer with it.
+static void lingerAndClose(beast::tcp_stream& stream)
+{
+    boost::system::error_code ec;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+    stream.expires_after(lingerTime);
+    std::array<char, 4096> buf;
+    while (!ec)
+        ec = awaitIo([&](auto handler) { stream.async_read_some(asio::buffer(buf), std::move(handler)); }).ec;
+}
+
 template <typename ServerState>
 static bool serveOne(ServerState& state, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     parser.body_limit(state.limits.maxBodyBytes);
-    stream.expires_after(state.limits.idleTimeout);
-    state.idleStreams.insert(&stream);
-    auto result = awaitIo([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
-    state.idleStreams.erase(&stream);
+    IoResult result = awaitFirstBytes(state, stream, buffer, parser);
+    if (!result.ec && !parser.is_done()) {
+        stream.expires_after(state.limits.readTimeout);
+        result = awaitIo([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+    }
     if (result.ec) {
         refuseUnreadable(stream, result.ec, state.limits);
         return false;
     }
     auto message = parser.release();
-    StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped, state.limits.writeTimeout);
+    StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped && !state.closeAnnounced, state.limits.writeTimeout);
     HttpRequest request = toRequest(message);
     ++state.activeRequests;
     try {
         answer(state.handler, request, writer);
     } catch (const ConnectionLostError&) {
         --state.activeRequests;
+        writer.endWatch();
         return false;
     }
     --state.activeRequests;
+    writer.endWatch();
     return writer.keepAlive() && !state.stopped;
 }
 
@@ -229,8 +297,8 @@
     ++state->connections;
     while (serveOne(*state, stream, buffer)) {
     }
+    lingerAndClose(stream);
     --state->connections;
-    stream.socket().shutdown(Tcp::socket::shutdown_both, ec);
 }
 
 template <typename ServerState>
@@ -267,6 +335,16 @@
     spawnFiber([state = m_state] { acceptLoop(state); });
 }
 
+void HttpServer::announceClose()
+{
+    m_state->closeAnnounced = true;
+}
+
+void HttpServer::setLimits(const HttpLimits& limits)
+{
+    m_state->limits = limits;
+}
+
 void HttpServer::stop()
 {
     if (m_state->stopped)
--- a/lib/Daemon/Metrics.cpp
+++ b/lib/Support/Metrics.cpp
@@ -1,4 +1,4 @@
-#include "Metrics.h"
+#include "basilpoint/Support/Metrics.h"
 
 #include <boost/histogram.hpp>
 #include <fmt/format.h>
--- /dev/null
+++ b/lib/Turns/TurnLedger.cpp
@@ -0,0 +1,432 @@
+#include "basilpoint/Turns/TurnLedger.h"
+
+#include "basilpoint/Support/Hash.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace basilpoint {
+
+// Below this many turns' worth of budget each turn reserves for itself alone, and a daemon without
+// running turns gives back what it holds, so that nothing is refused while another daemon sits on the rest.
+static constexpr TokenCount ampleTurns = 6;
+// A hold covers this many turns while the budget is ample: most turns then need no write at their start.
+static constexpr TokenCount turnsPerHold = 2;
+// With this many turns' worth left, a reservation is as good as certain.
+static constexpr TokenCount turnsToRunAhead = 4;
+static constexpr std::size_t programOverheadBytes = 400;
+static constexpr std::size_t turnOverheadBytes = 200;
+static constexpr std::size_t longestIdInKey = 64;
+
+// Ids are the callers' text; only harmless ones stand in keys as they are.
+static std::string keyPart(const std::string& id)
+{
+    bool plain = !id.empty() && id.size() <= longestIdInKey && std::all_of(id.begin(), id.end(), [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_'; });
+    return plain ? id : "~" + digestOf(id).text();
+}
+
+static std::string accountKey(const ProgramId& program)
+{
+    return TurnLedger::programPrefix(program) + "account";
+}
+
+static std::string turnPrefix(const ProgramId& program)
+{
+    return TurnLedger::programPrefix(program) + "turn/";
+}
+
+std::string TurnLedger::programPrefix(const ProgramId& program)
+{
+    return "programs/" + keyPart(program.text()) + "/";
+}
+
+std::string TurnLedger::originKey(const CallId& turn)
+{
+    return "turns/" + keyPart(turn.text());
+}
+
+TurnLedger::TurnLedger(DaemonLifetime self, LedgerSettings settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+{
+}
+
+TurnLedger::Program& TurnLedger::touch(const ProgramId& id)
+{
+    auto [it, isNew] = m_programs.try_emplace(id);
+    Program& program = it->second;
+    if (isNew) {
+        program.recent = m_recent.insert(m_recent.end(), id);
+        program.bytes = programOverheadBytes;
+        m_cachedBytes += program.bytes;
+    } else
+        m_recent.splice(m_recent.end(), m_recent, program.recent);
+    return program;
+}
+
+TokenCount TurnLedger::freeHold(const Program& program) const
+{
+    auto it = program.account.holds.find(m_self);
+    TokenCount hold = it == program.account.holds.end() ? 0 : it->second.tokens;
+    if (program.holdAfterBatch)
+        hold = std::min(hold, *program.holdAfterBatch);
+    TokenCount used = program.running + program.unsettled;
+    return hold > used ? hold - used : 0;
+}
+
+std::optional<std::string> TurnLedger::historyOf(const Program& program, const CallId& turn)
+{
+    std::vector<const TurnRecord*> chain;
+    std::size_t bytes = 0;
+    for (CallId id = turn; !id.empty(); id = chain.back()->previous) {
+        auto it = program.turns.find(id);
+        if (it == program.turns.end() || chain.size() > program.turns.size())
+            return std::nullopt;
+        chain.push_back(it->second.get());
+        bytes += it->second->input.size() + it->second->output.size();
+    }
+    std::string history;
+    history.reserve(bytes);
+    for (auto it = chain.rbegin(); it != chain.rend(); ++it)
+        history.append((*it)->input).append((*it)->output);
+    return history;
+}
+
+std::variant<std::string, TurnVerdict> TurnLedger::findHistory(Program& program, const TurnRequest& request, const TurnKnowledge& knowledge)
+{
+    if (request.previous.empty())
+        return std::string();
+    if (auto history = historyOf(program, request.previous))
+        return std::move(*history);
+    if (!knowledge.isProgramFresh)
+        return TurnVerdict(TurnNeedsProgram { request.program });
+    if (!knowledge.isOriginKnown)
+        return TurnVerdict(TurnNeedsOrigin { request.previous });
+    if (!knowledge.origin)
+        return TurnVerdict(TurnNotFound {});
+    auto origin = m_programs.find(*knowledge.origin);
+    auto history = origin == m_programs.end() ? std::nullopt : historyOf(origin->second, request.previous);
+    if (!history && !knowledge.isOriginFresh)
+        return TurnVerdict(TurnNeedsProgram { *knowledge.origin });
+    if (!history)
+        return TurnVerdict(TurnNotFound {});
+    // The chain becomes part of this program, whose retention may outlast the other's.
+    addTurn(program, { request.previous, {}, *history, {}, origin->second.turns.at(request.previous)->target });
+    program.imported.insert(request.previous);
+    return std::move(*history);
+}
+
+TurnVerdict TurnLedger::begin(const TurnRequest& request, const TurnKnowledge& knowledge)
+{
+    Program& program = touch(request.program);
+    if (!program.isKnown) {
+        if (!request.previous.empty() && !knowledge.isProgramFresh)
+            return TurnNeedsProgram { request.program };
+        program.isKnown = true;
+    }
+    auto history = findHistory(program, request, knowledge);
+    if (auto* verdict = std::get_if<TurnVerdict>(&history))
+        return *verdict;
+    TurnAdmitted admitted { std::move(std::get<std::string>(history)), {}, std::nullopt, true };
+    if (!request.previous.empty())
+        admitted.lastTarget = program.turns.at(request.previous)->target;
+    return reserve(program, request, knowledge.isProgramFresh, std::move(admitted));
+}
+
+TurnVerdict TurnLedger::reserve(Program& program, const TurnRequest& request, bool isProgramFresh, TurnAdmitted admitted)
+{
+    if (request.budget == ProgramAccount::unlimited)
+        return admitted;
+    if (freeHold(program) >= request.mostTokens) {
+        program.running += request.mostTokens;
+        return admitted;
+    }
+    ProgramAccount account = program.account;
+    account.budget = std::min(account.budget, request.budget);
+    TokenCount remaining = account.remaining();
+    for (const Change& it : program.changes)
+        if (const auto* pending = std::get_if<Reserve>(&it))
+            remaining -= std::min(remaining, pending->atLeast);
+    if (remaining < request.mostTokens) {
+        if (!isProgramFresh)
+            return TurnNeedsProgram { request.program };
+        return TurnBudgetSpent {};
+    }
+    program.running += request.mostTokens;
+    ChangeId id(m_nextChange++);
+    program.changes.push_back(Reserve { id, m_nextStep++, request.mostTokens, request.budget, request.keepUntil });
+    queue(request.program, program);
+    admitted.reservation = id;
+    admitted.mayRunAhead = remaining >= turnsToRunAhead * request.mostTokens;
+    return admitted;
+}
+
+void TurnLedger::programRead(const ProgramId& id, const std::vector<StoredRecord>& records)
+{
+    Program& program = touch(id);
+    program.isKnown = true;
+    std::string account = accountKey(id);
+    std::string prefix = turnPrefix(id);
+    std::vector<TurnRecord> turns;
+    for (const StoredRecord& it : records) {
+        if (it.key == account)
+            rebase(program, decodeAccount(it.value), it.revision);
+        else if (it.key.compare(0, prefix.size(), prefix) == 0)
+            turns.push_back(decodeTurn(it.value));
+    }
+    for (TurnRecord& it : turns)
+        addTurn(program, std::move(it));
+    evict();
+}
+
+std::optional<ChangeId> TurnLedger::end(const TurnRequest& request, TokenCount handedOut, std::optional<TurnRecord> record)
+{
+    Program& program = touch(request.program);
+    if (request.budget != ProgramAccount::unlimited) {
+        assert(program.running >= request.mostTokens && "a turn ends once");
+        program.running -= request.mostTokens;
+    }
+    if (!record && handedOut == 0)
+        return std::nullopt;
+    bool mustStore = record.has_value();
+    ChangeId id(m_nextChange++);
+    if (record)
+        addTurn(program, *record);
+    program.unsettled += handedOut;
+    program.changes.push_back(Settle { id, m_nextStep++, handedOut, std::move(record), request.keepUntil });
+    queue(request.program, program);
+    evict();
+    return mustStore ? std::optional(id) : std::nullopt;
+}
+
+void TurnLedger::queue(const ProgramId& id, Program& program)
+{
+    if (program.isQueued || program.isInBatch || program.changes.empty())
+        return;
+    program.isQueued = true;
+    m_waiting.push_back(id);
+}
+
+bool TurnLedger::apply(ProgramAccount& account, const Reserve& reserve) const
+{
+    account.budget = std::min(account.budget, reserve.budget);
+    TokenCount remaining = account.remaining();
+    if (remaining < reserve.atLeast)
+        return false;
+    DaemonHold& hold = account.holds[m_self];
+    hold.tokens += remaining >= ampleTurns * reserve.atLeast ? turnsPerHold * reserve.atLeast : reserve.atLeast;
+    hold.step = reserve.step;
+    account.keepUntil = std::max(account.keepUntil, reserve.keepUntil);
+    return true;
+}
+
+void TurnLedger::apply(ProgramAccount& account, const Settle& settle) const
+{
+    account.spent += settle.used;
+    DaemonHold& hold = account.holds[m_self];
+    hold.tokens -= std::min(hold.tokens, settle.used);
+    hold.step = settle.step;
+    account.keepUntil = std::max(account.keepUntil, settle.keepUntil);
+}
+
+void TurnLedger::putTurn(LedgerBatch& batch, const ProgramId& program, const TurnRecord& record) const
+{
+    batch.puts.emplace_back(turnPrefix(program) + keyPart(record.turn.text()), encodeTurn(record));
+}
+
+// Reservations that the account does not hold are refused; they never reach the store.
+void TurnLedger::dropDenied(Program& program)
+{
+    ProgramAccount account = program.account;
+    std::erase_if(program.changes, [&](Change& it) {
+        if (auto* settle = std::get_if<Settle>(&it)) {
+            apply(account, *settle);
+            return false;
+        }
+        auto& reserve = std::get<Reserve>(it);
+        if (apply(account, reserve))
+            return false;
+        m_outcomes.emplace_back(reserve.id, ChangeOutcome::Denied);
+        return true;
+    });
+}
+
+bool TurnLedger::addPart(LedgerBatch& batch, Batch& record, const ProgramId& id, Program& program)
+{
+    LedgerBatch part;
+    Part kept { id, program.account, 0, {} };
+    std::string key = accountKey(id);
+    part.conditions.emplace_back(key, program.revision);
+    bool isWhole = true;
+    bool hasReserve = false;
+    for (Change& it : program.changes) {
+        if (auto* reserve = std::get_if<Reserve>(&it)) {
+            bool fits = apply(kept.account, *reserve);
+            assert(fits && "denied reservations were dropped");
+            static_cast<void>(fits);
+            kept.step = reserve->step;
+            hasReserve = true;
+            continue;
+        }
+        auto& settle = std::get<Settle>(it);
+        // Two entries for the turn, and one for the account; an imported chain takes one more.
+        std::size_t needed = (settle.record ? 2 : 0) + 1 + program.imported.size();
+        if (batch.entries() + part.entries() + needed > m_settings.maxBatchEntries) {
+            isWhole = false;
+            break;
+        }
+        apply(kept.account, settle);
+        kept.step = settle.step;
+        if (!settle.record)
+            continue;
+        putTurn(part, id, *settle.record);
+        part.puts.emplace_back(originKey(settle.record->turn), id.text());
+    }
+    if (kept.step == 0 || batch.entries() + part.entries() + 1 > m_settings.maxBatchEntries)
+        return false;
+    for (const CallId& imported : program.imported) {
+        putTurn(part, id, *program.turns.at(imported));
+        kept.imported.push_back(imported);
+    }
+    DaemonHold& hold = kept.account.holds[m_self];
+    bool isIdle = program.running == 0 && isWhole && !hasReserve;
+    if (isIdle && kept.account.remaining() < ampleTurns * hold.tokens)
+        hold.tokens = 0;
+    program.holdAfterBatch = hold.tokens;
+    part.puts.emplace_back(key, encodeAccount(kept.account));
+    std::move(part.conditions.begin(), part.conditions.end(), std::back_inserter(batch.conditions));
+    std::move(part.puts.begin(), part.puts.end(), std::back_inserter(batch.puts));
+    record.parts.push_back(std::move(kept));
+    return true;
+}
+
+std::optional<LedgerBatch> TurnLedger::nextBatch()
+{
+    if (m_batches.size() >= m_settings.maxBatches)
+        return std::nullopt;
+    LedgerBatch batch;
+    Batch record;
+    while (!m_waiting.empty()) {
+        ProgramId id = m_waiting.front();
+        Program& program = m_programs.at(id);
+        dropDenied(program);
+        if (!program.changes.empty()) {
+            if (!addPart(batch, record, id, program))
+                break;
+            program.isInBatch = true;
+        }
+        program.isQueued = false;
+        m_waiting.pop_front();
+    }
+    if (record.parts.empty())
+        return std::nullopt;
+    batch.number = m_nextBatch++;
+    m_batches.emplace(batch.number, std::move(record));
+    return batch;
+}
+
+void TurnLedger::dropStored(Program& program, std::uint64_t step)
+{
+    while (!program.changes.empty()) {
+        Change& front = program.changes.front();
+        auto* settle = std::get_if<Settle>(&front);
+        if ((settle ? settle->step : std::get<Reserve>(front).step) > step)
+            return;
+        if (settle)
+            program.unsettled -= std::min(program.unsettled, settle->used);
+        m_outcomes.emplace_back(settle ? settle->id : std::get<Reserve>(front).id, ChangeOutcome::Stored);
+        program.changes.pop_front();
+    }
+}
+
+// A newer account came from the store: what it holds of this daemon's changes is stored.
+void TurnLedger::rebase(Program& program, const ProgramAccount& account, std::int64_t revision)
+{
+    if (revision <= program.revision)
+        return;
+    program.account = account;
+    program.revision = revision;
+    auto it = account.holds.find(m_self);
+    if (it != account.holds.end())
+        dropStored(program, it->second.step);
+}
+
+void TurnLedger::endBatch(std::uint64_t number, const std::function<void(const Part&, Program&)>& onPart)
+{
+    auto it = m_batches.find(number);
+    assert(it != m_batches.end() && "a batch ends once");
+    Batch batch = std::move(it->second);
+    m_batches.erase(it);
+    for (const Part& part : batch.parts) {
+        Program& program = m_programs.at(part.program);
+        program.isInBatch = false;
+        program.holdAfterBatch.reset();
+        onPart(part, program);
+        queue(part.program, program);
+    }
+}
+
+void TurnLedger::batchStored(std::uint64_t number, std::int64_t revision)
+{
+    endBatch(number, [&](const Part& part, Program& program) {
+        rebase(program, part.account, revision);
+        dropStored(program, part.step);
+        for (const CallId& it : part.imported)
+            program.imported.erase(it);
+    });
+}
+
+void TurnLedger::batchRefused(std::uint64_t number, const std::vector<StoredRecord>& current)
+{
+    endBatch(number, [&](const Part& part, Program& program) {
+        std::string key = accountKey(part.program);
+        auto it = std::find_if(current.begin(), current.end(), [&](const StoredRecord& record) { return record.key == key; });
+        if (it != current.end())
+            rebase(program, decodeAccount(it->value), it->revision);
+        else if (program.revision != 0) {
+            // The program's records were removed after their retention.
+            program.account = {};
+            program.revision = 0;
+        }
+    });
+}
+
+void TurnLedger::batchLost(std::uint64_t number)
+{
+    endBatch(number, [](const Part&, Program&) {});
+}
+
+std::vector<std::pair<ChangeId, ChangeOutcome>> TurnLedger::takeOutcomes()
+{
+    return std::exchange(m_outcomes, {});
+}
+
+void TurnLedger::addTurn(Program& program, TurnRecord record)
+{
+    auto& slot = program.turns[record.turn];
+    if (slot)
+        return;
+    std::size_t bytes = turnOverheadBytes + record.input.size() + record.output.size();
+    program.bytes += bytes;
+    m_cachedBytes += bytes;
+    slot = std::make_shared<const TurnRecord>(std::move(record));
+}
+
+void TurnLedger::evict()
+{
+    auto it = m_recent.begin();
+    while (m_cachedBytes > m_settings.maxCachedBytes && it != m_recent.end() && std::next(it) != m_recent.end()) {
+        const Program& program = m_programs.at(*it);
+        // A program with imported chains that are not stored yet exists nowhere else.
+        bool isBusy = program.running > 0 || !program.changes.empty() || program.isInBatch || program.isQueued || !program.imported.empty();
+        if (isBusy) {
+            ++it;
+            continue;
+        }
+        m_cachedBytes -= program.bytes;
+        m_programs.erase(*it);
+        it = m_recent.erase(it);
+    }
+}
+
+} // namespace basilpoint
