Bound what a silent cut of a watch can hide; read histories stale first

Histories are read with the cheap stale read first; holds are kept and topped up while a budget is ample.

--- a/include/basilpoint/Net/TransactionalStore.h
+++ b/include/basilpoint/Net/TransactionalStore.h
@@ -61,6 +61,11 @@
     virtual KeyTransactionResult commit(const KeyTransaction&, Milliseconds limit) = 0;
 
     /// \param limit longest wait for one page of the answer.
+    /// Waits up to \p wait for changes after revision \p after, and hands them on.
+    /// \param limit longest wait for the answer beyond \p wait.
+    /// \returns the revision from which to wait next.
+    virtual std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler&) = 0;
+
     virtual KeySnapshot snapshot(const std::string& prefix, ReadMode, Milliseconds limit) = 0;
 };
 
--- a/include/basilpoint/Support/Metrics.h
+++ b/include/basilpoint/Support/Metrics.h
@@ -17,6 +17,9 @@
     /// Adds to counter \p name; labels are part of the name, as in requests_total{status="200"}.
     void count(const std::string& name, std::uint64_t n = 1) { m_counters[name] += n; }
 
+    /// Counters by name.
+    const std::map<std::string, std::uint64_t>& counters() const { return m_counters; }
+
     void gauge(const std::string& name, double value) { m_gauges[name] = value; }
 
     /// Adds one duration to histogram \p name.
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -46,6 +46,8 @@
 /// The program's records must be read first; then ask again.
 struct TurnNeedsProgram {
     ProgramId program;
+    /// Whether records that are some time old may do; what is found in them is certain, what is missing is not.
+    bool mayBeStale = false;
 };
 
 /// The program that holds the turn \p previous must be looked up; then ask again.
@@ -63,7 +65,9 @@
 
 /// What a request has learned from the store so far, so that it never asks twice.
 struct TurnKnowledge {
-    /// The program's records were read for this request.
+    /// The program's records were read for this request, though they may have been old.
+    bool isProgramRead = false;
+    /// The program's records were read for this request as they were then.
     bool isProgramFresh = false;
     /// Program that holds the turn to continue, if another one; set once it was looked up.
     std::optional<ProgramId> origin;
@@ -158,6 +162,8 @@
         ChangeId id;
         std::uint64_t step = 0;
         TokenCount used = 0;
+        /// Most tokens of one turn, for which the hold is topped up while the budget is ample.
+        TokenCount most = 0;
         std::optional<TurnRecord> record;
         WallTimePoint keepUntil;
     };
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -13,6 +13,7 @@
 namespace basilpoint {
 
 static constexpr Milliseconds tickInterval { 200 };
+static constexpr Milliseconds summaryInterval { 10'000 };
 // The balancer asks once a second and takes an instance out after two misses.
 static constexpr Milliseconds takenOutAfter { 2'600 };
 // Kept of the time to stop for the last writes and the exit.
@@ -44,6 +45,7 @@
         void takeRegistration(const KeyValue&);
         void dropTarget(const Registration&);
         void noteReadiness();
+        void logSummary();
 
         GatewaySettings m_settings;
         WireFormat m_format;
@@ -88,6 +90,13 @@
 {
 }
 
+// Counters are named with quoted labels, which JSON names do without.
+static std::string plainName(std::string name)
+{
+    std::erase(name, '"');
+    return name;
+}
+
 bool Gateway::isReady() const
 {
     return !m_isDraining && m_configuration.current() && !m_directory.isEmpty() && !m_store.health().isFailingFor(unreadyAfter, m_clock.now());
@@ -205,6 +214,16 @@
     m_log.write(LogLine("readiness").field("ready", ready).field("targets", m_directory.size()).field("storeFailing", m_store.health().failingSince().has_value()));
 }
 
+// Totals since the start, so that a log alone shows what the process did.
+void Gateway::logSummary()
+{
+    LogLine line("summary");
+    for (const auto& [name, value] : m_metrics.counters())
+        line.field(plainName(name), value);
+    line.field("connections", m_client.connectionsOpened()).field("programs", m_ledger.programs()).field("cachedBytes", m_ledger.cachedBytes());
+    m_log.write(line);
+}
+
 void Gateway::tick()
 {
     TimePoint now = m_clock.now();
@@ -229,6 +248,10 @@
         for (;; sleepFiber(tickInterval))
             tick();
     });
+    spawnFiber([this] {
+        for (;; logSummary())
+            sleepFiber(summaryInterval);
+    });
     m_callers.start();
     m_readiness.start();
 }
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -1,9 +1,13 @@
 #include "StoreClient.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace basilpoint {
 
+// A watch that was cut shows nothing but silence; this much beyond its wait is taken for a cut.
+static constexpr Milliseconds shortestWatchLimit { 400 };
+
 StoreClient::StoreClient(TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_store(store)
     , m_clock(clock)
@@ -48,10 +52,15 @@
     return measure("get", [&] { return m_store.get(key); });
 }
 
-void StoreClient::watch(const std::string& prefix, std::int64_t from, const KeyValueStore::ChangeHandler& onChange)
+std::int64_t StoreClient::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler& onChange)
 {
     m_metrics.count("store_calls_total{kind=\"watch\"}");
-    m_store.watch(prefix, from, onChange);
+    try {
+        return m_store.awaitChanges(prefix, after, wait, std::max(shortestWatchLimit, m_health.answerLimit()), onChange);
+    } catch (const KeyValueUnavailableError& error) {
+        m_log.write(LogLine("watch-broken").field("prefix", prefix).field("after", after).field("reason", error.what()));
+        throw;
+    }
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -18,8 +18,9 @@
     KeySnapshot snapshot(const std::string& prefix, ReadMode);
     /// \throws KeyValueUnavailableError
     std::optional<KeyValue> get(const std::string& key);
-    /// Waits for changes until the watch breaks. \throws KeyValueUnavailableError
-    void watch(const std::string& prefix, std::int64_t from, const KeyValueStore::ChangeHandler&);
+    /// Waits up to \p wait for changes after revision \p after. \returns the revision to go on from.
+    /// \throws KeyValueUnavailableError if the watch broke.
+    std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler&);
 
     const StoreHealth& health() const { return m_health; }
 
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -49,9 +49,9 @@
     }
 }
 
-void TurnController::read(const ProgramId& program)
+void TurnController::read(const ProgramId& program, ReadMode mode)
 {
-    KeySnapshot snapshot = readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), ReadMode::Current); });
+    KeySnapshot snapshot = readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), mode); });
     std::vector<StoredRecord> records;
     for (KeyValue& it : snapshot.items)
         records.push_back({ std::move(it.key), std::move(it.value), it.modRevision });
@@ -79,8 +79,11 @@
             if (std::holds_alternative<TurnNotFound>(verdict))
                 return Refusal { 404, "no such turn" };
             if (auto* needed = std::get_if<TurnNeedsProgram>(&verdict)) {
-                read(needed->program);
-                (needed->program == request.program ? knowledge.isProgramFresh : knowledge.isOriginFresh) = true;
+                read(needed->program, needed->mayBeStale ? ReadMode::Stale : ReadMode::Current);
+                bool isOrigin = needed->program != request.program;
+                knowledge.isOriginFresh = knowledge.isOriginFresh || isOrigin;
+                knowledge.isProgramRead = knowledge.isProgramRead || !isOrigin;
+                knowledge.isProgramFresh = knowledge.isProgramFresh || (!isOrigin && !needed->mayBeStale);
             } else {
                 knowledge.origin = readOrigin(std::get<TurnNeedsOrigin>(verdict).previous);
                 knowledge.isOriginKnown = true;
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -29,7 +29,7 @@
     struct Turn;
 
     std::variant<TurnAdmitted, Refusal> admit(const ForwardedCall&, const TurnRequest&);
-    void read(const ProgramId&);
+    void read(const ProgramId&, ReadMode);
     std::optional<ProgramId> readOrigin(const CallId& previous);
     bool isReserved(const ForwardedCall&, const TurnAdmitted&, ChangeOutcome&);
     StreamHooks hooksFor(ForwardedCall&, Turn&);
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -7,11 +7,14 @@
 
 namespace basilpoint {
 
-// Below this many turns' worth of budget each turn reserves for itself alone, and a daemon without
-// running turns gives back what it holds, so that nothing is refused while another daemon sits on the rest.
-static constexpr TokenCount ampleTurns = 6;
 // A hold covers this many turns while the budget is ample: most turns then need no write at their start.
 static constexpr TokenCount turnsPerHold = 2;
+// Turns' worth of budget that must be left for a hold of more than one turn, for topping a hold up when a
+// turn is recorded, and for keeping a hold without running turns. A program that moves from daemon to daemon
+// leaves a hold at each, so each step takes less of what is left, and none is refused over idle holds.
+static constexpr TokenCount turnsLeftToHoldMore = 5;
+static constexpr TokenCount turnsLeftToTopUp = 4;
+static constexpr TokenCount turnsLeftToKeep = 3;
 // With this many turns' worth left, a reservation is as good as certain.
 static constexpr TokenCount turnsToRunAhead = 4;
 static constexpr std::size_t programOverheadBytes = 400;
@@ -99,7 +102,7 @@
     if (auto history = historyOf(program, request.previous))
         return std::move(*history);
     if (!knowledge.isProgramFresh)
-        return TurnVerdict(TurnNeedsProgram { request.program });
+        return TurnVerdict(TurnNeedsProgram { request.program, !knowledge.isProgramRead });
     if (!knowledge.isOriginKnown)
         return TurnVerdict(TurnNeedsOrigin { request.previous });
     if (!knowledge.origin)
@@ -120,8 +123,8 @@
 {
     Program& program = touch(request.program);
     if (!program.isKnown) {
-        if (!request.previous.empty() && !knowledge.isProgramFresh)
-            return TurnNeedsProgram { request.program };
+        if (!request.previous.empty() && !knowledge.isProgramRead)
+            return TurnNeedsProgram { request.program, true };
         program.isKnown = true;
     }
     auto history = findHistory(program, request, knowledge);
@@ -193,7 +196,7 @@
     if (record)
         addTurn(program, *record);
     program.unsettled += handedOut;
-    program.changes.push_back(Settle { id, m_nextStep++, handedOut, std::move(record), request.keepUntil });
+    program.changes.push_back(Settle { id, m_nextStep++, handedOut, request.mostTokens, std::move(record), request.keepUntil });
     queue(request.program, program);
     evict();
     return mustStore ? std::optional(id) : std::nullopt;
@@ -214,7 +217,7 @@
     if (remaining < reserve.atLeast)
         return false;
     DaemonHold& hold = account.holds[m_self];
-    hold.tokens += remaining >= ampleTurns * reserve.atLeast ? turnsPerHold * reserve.atLeast : reserve.atLeast;
+    hold.tokens += remaining >= turnsLeftToHoldMore * reserve.atLeast ? turnsPerHold * reserve.atLeast : reserve.atLeast;
     hold.step = reserve.step;
     account.keepUntil = std::max(account.keepUntil, reserve.keepUntil);
     return true;
@@ -226,6 +229,9 @@
     DaemonHold& hold = account.holds[m_self];
     hold.tokens -= std::min(hold.tokens, settle.used);
     hold.step = settle.step;
+    // Topping up here saves the next turn a write of its own.
+    if (account.budget != ProgramAccount::unlimited && hold.tokens < settle.most && account.remaining() >= turnsLeftToTopUp * settle.most)
+        hold.tokens = turnsPerHold * settle.most;
     account.keepUntil = std::max(account.keepUntil, settle.keepUntil);
 }
 
@@ -259,6 +265,7 @@
     part.conditions.emplace_back(key, program.revision);
     bool isWhole = true;
     bool hasReserve = false;
+    TokenCount most = 0;
     for (Change& it : program.changes) {
         if (auto* reserve = std::get_if<Reserve>(&it)) {
             bool fits = apply(kept.account, *reserve);
@@ -277,6 +284,7 @@
         }
         apply(kept.account, settle);
         kept.step = settle.step;
+        most = std::max(most, settle.most);
         if (!settle.record)
             continue;
         putTurn(part, id, *settle.record);
@@ -290,7 +298,7 @@
     }
     DaemonHold& hold = kept.account.holds[m_self];
     bool isIdle = program.running == 0 && isWhole && !hasReserve;
-    if (isIdle && kept.account.remaining() < ampleTurns * hold.tokens)
+    if (isIdle && kept.account.remaining() < turnsLeftToKeep * most)
         hold.tokens = 0;
     program.holdAfterBatch = hold.tokens;
     part.puts.emplace_back(key, encodeAccount(kept.account));
