Group the daemons' commits at a keeper and share waits for changes

Weighed: a longer wait in each daemon groups little (11 turns a second each); one keeper sees all 79. Direct calls stay the way back when keepers fail, and daemons relay for each other when only some reach the store.

--- a/include/basilpoint/Gateway/Gateway.h
+++ b/include/basilpoint/Gateway/Gateway.h
@@ -16,6 +16,8 @@
     Endpoint callers;
     /// Where the balancer asks for readiness.
     Endpoint readiness;
+    /// Where other daemons call.
+    Endpoint peers;
     /// Time from a request to stop to the forced end.
     Milliseconds stopLimit { 8'000 };
     /// Where log lines go.
--- /dev/null
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "basilpoint/Support/Clock.h"
+#include "basilpoint/Support/Endpoint.h"
+#include "basilpoint/Support/Ids.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace basilpoint {
+
+/// A daemon that makes calls to the store for others.
+struct RelayAddress {
+    std::string instance;
+    DataCentreId dataCentre;
+    Endpoint endpoint;
+    /// Stands beside a disk and serves no callers, so it has time to group commits.
+    bool isKeeper = false;
+
+    auto operator<=>(const RelayAddress&) const = default;
+};
+
+/// A way to the store: by a relay, or directly if \ref relay is empty.
+struct StorePath {
+    std::string relay;
+
+    auto operator<=>(const StorePath&) const = default;
+};
+
+/// Chooses by which way to call the store.
+///
+/// Commits and waits for changes go by the keeper that all daemons agree on, where they share calls; reads
+/// go directly.
+/// Whatever fails is left out for a time, so a daemon that is cut from the store goes by one that is not.
+class StorePaths {
+public:
+    explicit StorePaths(DataCentreId own)
+        : m_own(std::move(own))
+    {
+    }
+
+    void setRelays(const std::vector<RelayAddress>&);
+
+    enum class Purpose {
+        Commit,
+        Wait,
+        Read,
+    };
+
+    /// Ways to try, the best first; never empty.
+    std::vector<StorePath> order(Purpose, TimePoint now) const;
+
+    void failed(const StorePath&, TimePoint now);
+    void answered(const StorePath& path) { m_failures.erase(path); }
+
+    const std::map<std::string, RelayAddress>& relays() const { return m_relays; }
+
+    /// Ways that one call tries.
+    static constexpr std::size_t maxTries = 3;
+
+private:
+    struct Failure {
+        TimePoint until;
+        unsigned count = 0;
+    };
+
+    bool isSuspended(const StorePath&, TimePoint now) const;
+
+    DataCentreId m_own;
+    std::map<std::string, RelayAddress> m_relays;
+    std::map<StorePath, Failure> m_failures;
+};
+
+} // namespace basilpoint
--- a/include/basilpoint/Gateway/WireFormat.h
+++ b/include/basilpoint/Gateway/WireFormat.h
@@ -69,6 +69,12 @@
     std::function<std::optional<Registration>(const std::string& key, const std::string& bytes)> decodeRegistration;
     std::string configurationKey;
     std::string registrationsPrefix;
+    /// Prefix of requests to empty an instance with a disk; the instance's name follows.
+    std::string emptyingPrefix;
+    /// Prefix of the state of such requests; the instance's name follows.
+    std::string emptyingStatePrefix;
+    /// State of an instance that holds nothing any more.
+    std::string emptiedState;
     /// Path at which readiness is asked for.
     std::string readinessPath;
 };
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -119,7 +119,7 @@
     TurnLedger(DaemonLifetime self, LedgerSettings);
 
     /// Decides on a turn. An admitted turn must be ended by end().
-    TurnVerdict begin(const TurnRequest&, const TurnKnowledge&);
+    TurnVerdict begin(const TurnRequest&, const TurnKnowledge&, TimePoint now);
 
     /// The program's records as read from the store just now.
     void programRead(const ProgramId&, const std::vector<StoredRecord>&);
@@ -185,6 +185,8 @@
         /// The hold after the batch that is on its way; no more than this may be used meanwhile.
         std::optional<TokenCount> holdAfterBatch;
         bool isQueued = false;
+        /// When the store last showed that the budget is spent.
+        TimePoint seenSpentAt = TimePoint::min();
         std::list<ProgramId>::iterator recent;
         std::size_t bytes = 0;
     };
@@ -203,7 +205,7 @@
     TokenCount freeHold(const Program&) const;
     static std::optional<std::string> historyOf(const Program&, const CallId& turn);
     std::variant<std::string, TurnVerdict> findHistory(Program&, const TurnRequest&, const TurnKnowledge&);
-    TurnVerdict reserve(Program&, const TurnRequest&, bool isProgramFresh, TurnAdmitted admitted);
+    TurnVerdict reserve(Program&, const TurnRequest&, bool isProgramFresh, TurnAdmitted admitted, TimePoint now);
     void queue(const ProgramId&, Program&);
     void dropDenied(Program&);
     bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
--- /dev/null
+++ b/lib/Gateway/CommitGroup.cpp
@@ -0,0 +1,156 @@
+#include "basilpoint/Gateway/CommitGroup.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace basilpoint {
+
+CommitGroup::CommitGroup(CommitGroupSettings settings)
+    : m_settings(settings)
+{
+}
+
+static std::size_t bytesOf(const KeyTransaction& transaction)
+{
+    std::size_t bytes = 0;
+    for (const auto& it : transaction.puts)
+        bytes += it.key.size() + it.value.size();
+    return bytes;
+}
+
+CommitGroup::Ticket CommitGroup::submit(KeyTransaction transaction)
+{
+    Ticket ticket = m_nextTicket++;
+    std::size_t bytes = bytesOf(transaction);
+    m_waitingEntries += transaction.entries();
+    m_waiting.push_back({ ticket, std::move(transaction), bytes });
+    return ticket;
+}
+
+bool CommitGroup::isFull() const
+{
+    return m_waitingEntries >= m_settings.maxEntries;
+}
+
+std::optional<TimePoint> CommitGroup::nextAt() const
+{
+    if (m_waiting.empty() || m_calls.size() >= m_settings.maxCalls)
+        return std::nullopt;
+    if (isFull() || m_lastCallAt == TimePoint::min())
+        return TimePoint::min();
+    return m_lastCallAt + m_settings.interval;
+}
+
+// Two writes of one key may not share a call; the later one waits.
+static bool overlaps(const std::set<std::string>& keys, const KeyTransaction& transaction)
+{
+    auto has = [&](const std::string& key) { return keys.contains(key); };
+    return std::any_of(transaction.conditions.begin(), transaction.conditions.end(), [&](const auto& it) { return has(it.key); })
+        || std::any_of(transaction.puts.begin(), transaction.puts.end(), [&](const auto& it) { return has(it.key); })
+        || std::any_of(transaction.deletes.begin(), transaction.deletes.end(), has);
+}
+
+static void addKeys(std::set<std::string>& keys, const KeyTransaction& transaction)
+{
+    for (const auto& it : transaction.conditions)
+        keys.insert(it.key);
+    for (const auto& it : transaction.puts)
+        keys.insert(it.key);
+    keys.insert(transaction.deletes.begin(), transaction.deletes.end());
+}
+
+static void append(KeyTransaction& whole, const KeyTransaction& part)
+{
+    whole.conditions.insert(whole.conditions.end(), part.conditions.begin(), part.conditions.end());
+    whole.puts.insert(whole.puts.end(), part.puts.begin(), part.puts.end());
+    whole.deletes.insert(whole.deletes.end(), part.deletes.begin(), part.deletes.end());
+}
+
+std::optional<CommitGroup::Call> CommitGroup::next(TimePoint now)
+{
+    auto at = nextAt();
+    if (!at || now < *at)
+        return std::nullopt;
+    Call call { m_nextNumber++, {} };
+    std::vector<Member> members;
+    std::set<std::string> keys;
+    std::size_t bytes = 0;
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        bool fits = members.empty() || (call.transaction.entries() + it->transaction.entries() <= m_settings.maxEntries && bytes + it->bytes <= m_settings.maxBytes);
+        if (!fits)
+            break;
+        bool isApart = !overlaps(keys, it->transaction);
+        // Keys of one that waits block those behind it as well, so that order is kept.
+        addKeys(keys, it->transaction);
+        if (!isApart) {
+            ++it;
+            continue;
+        }
+        append(call.transaction, it->transaction);
+        bytes += it->bytes;
+        m_waitingEntries -= it->transaction.entries();
+        members.push_back(std::move(*it));
+        it = m_waiting.erase(it);
+    }
+    m_lastCallAt = now;
+    m_calls.emplace(call.number, std::move(members));
+    return call;
+}
+
+std::vector<CommitGroup::Member> CommitGroup::take(std::uint64_t number)
+{
+    auto it = m_calls.find(number);
+    assert(it != m_calls.end() && "a call ends once");
+    std::vector<Member> members = std::move(it->second);
+    m_calls.erase(it);
+    return members;
+}
+
+static bool holds(const KeyTransaction& transaction, const std::map<std::string, std::int64_t>& revisions)
+{
+    return std::all_of(transaction.conditions.begin(), transaction.conditions.end(), [&](const KeyCondition& it) {
+        auto current = revisions.find(it.key);
+        return it.revision == (current == revisions.end() ? 0 : current->second);
+    });
+}
+
+static KeyTransactionResult refusalOf(const KeyTransaction& transaction, const std::vector<KeyValue>& current)
+{
+    KeyTransactionResult result;
+    for (const KeyValue& it : current)
+        if (std::any_of(transaction.conditions.begin(), transaction.conditions.end(), [&](const auto& condition) { return condition.key == it.key; }))
+            result.current.push_back(it);
+    return result;
+}
+
+std::vector<std::pair<CommitGroup::Ticket, KeyTransactionResult>> CommitGroup::answered(std::uint64_t number, const KeyTransactionResult& result)
+{
+    std::vector<Member> members = take(number);
+    std::vector<std::pair<Ticket, KeyTransactionResult>> settled;
+    std::map<std::string, std::int64_t> revisions;
+    for (const KeyValue& it : result.current)
+        revisions[it.key] = it.modRevision;
+    bool anyRefused = std::any_of(members.begin(), members.end(), [&](const Member& it) { return !holds(it.transaction, revisions); });
+    for (auto it = members.rbegin(); it != members.rend(); ++it) {
+        if (result.revision)
+            settled.emplace_back(it->ticket, result);
+        else if (!anyRefused || !holds(it->transaction, revisions))
+            settled.emplace_back(it->ticket, refusalOf(it->transaction, result.current));
+        else {
+            m_waitingEntries += it->transaction.entries();
+            m_waiting.push_front(std::move(*it));
+        }
+    }
+    return settled;
+}
+
+std::vector<CommitGroup::Ticket> CommitGroup::lost(std::uint64_t number)
+{
+    std::vector<Ticket> tickets;
+    for (const Member& it : take(number))
+        tickets.push_back(it.ticket);
+    return tickets;
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -1,6 +1,8 @@
 #include "basilpoint/Gateway/Gateway.h"
 
 #include "CallController.h"
+#include "RelayDirectory.h"
+#include "StoreRelay.h"
 #include "StoreWatch.h"
 
 #include "basilpoint/Net/FiberRuntime.h"
@@ -13,6 +15,8 @@
 namespace basilpoint {
 
 static constexpr Milliseconds tickInterval { 200 };
+// A watch can be cut without a sign. What it reports must be known within two seconds, so no call waits longer.
+static constexpr Milliseconds watchWait { 1'200 };
 static constexpr Milliseconds summaryInterval { 10'000 };
 // The balancer asks once a second and takes an instance out after two misses.
 static constexpr Milliseconds takenOutAfter { 2'600 };
@@ -55,6 +59,8 @@
         Metrics m_metrics;
         HttpClient& m_client;
         StoreClient m_store;
+        RelayDirectory m_relays;
+        StoreRelay m_relay;
         ConfigurationHolder m_configuration;
         TargetDirectory m_directory;
         TargetSelector m_selector;
@@ -78,7 +84,9 @@
     , m_random(std::random_device()())
     , m_log(clock, settings.logDescriptor, settings.instance)
     , m_client(client)
-    , m_store(store, clock, m_log, m_metrics)
+    , m_store(store, &client, settings.dataCentre, clock, m_log, m_metrics)
+    , m_relays(m_store, { settings.instance, settings.dataCentre, settings.peers, false }, m_log)
+    , m_relay(io, settings.peers, store, clock, m_log, m_metrics)
     , m_selector(m_random())
     , m_ledger(DaemonLifetime(randomHex(m_random, 12)), LedgerSettings {})
     , m_writer(m_store, m_ledger, clock, m_log)
@@ -157,7 +165,7 @@
 void Gateway::watchConfiguration()
 {
     watchStore(
-        m_store, m_random, m_format.configurationKey,
+        m_store, m_random, { m_format.configurationKey, watchWait },
         [this](const std::vector<KeyValue>& items) {
             for (const KeyValue& it : items)
                 if (it.key == m_format.configurationKey)
@@ -172,7 +180,7 @@
 void Gateway::watchTargets()
 {
     watchStore(
-        m_store, m_random, m_format.registrationsPrefix,
+        m_store, m_random, { m_format.registrationsPrefix, watchWait },
         [this](const std::vector<KeyValue>& items) {
             std::vector<Registration> registrations;
             for (const KeyValue& it : items) {
@@ -244,6 +252,8 @@
     spawnFiber([this] { watchConfiguration(); });
     spawnFiber([this] { watchTargets(); });
     spawnFiber([this] { probeStore(); });
+    spawnFiber([this] { m_relays.run(); });
+    m_relay.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
             tick();
--- /dev/null
+++ b/lib/Gateway/Keeper.cpp
@@ -0,0 +1,116 @@
+#include "basilpoint/Gateway/Keeper.h"
+
+#include "RelayDirectory.h"
+#include "StoreRelay.h"
+#include "StoreWatch.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <csignal>
+
+namespace basilpoint {
+
+static constexpr Milliseconds logInterval { 200 };
+static constexpr Milliseconds pauseBetweenTries { 300 };
+static constexpr int maxStateTries = 10;
+// A request to empty an instance may take seconds to be seen, so its watch is cheap.
+static constexpr Milliseconds emptyingWait { 4'000 };
+
+namespace {
+
+    class Keeper {
+    public:
+        Keeper(boost::asio::io_context&, const KeeperSettings&, const WireFormat&, HttpClient& peers, TransactionalStore&, const Clock&);
+
+        void start();
+        void stop();
+        JsonLog& log() { return m_log; }
+
+    private:
+        void confirmEmpty(const std::string& key);
+        void watchEmptying();
+
+        WireFormat m_format;
+        RandomEngine m_random;
+        JsonLog m_log;
+        Metrics m_metrics;
+        StoreClient m_store;
+        StoreRelay m_relay;
+        RelayDirectory m_directory;
+    };
+
+} // namespace
+
+Keeper::Keeper(boost::asio::io_context& io, const KeeperSettings& settings, const WireFormat& format, HttpClient& peers, TransactionalStore& store, const Clock& clock)
+    : m_format(format)
+    , m_random(std::random_device()())
+    , m_log(clock, settings.logDescriptor, settings.instance)
+    , m_store(store, &peers, settings.dataCentre, clock, m_log, m_metrics)
+    , m_relay(io, settings.peers, store, clock, m_log, m_metrics)
+    , m_directory(m_store, { settings.instance, settings.dataCentre, settings.peers, true }, m_log)
+{
+}
+
+// Nothing lasts on the disks, so an instance that is to be emptied is empty at once, and any keeper may say so.
+void Keeper::confirmEmpty(const std::string& key)
+{
+    std::string instance = key.substr(m_format.emptyingPrefix.size());
+    for (int n = 0; n < maxStateTries; ++n) {
+        try {
+            std::string stateKey = m_format.emptyingStatePrefix + instance;
+            auto current = m_store.get(stateKey);
+            bool isWritten = current && current->value == m_format.emptiedState;
+            if (isWritten || m_store.commit({ { { stateKey, current ? current->modRevision : 0 } }, { { stateKey, m_format.emptiedState } }, {} }).revision) {
+                m_log.write(LogLine("instance-empty").field("emptied", instance).field("wasWritten", isWritten));
+                return;
+            }
+        } catch (const KeyValueUnavailableError& error) {
+            m_log.write(LogLine("instance-empty-unwritten").field("emptied", instance).field("reason", error.what()));
+        }
+        sleepFiber(pauseBetweenTries);
+    }
+}
+
+void Keeper::watchEmptying()
+{
+    watchStore(m_store, m_random, { m_format.emptyingPrefix, emptyingWait },
+        [this](const std::vector<KeyValue>& items) {
+            for (const KeyValue& it : items)
+                confirmEmpty(it.key);
+        },
+        [this](const std::string& key, const std::optional<KeyValue>& item) {
+            if (item)
+                confirmEmpty(key);
+        });
+}
+
+void Keeper::start()
+{
+    m_log.write(LogLine("start").field("role", "keeper"));
+    m_relay.start();
+    spawnFiber([this] { m_directory.run(); });
+    spawnFiber([this] { watchEmptying(); });
+    spawnFiber([this] {
+        for (;; sleepFiber(logInterval))
+            m_log.flush();
+    });
+}
+
+void Keeper::stop()
+{
+    m_log.write(LogLine("stop").field("role", "keeper"));
+    m_log.flush();
+}
+
+void runKeeper(boost::asio::io_context& io, const KeeperSettings& settings, const WireFormat& format, HttpClient& peers, TransactionalStore& store, const Clock& clock)
+{
+    // Fibers use the keeper until the process ends.
+    auto& keeper = *new Keeper(io, settings, format, peers, store, clock);
+    keeper.start();
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    while (awaitSignal(signals) == SIGHUP)
+        keeper.log().write(LogLine("reload").field("role", "keeper"));
+    keeper.stop();
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -8,29 +8,63 @@
 // A watch that was cut shows nothing but silence; this much beyond its wait is taken for a cut.
 static constexpr Milliseconds shortestWatchLimit { 400 };
 
-StoreClient::StoreClient(TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
-    : m_store(store)
+StoreClient::StoreClient(TransactionalStore& direct, HttpClient* peers, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
+    : m_direct(direct)
+    , m_peers(peers)
     , m_clock(clock)
     , m_log(log)
     , m_metrics(metrics)
+    , m_paths(std::move(dataCentre))
 {
 }
 
+void StoreClient::setRelays(const std::vector<RelayAddress>& relays)
+{
+    if (!m_peers)
+        return;
+    m_paths.setRelays(relays);
+    m_relays.clear();
+    for (const RelayAddress& it : relays)
+        m_relays[it.instance] = std::make_shared<RelayedStore>(*m_peers, it.endpoint);
+}
+
+template <typename Call>
+auto StoreClient::tryPaths(const char* kind, StorePaths::Purpose purpose, Call call)
+{
+    std::vector<StorePath> paths = m_paths.order(purpose, m_clock.now());
+    for (std::size_t n = 0;; ++n) {
+        const StorePath& path = paths[n];
+        auto relay = m_relays.find(path.relay);
+        // Held, since the relays may be replaced while the call waits.
+        std::shared_ptr<RelayedStore> held = relay == m_relays.end() ? nullptr : relay->second;
+        m_metrics.count(fmt::format("store_calls_total{{kind=\"{}\",by=\"{}\"}}", kind, held ? "relay" : "direct"));
+        try {
+            auto result = call(held ? static_cast<TransactionalStore&>(*held) : m_direct);
+            m_paths.answered(path);
+            return result;
+        } catch (const KeyValueUnavailableError& error) {
+            m_metrics.count(fmt::format("store_failures_total{{kind=\"{}\",by=\"{}\"}}", kind, held ? "relay" : "direct"));
+            m_paths.failed(path, m_clock.now());
+            if (n + 1 == paths.size())
+                throw;
+            m_log.write(LogLine("store-path-failed").field("call", kind).field("relay", path.relay).field("reason", error.what()));
+        }
+    }
+}
+
 template <typename Call>
-auto StoreClient::measure(const char* kind, Call call)
+auto StoreClient::measure(const char* kind, StorePaths::Purpose purpose, Call call)
 {
     TimePoint start = m_clock.now();
     auto elapsed = [&] { return std::chrono::duration_cast<Milliseconds>(m_clock.now() - start); };
-    m_metrics.count(fmt::format("store_calls_total{{kind=\"{}\"}}", kind));
     try {
-        auto result = call();
+        auto result = tryPaths(kind, purpose, call);
         m_metrics.observe("store_call_seconds", m_clock.now() - start);
         auto failingSince = m_health.failingSince();
         if (m_health.answered(elapsed(), m_clock.now()))
             m_log.write(LogLine("store-regained").field("call", kind).field("lostForMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - *failingSince)));
         return result;
     } catch (const KeyValueUnavailableError& error) {
-        m_metrics.count(fmt::format("store_failures_total{{kind=\"{}\"}}", kind));
         if (m_health.failed(elapsed(), m_clock.now()))
             m_log.write(LogLine("store-lost").field("call", kind).field("waitedMs", elapsed()).field("reason", error.what()));
         throw;
@@ -39,24 +73,25 @@
 
 KeyTransactionResult StoreClient::commit(const KeyTransaction& transaction)
 {
-    return measure("commit", [&] { return m_store.commit(transaction, m_health.answerLimit()); });
+    return measure("commit", StorePaths::Purpose::Commit, [&](TransactionalStore& store) { return store.commit(transaction, m_health.answerLimit()); });
 }
 
 KeySnapshot StoreClient::snapshot(const std::string& prefix, ReadMode mode)
 {
-    return measure("snapshot", [&] { return m_store.snapshot(prefix, mode, m_health.answerLimit()); });
+    return measure("snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
 }
 
 std::optional<KeyValue> StoreClient::get(const std::string& key)
 {
-    return measure("get", [&] { return m_store.get(key); });
+    return measure("get", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.get(key); });
 }
 
 std::int64_t StoreClient::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler& onChange)
 {
-    m_metrics.count("store_calls_total{kind=\"watch\"}");
     try {
-        return m_store.awaitChanges(prefix, after, wait, std::max(shortestWatchLimit, m_health.answerLimit()), onChange);
+        return tryPaths("watch", StorePaths::Purpose::Wait, [&](TransactionalStore& store) {
+            return store.awaitChanges(prefix, after, wait, std::max(shortestWatchLimit, m_health.answerLimit()), onChange);
+        });
     } catch (const KeyValueUnavailableError& error) {
         m_log.write(LogLine("watch-broken").field("prefix", prefix).field("after", after).field("reason", error.what()));
         throw;
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -1,38 +1,49 @@
 #pragma once
 
+#include "RelayedStore.h"
+
 #include "basilpoint/Gateway/JsonLog.h"
 #include "basilpoint/Gateway/StoreHealth.h"
-#include "basilpoint/Net/TransactionalStore.h"
+#include "basilpoint/Gateway/StorePaths.h"
 #include "basilpoint/Support/Metrics.h"
 
+#include <memory>
+
 namespace basilpoint {
 
-/// Calls of the gateway to the key-value service, with what they tell of its health.
+/// Calls of a daemon to the key-value service, directly or by way of other daemons, with what they tell
+/// of its health.
 class StoreClient {
 public:
-    StoreClient(TransactionalStore&, const Clock&, JsonLog&, Metrics&);
+    /// \param peers carries calls to other daemons; null if this client only calls directly.
+    StoreClient(TransactionalStore& direct, HttpClient* peers, DataCentreId, const Clock&, JsonLog&, Metrics&);
 
-    /// \throws KeyValueUnavailableError
+    /// Daemons that may relay calls.
+    void setRelays(const std::vector<RelayAddress>&);
+
+    /// \throws KeyValueUnavailableError, as all calls do if no way led to the service.
     KeyTransactionResult commit(const KeyTransaction&);
-    /// \throws KeyValueUnavailableError
     KeySnapshot snapshot(const std::string& prefix, ReadMode);
-    /// \throws KeyValueUnavailableError
     std::optional<KeyValue> get(const std::string& key);
     /// Waits up to \p wait for changes after revision \p after. \returns the revision to go on from.
-    /// \throws KeyValueUnavailableError if the watch broke.
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler&);
 
     const StoreHealth& health() const { return m_health; }
 
 private:
     template <typename Call>
-    auto measure(const char* kind, Call);
+    auto tryPaths(const char* kind, StorePaths::Purpose, Call);
+    template <typename Call>
+    auto measure(const char* kind, StorePaths::Purpose, Call);
 
-    TransactionalStore& m_store;
+    TransactionalStore& m_direct;
+    HttpClient* m_peers;
     const Clock& m_clock;
     JsonLog& m_log;
     Metrics& m_metrics;
     StoreHealth m_health;
+    StorePaths m_paths;
+    std::map<std::string, std::shared_ptr<RelayedStore>> m_relays;
 };
 
 } // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/StoreCodec.cpp
@@ -0,0 +1,124 @@
+#include "StoreCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+static Json binary(const std::string& bytes)
+{
+    return Json::binary({ bytes.begin(), bytes.end() });
+}
+
+static std::string bytesOf(const Json& json)
+{
+    const auto& bytes = json.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+static std::string toBytes(const Json& json)
+{
+    auto bytes = Json::to_cbor(json);
+    return { bytes.begin(), bytes.end() };
+}
+
+template <typename Read>
+static auto decode(const std::string& bytes, Read read)
+{
+    try {
+        return read(Json::from_cbor(bytes));
+    } catch (const Json::exception&) {
+        throw KeyValueUnavailableError("message of another shape between daemons");
+    }
+}
+
+static Json itemsToJson(const std::vector<KeyValue>& items)
+{
+    Json json = Json::array();
+    for (const KeyValue& it : items)
+        json.push_back({ it.key, binary(it.value), it.modRevision });
+    return json;
+}
+
+static std::vector<KeyValue> itemsFrom(const Json& json)
+{
+    std::vector<KeyValue> items;
+    for (const Json& it : json)
+        items.push_back({ it.at(0).get<std::string>(), bytesOf(it.at(1)), it.at(2).get<std::int64_t>() });
+    return items;
+}
+
+std::string encodeTransaction(const KeyTransaction& transaction)
+{
+    Json json { { "c", Json::array() }, { "p", Json::array() }, { "d", transaction.deletes } };
+    for (const auto& it : transaction.conditions)
+        json["c"].push_back({ it.key, it.revision });
+    for (const auto& it : transaction.puts)
+        json["p"].push_back({ it.key, binary(it.value) });
+    return toBytes(json);
+}
+
+KeyTransaction decodeTransaction(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        KeyTransaction transaction;
+        for (const Json& it : json.at("c"))
+            transaction.conditions.push_back({ it.at(0).get<std::string>(), it.at(1).get<std::int64_t>() });
+        for (const Json& it : json.at("p"))
+            transaction.puts.push_back({ it.at(0).get<std::string>(), bytesOf(it.at(1)) });
+        transaction.deletes = json.at("d").get<std::vector<std::string>>();
+        return transaction;
+    });
+}
+
+std::string encodeResult(const KeyTransactionResult& result)
+{
+    return toBytes({ { "r", result.revision.value_or(0) }, { "i", itemsToJson(result.current) } });
+}
+
+KeyTransactionResult decodeResult(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        auto revision = json.at("r").get<std::int64_t>();
+        return KeyTransactionResult { revision == 0 ? std::nullopt : std::optional(revision), itemsFrom(json.at("i")) };
+    });
+}
+
+std::string encodeSnapshot(const KeySnapshot& snapshot)
+{
+    return toBytes({ { "r", snapshot.revision }, { "i", itemsToJson(snapshot.items) } });
+}
+
+KeySnapshot decodeSnapshot(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        return KeySnapshot { itemsFrom(json.at("i")), json.at("r").get<std::int64_t>() };
+    });
+}
+
+std::string encodeQuery(const StoreQuery& query)
+{
+    return toBytes({ { "k", query.key }, { "s", query.mayBeStale }, { "a", query.after }, { "w", query.wait.count() } });
+}
+
+StoreQuery decodeQuery(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        return StoreQuery { json.at("k").get<std::string>(), json.at("s").get<bool>(), json.at("a").get<std::int64_t>(), Milliseconds(json.at("w").get<std::int64_t>()) };
+    });
+}
+
+std::string encodeChanges(const StoreChanges& changes)
+{
+    return toBytes({ { "n", changes.next }, { "i", itemsToJson(changes.items) } });
+}
+
+StoreChanges decodeChanges(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        return StoreChanges { itemsFrom(json.at("i")), json.at("n").get<std::int64_t>() };
+    });
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/StoreCodec.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "basilpoint/Net/TransactionalStore.h"
+
+namespace basilpoint {
+
+// Bodies of calls between daemons, in CBOR. All decoders throw KeyValueUnavailableError on other bytes.
+
+std::string encodeTransaction(const KeyTransaction&);
+KeyTransaction decodeTransaction(const std::string&);
+
+std::string encodeResult(const KeyTransactionResult&);
+KeyTransactionResult decodeResult(const std::string&);
+
+std::string encodeSnapshot(const KeySnapshot&);
+KeySnapshot decodeSnapshot(const std::string&);
+
+/// A read or a wait for changes.
+struct StoreQuery {
+    std::string key;
+    bool mayBeStale = false;
+    std::int64_t after = 0;
+    Milliseconds wait { 0 };
+};
+
+std::string encodeQuery(const StoreQuery&);
+StoreQuery decodeQuery(const std::string&);
+
+/// Changes since a revision; an item with revision 0 was removed.
+struct StoreChanges {
+    std::vector<KeyValue> items;
+    std::int64_t next = 0;
+};
+
+std::string encodeChanges(const StoreChanges&);
+StoreChanges decodeChanges(const std::string&);
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/StorePaths.cpp
@@ -0,0 +1,58 @@
+#include "basilpoint/Gateway/StorePaths.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+// A way that failed is left out this long, doubled with each failure in a row up to the longest.
+static constexpr Milliseconds firstSuspension { 250 };
+static constexpr Milliseconds longestSuspension { 2'000 };
+static constexpr unsigned maxDoublings = 3;
+
+void StorePaths::setRelays(const std::vector<RelayAddress>& relays)
+{
+    m_relays.clear();
+    for (const RelayAddress& it : relays)
+        m_relays[it.instance] = it;
+}
+
+bool StorePaths::isSuspended(const StorePath& path, TimePoint now) const
+{
+    auto it = m_failures.find(path);
+    return it != m_failures.end() && now < it->second.until;
+}
+
+std::vector<StorePath> StorePaths::order(Purpose purpose, TimePoint now) const
+{
+    std::vector<StorePath> keepers;
+    std::vector<StorePath> others;
+    for (const auto& [name, relay] : m_relays)
+        (relay.isKeeper ? keepers : others).push_back({ name });
+    std::stable_partition(others.begin(), others.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == m_own; });
+    std::vector<StorePath> paths;
+    switch (purpose) {
+    case Purpose::Commit:
+    case Purpose::Wait:
+        paths = keepers;
+        paths.push_back({});
+        break;
+    case Purpose::Read:
+        paths.push_back({});
+        paths.insert(paths.end(), keepers.begin(), keepers.end());
+        break;
+    }
+    paths.insert(paths.end(), others.begin(), others.end());
+    std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return !isSuspended(it, now); });
+    if (paths.size() > maxTries)
+        paths.resize(maxTries);
+    return paths;
+}
+
+void StorePaths::failed(const StorePath& path, TimePoint now)
+{
+    Failure& failure = m_failures[path];
+    failure.until = now + std::min(longestSuspension, firstSuspension * (1 << std::min(failure.count, maxDoublings)));
+    ++failure.count;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/StoreRelay.cpp
@@ -0,0 +1,145 @@
+#include "StoreRelay.h"
+
+#include "RelayPaths.h"
+#include "StoreCodec.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+static constexpr Milliseconds shortestTimer { 1 };
+static constexpr int statusUnavailable = 503;
+static constexpr int statusNotFound = 404;
+// Messages between daemons are as large as what one call to the store may carry.
+static constexpr std::size_t maxMessageBytes = 4 * 1024 * 1024;
+
+static HttpLimits relayLimits()
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = maxMessageBytes;
+    return limits;
+}
+
+StoreRelay::StoreRelay(boost::asio::io_context& io, const Endpoint& endpoint, TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
+    : m_clock(clock)
+    , m_store(store, nullptr, {}, clock, log, metrics)
+    , m_group(CommitGroupSettings {})
+    , m_server(io, endpoint, relayLimits(), [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
+{
+}
+
+void StoreRelay::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    try {
+        std::string body;
+        if (request.target == relayPaths::commit)
+            body = commit(request.body);
+        else if (request.target == relayPaths::snapshot)
+            body = snapshot(request.body);
+        else if (request.target == relayPaths::changes)
+            body = changes(request.body);
+        else if (request.target == relayPaths::get)
+            body = get(request.body);
+        int status = body.empty() ? statusNotFound : 200;
+        writer.send({ status, {}, std::move(body) });
+    } catch (const KeyValueUnavailableError& error) {
+        // The asking daemon logs what it could not do; here the store's client keeps count.
+        writer.send({ statusUnavailable, {}, error.what() });
+    }
+}
+
+std::string StoreRelay::snapshot(const std::string& body)
+{
+    StoreQuery query = decodeQuery(body);
+    return encodeSnapshot(m_store.snapshot(query.key, query.mayBeStale ? ReadMode::Stale : ReadMode::Current));
+}
+
+std::string StoreRelay::get(const std::string& body)
+{
+    auto item = m_store.get(decodeQuery(body).key);
+    return item ? encodeSnapshot({ { *item }, item->modRevision }) : std::string();
+}
+
+std::string StoreRelay::awaitShared(const StoreQuery& query)
+{
+    StoreChanges changes;
+    changes.next = m_store.awaitChanges(query.key, query.after, query.wait, [&](const std::string& key, const std::optional<KeyValue>& item) {
+        changes.items.push_back(item ? *item : KeyValue { key, {}, 0 });
+    });
+    return encodeChanges(changes);
+}
+
+std::string StoreRelay::changes(const std::string& body)
+{
+    StoreQuery query = decodeQuery(body);
+    auto& slot = m_waits[{ query.key, query.after }];
+    std::shared_ptr<SharedWait> wait = slot;
+    if (wait) {
+        while (!wait->isDone)
+            wait->done.wait();
+    } else {
+        slot = wait = std::make_shared<SharedWait>();
+        try {
+            wait->answer = awaitShared(query);
+        } catch (const KeyValueUnavailableError&) {
+            // The store's client has logged it; all who share the wait are told below.
+            wait->answer.clear();
+        }
+        m_waits.erase({ query.key, query.after });
+        wait->isDone = true;
+        wait->done.notifyAll();
+    }
+    if (wait->answer.empty())
+        throw KeyValueUnavailableError("wait by the relay broke");
+    return wait->answer;
+}
+
+std::string StoreRelay::commit(const std::string& body)
+{
+    CommitGroup::Ticket ticket = m_group.submit(decodeTransaction(body));
+    auto& fate = m_waiting[ticket];
+    pump();
+    while (!fate)
+        m_settled.wait();
+    std::optional<KeyTransactionResult> result = std::move(*fate);
+    m_waiting.erase(ticket);
+    if (!result)
+        throw KeyValueUnavailableError("commit by the relay of unknown fate");
+    return encodeResult(*result);
+}
+
+void StoreRelay::pump()
+{
+    while (auto call = m_group.next(m_clock.now()))
+        spawnFiber([this, call = std::move(*call)] { run(call); });
+    auto at = m_group.nextAt();
+    if (!at || m_isTimerSet)
+        return;
+    m_isTimerSet = true;
+    auto delay = std::max(shortestTimer, std::chrono::ceil<Milliseconds>(*at - m_clock.now()));
+    spawnFiber([this, delay] {
+        sleepFiber(delay);
+        m_isTimerSet = false;
+        pump();
+    });
+}
+
+void StoreRelay::run(const CommitGroup::Call& call)
+{
+    try {
+        KeyTransactionResult result = m_store.commit(call.transaction);
+        for (auto& [ticket, settled] : m_group.answered(call.number, result))
+            m_waiting[ticket] = std::optional(std::move(settled));
+    } catch (const KeyValueUnavailableError&) {
+        // Each waiting daemon is told that the fate is unknown.
+        for (CommitGroup::Ticket ticket : m_group.lost(call.number))
+            m_waiting[ticket] = std::optional<KeyTransactionResult>();
+    }
+    m_settled.notifyAll();
+    pump();
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/StoreRelay.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "StoreClient.h"
+#include "StoreCodec.h"
+
+#include "basilpoint/Gateway/CommitGroup.h"
+#include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Net/HttpServer.h"
+
+#include <map>
+
+namespace basilpoint {
+
+/// Makes calls to the store for other daemons, and groups their commits.
+class StoreRelay {
+public:
+    /// \param store the service itself, not by way of another relay.
+    StoreRelay(boost::asio::io_context&, const Endpoint&, TransactionalStore& store, const Clock&, JsonLog&, Metrics&);
+
+    void start() { m_server.start(); }
+    void stop() { m_server.stop(); }
+
+private:
+    struct SharedWait {
+        bool isDone = false;
+        /// Encoded changes; empty if the wait broke.
+        std::string answer;
+        FiberSignal done;
+    };
+
+    void handle(const HttpRequest&, ResponseWriter&);
+    std::string commit(const std::string& body);
+    std::string snapshot(const std::string& body);
+    std::string get(const std::string& body);
+    std::string changes(const std::string& body);
+    std::string awaitShared(const StoreQuery&);
+    void pump();
+    void run(const CommitGroup::Call&);
+
+    const Clock& m_clock;
+    StoreClient m_store;
+    CommitGroup m_group;
+    /// Fate of the commits that callers wait for: not set while unknown, set and empty if it stays so.
+    /// Waits on their way, by what they wait for; daemons that ask the same share one.
+    std::map<std::pair<std::string, std::int64_t>, std::shared_ptr<SharedWait>> m_waits;
+    std::map<CommitGroup::Ticket, std::optional<std::optional<KeyTransactionResult>>> m_waiting;
+    FiberSignal m_settled;
+    bool m_isTimerSet = false;
+    HttpServer m_server;
+};
+
+} // namespace basilpoint
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -71,7 +71,7 @@
     TurnKnowledge knowledge;
     try {
         for (;;) {
-            TurnVerdict verdict = m_ledger.begin(request, knowledge);
+            TurnVerdict verdict = m_ledger.begin(request, knowledge, m_clock.now());
             if (auto* admitted = std::get_if<TurnAdmitted>(&verdict))
                 return std::move(*admitted);
             if (std::holds_alternative<TurnBudgetSpent>(verdict))
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -17,6 +17,8 @@
 static constexpr TokenCount turnsLeftToKeep = 3;
 // With this many turns' worth left, a reservation is as good as certain.
 static constexpr TokenCount turnsToRunAhead = 4;
+// Looping programs come back at once after a refusal; what the store said holds for them that long.
+static constexpr Milliseconds spentLifetime { 1'000 };
 static constexpr std::size_t programOverheadBytes = 400;
 static constexpr std::size_t turnOverheadBytes = 200;
 static constexpr std::size_t longestIdInKey = 64;
@@ -119,7 +121,7 @@
     return std::move(*history);
 }
 
-TurnVerdict TurnLedger::begin(const TurnRequest& request, const TurnKnowledge& knowledge)
+TurnVerdict TurnLedger::begin(const TurnRequest& request, const TurnKnowledge& knowledge, TimePoint now)
 {
     Program& program = touch(request.program);
     if (!program.isKnown) {
@@ -133,10 +135,10 @@
     TurnAdmitted admitted { std::move(std::get<std::string>(history)), {}, std::nullopt, true };
     if (!request.previous.empty())
         admitted.lastTarget = program.turns.at(request.previous)->target;
-    return reserve(program, request, knowledge.isProgramFresh, std::move(admitted));
+    return reserve(program, request, knowledge.isProgramFresh, std::move(admitted), now);
 }
 
-TurnVerdict TurnLedger::reserve(Program& program, const TurnRequest& request, bool isProgramFresh, TurnAdmitted admitted)
+TurnVerdict TurnLedger::reserve(Program& program, const TurnRequest& request, bool isProgramFresh, TurnAdmitted admitted, TimePoint now)
 {
     if (request.budget == ProgramAccount::unlimited)
         return admitted;
@@ -151,8 +153,11 @@
         if (const auto* pending = std::get_if<Reserve>(&it))
             remaining -= std::min(remaining, pending->atLeast);
     if (remaining < request.mostTokens) {
-        if (!isProgramFresh)
+        bool isSeenLately = program.seenSpentAt != TimePoint::min() && now - program.seenSpentAt < spentLifetime;
+        if (!isProgramFresh && !isSeenLately)
             return TurnNeedsProgram { request.program };
+        if (isProgramFresh)
+            program.seenSpentAt = now;
         return TurnBudgetSpent {};
     }
     program.running += request.mostTokens;
