--- a/include/basilpoint/Gateway/JsonLog.h
+++ b/include/basilpoint/Gateway/JsonLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "basilpoint/Support/Clock.h"
+#include "basilpoint/Support/Metrics.h"
 
 #include <cstdint>
 #include <deque>
@@ -34,6 +35,9 @@
     std::string m_text;
 };
 
+/// Adds all counters to \p line.
+void addCounters(LogLine& line, const Metrics&);
+
 /// Log of JSON lines that never blocks its writer.
 ///
 /// Lines that the reader does not take wait up to a limit; beyond it they are dropped and counted,
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -98,13 +98,6 @@
 {
 }
 
-// Counters are named with quoted labels, which JSON names do without.
-static std::string plainName(std::string name)
-{
-    std::erase(name, '"');
-    return name;
-}
-
 bool Gateway::isReady() const
 {
     return !m_isDraining && m_configuration.current() && !m_directory.isEmpty() && !m_store.health().isFailingFor(unreadyAfter, m_clock.now());
@@ -226,8 +219,7 @@
 void Gateway::logSummary()
 {
     LogLine line("summary");
-    for (const auto& [name, value] : m_metrics.counters())
-        line.field(plainName(name), value);
+    addCounters(line, m_metrics);
     line.field("connections", m_client.connectionsOpened()).field("programs", m_ledger.programs()).field("cachedBytes", m_ledger.cachedBytes());
     m_log.write(line);
 }
--- a/lib/Gateway/JsonLog.cpp
+++ b/lib/Gateway/JsonLog.cpp
@@ -50,6 +50,16 @@
     return raw(name, value ? "true" : "false");
 }
 
+void addCounters(LogLine& line, const Metrics& metrics)
+{
+    for (const auto& [label, value] : metrics.counters()) {
+        std::string name = label;
+        // Counters are named with quoted labels, which JSON names do without.
+        std::erase(name, '"');
+        line.field(name, value);
+    }
+}
+
 JsonLog::JsonLog(const Clock& clock, int descriptor, std::string instance)
     : m_clock(clock)
     , m_descriptor(descriptor)
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -12,6 +12,7 @@
 
 static constexpr Milliseconds logInterval { 200 };
 static constexpr Milliseconds pauseBetweenTries { 300 };
+static constexpr Milliseconds summaryInterval { 10'000 };
 static constexpr int maxStateTries = 10;
 // A request to empty an instance may take seconds to be seen, so its watch is cheap.
 static constexpr Milliseconds emptyingWait { 4'000 };
@@ -28,6 +29,7 @@
 
     private:
         void confirmEmpty(const std::string& key);
+        void logSummary();
         void watchEmptying();
 
         WireFormat m_format;
@@ -84,6 +86,13 @@
         });
 }
 
+void Keeper::logSummary()
+{
+    LogLine line("summary");
+    addCounters(line, m_metrics);
+    m_log.write(line);
+}
+
 void Keeper::start()
 {
     m_log.write(LogLine("start").field("role", "keeper"));
@@ -94,6 +103,10 @@
         for (;; sleepFiber(logInterval))
             m_log.flush();
     });
+    spawnFiber([this] {
+        for (;; logSummary())
+            sleepFiber(summaryInterval);
+    });
 }
 
 void Keeper::stop()
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -78,7 +78,7 @@
 
 KeySnapshot StoreClient::snapshot(const std::string& prefix, ReadMode mode)
 {
-    return measure("snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
+    return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
 }
 
 std::optional<KeyValue> StoreClient::get(const std::string& key)
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -87,8 +87,6 @@
             } else {
                 knowledge.origin = readOrigin(std::get<TurnNeedsOrigin>(verdict).previous);
                 knowledge.isOriginKnown = true;
-                // Another program's turn that lies under this one was read already.
-                knowledge.isOriginFresh = knowledge.origin == request.program;
             }
             if (call.isCallerGone || m_clock.now() >= call.deadline)
                 return Refusal { 503, "no time left" };
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -103,12 +103,15 @@
         return std::string();
     if (auto history = historyOf(program, request.previous))
         return std::move(*history);
-    if (!knowledge.isProgramFresh)
-        return TurnVerdict(TurnNeedsProgram { request.program, !knowledge.isProgramRead });
+    if (!knowledge.isProgramRead)
+        return TurnVerdict(TurnNeedsProgram { request.program, true });
+    // A turn and the key that names its program are written together, so without the key there is no turn.
     if (!knowledge.isOriginKnown)
         return TurnVerdict(TurnNeedsOrigin { request.previous });
     if (!knowledge.origin)
         return TurnVerdict(TurnNotFound {});
+    if (*knowledge.origin == request.program)
+        return knowledge.isProgramFresh ? TurnVerdict(TurnNotFound {}) : TurnVerdict(TurnNeedsProgram { request.program });
     auto origin = m_programs.find(*knowledge.origin);
     auto history = origin == m_programs.end() ? std::nullopt : historyOf(origin->second, request.previous);
     if (!history && !knowledge.isOriginFresh)
