--- a/include/basilpoint/Gateway/Gateway.h
+++ b/include/basilpoint/Gateway/Gateway.h
@@ -18,6 +18,8 @@
     Endpoint readiness;
     /// Where other daemons call.
     Endpoint peers;
+    /// Disks of keepers that may be lost at once.
+    unsigned tolerated = 0;
     /// Time from a request to stop to the forced end.
     Milliseconds stopLimit { 8'000 };
     /// Where log lines go.
--- a/include/basilpoint/Gateway/Keeper.h
+++ b/include/basilpoint/Gateway/Keeper.h
@@ -14,6 +14,12 @@
     DataCentreId dataCentre;
     /// Where other daemons call.
     Endpoint peers;
+    /// Disks of keepers that may be lost at once.
+    unsigned tolerated = 0;
+    /// Folder on the instance's disk; empty if it has none.
+    std::string dataFolder;
+    /// The deployment starts for the first time, so an empty disk has lost nothing.
+    bool isFirstStart = false;
     /// Where log lines go.
     int logDescriptor = 1;
 };
--- /dev/null
+++ b/include/basilpoint/Turns/AccountChange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "basilpoint/Turns/TurnRecord.h"
+
+#include <optional>
+#include <vector>
+
+namespace basilpoint {
+
+/// One change of a program's account by one daemon.
+struct AccountChange {
+    enum class Kind {
+        /// Takes a hold for at least \ref most tokens.
+        Reserve,
+        /// Records tokens that were handed out, and the turn if it was answered whole.
+        Settle,
+    };
+
+    Kind kind = Kind::Reserve;
+    /// Rises with each change that the daemon's lifetime makes.
+    std::uint64_t step = 0;
+    /// Most tokens of one turn.
+    TokenCount most = 0;
+    TokenCount used = 0;
+    TokenCount budget = ProgramAccount::unlimited;
+    /// Until when the program's records are kept.
+    WallTimePoint keepUntil;
+    std::optional<TurnRecord> record {};
+
+    bool operator==(const AccountChange&) const = default;
+};
+
+/// Applies a change of \p daemon. \returns false, and changes nothing, if the budget does not hold a reservation.
+bool applyChange(ProgramAccount&, const DaemonLifetime& daemon, const AccountChange&);
+
+/// What a daemon could not store yet of one program: its changes in order, the last one a settled turn.
+struct JournalEntry {
+    ProgramId program;
+    DaemonLifetime daemon;
+    std::vector<AccountChange> changes;
+
+    /// Step of the last change; names the entry together with the daemon.
+    std::uint64_t step() const { return changes.empty() ? 0 : changes.back().step; }
+
+    bool operator==(const JournalEntry&) const = default;
+};
+
+std::string encodeEntry(const JournalEntry&);
+/// \throws DamagedRecordError
+JournalEntry decodeEntry(const std::string& bytes);
+
+} // namespace basilpoint
--- /dev/null
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "basilpoint/Turns/AccountChange.h"
+
+#include <map>
+#include <set>
+
+namespace basilpoint {
+
+/// Names a journal entry.
+struct EntryName {
+    DaemonLifetime daemon;
+    std::uint64_t step = 0;
+
+    auto operator<=>(const EntryName&) const = default;
+};
+
+/// One operation that a journal makes last.
+struct JournalOperation {
+    enum class Kind {
+        Append,
+        /// The entry is in the store, or nobody needs it any more.
+        Drop,
+        /// The journal has all that it must have; before, it answers nothing.
+        Synchronized,
+    };
+
+    Kind kind = Kind::Synchronized;
+    std::string entry {};
+    EntryName name {};
+
+    bool operator==(const JournalOperation&) const = default;
+};
+
+std::string encodeOperation(const JournalOperation&);
+/// \throws DamagedRecordError
+JournalOperation decodeOperation(const std::string& bytes);
+
+/// Turns that are kept beside the disks until the store has them.
+///
+/// A turn is acknowledged once it lies on one more disk than may be lost. A journal whose disk was lost
+/// counts as lost until it has read what the others have.
+class TurnJournal {
+public:
+    /// Replays an operation from the disk, or carries one out that is about to be written.
+    void apply(const JournalOperation&);
+
+    bool has(const EntryName& name) const { return m_entries.contains(name); }
+    bool isSynchronized() const { return m_isSynchronized; }
+
+    /// Entries of the program that \p turn belongs to; empty if the journal does not know the turn.
+    std::vector<JournalEntry> findTurn(const CallId& turn) const;
+
+    std::vector<JournalEntry> all() const;
+    std::size_t size() const { return m_entries.size(); }
+
+    /// Operations that rebuild the journal.
+    std::vector<JournalOperation> snapshot() const;
+
+private:
+    void append(const JournalEntry&);
+    void drop(const EntryName&);
+
+    std::map<EntryName, JournalEntry> m_entries;
+    std::map<CallId, std::set<EntryName>> m_byTurn;
+    bool m_isSynchronized = false;
+};
+
+} // namespace basilpoint
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "basilpoint/Turns/TurnRecord.h"
+#include "basilpoint/Turns/AccountChange.h"
 
 #include <cstdint>
 #include <deque>
@@ -58,8 +58,11 @@
 /// The budget does not hold one more turn.
 struct TurnBudgetSpent { };
 
-/// The turn to continue does not exist.
-struct TurnNotFound { };
+/// The store does not have a turn that the history needs.
+struct TurnNotFound {
+    /// The turn to continue, or one before it in its chain.
+    CallId missing;
+};
 
 using TurnVerdict = std::variant<TurnAdmitted, TurnNeedsProgram, TurnNeedsOrigin, TurnBudgetSpent, TurnNotFound>;
 
@@ -128,6 +131,12 @@
     /// \returns the change that must be stored before the caller may see the end; empty if none must.
     std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record);
 
+    /// All that is not stored yet of the program, if \p change is not; for keeping it elsewhere meanwhile.
+    std::optional<JournalEntry> entryFor(const ProgramId&, ChangeId change) const;
+
+    /// Turns of \p program that are kept elsewhere until they are stored.
+    void adopt(const ProgramId&, const std::vector<TurnRecord>&);
+
     /// Writes to be made now; empty if there are none, or enough are on their way.
     std::optional<LedgerBatch> nextBatch();
 
@@ -147,27 +156,19 @@
 
     /// Prefix of all records of \p program.
     static std::string programPrefix(const ProgramId&);
+    /// Key of one turn's record.
+    static std::string turnKey(const ProgramId&, const CallId& turn);
+    /// Key of a program's account.
+    static std::string accountKey(const ProgramId&);
     /// Key that holds the program of \p turn.
     static std::string originKey(const CallId& turn);
 
 private:
-    struct Reserve {
+    /// A change that is not stored yet.
+    struct Change {
         ChangeId id;
-        std::uint64_t step = 0;
-        TokenCount atLeast = 0;
-        TokenCount budget = 0;
-        WallTimePoint keepUntil;
-    };
-    struct Settle {
-        ChangeId id;
-        std::uint64_t step = 0;
-        TokenCount used = 0;
-        /// Most tokens of one turn, for which the hold is topped up while the budget is ample.
-        TokenCount most = 0;
-        std::optional<TurnRecord> record;
-        WallTimePoint keepUntil;
+        AccountChange change;
     };
-    using Change = std::variant<Reserve, Settle>;
 
     struct Program {
         ProgramAccount account;
@@ -203,15 +204,15 @@
 
     Program& touch(const ProgramId&);
     TokenCount freeHold(const Program&) const;
-    static std::optional<std::string> historyOf(const Program&, const CallId& turn);
+    /// \param missing set to the turn that the program lacks, if the history is not whole.
+    static std::optional<std::string> historyOf(const Program&, const CallId& turn, CallId& missing);
     std::variant<std::string, TurnVerdict> findHistory(Program&, const TurnRequest&, const TurnKnowledge&);
     TurnVerdict reserve(Program&, const TurnRequest&, bool isProgramFresh, TurnAdmitted admitted, TimePoint now);
     void queue(const ProgramId&, Program&);
     void dropDenied(Program&);
     bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
     void putTurn(LedgerBatch&, const ProgramId&, const TurnRecord&) const;
-    bool apply(ProgramAccount&, const Reserve&) const;
-    void apply(ProgramAccount&, const Settle&) const;
+    ChangeId addChange(const TurnRequest&, Program&, AccountChange);
     void dropStored(Program&, std::uint64_t step);
     void rebase(Program&, const ProgramAccount&, std::int64_t revision);
     void endBatch(std::uint64_t number, const std::function<void(const Part&, Program&)>&);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -59,7 +59,9 @@
         Metrics m_metrics;
         HttpClient& m_client;
         StoreClient m_store;
+        TurnJournalClient m_journal;
         RelayDirectory m_relays;
+        PeerServer m_peers;
         StoreRelay m_relay;
         ConfigurationHolder m_configuration;
         TargetDirectory m_directory;
@@ -85,13 +87,15 @@
     , m_log(clock, settings.logDescriptor, settings.instance)
     , m_client(client)
     , m_store(store, &client, settings.dataCentre, clock, m_log, m_metrics)
-    , m_relays(m_store, { settings.instance, settings.dataCentre, settings.peers, false }, m_log)
-    , m_relay(io, settings.peers, store, clock, m_log, m_metrics)
+    , m_journal(client, settings.tolerated, clock, m_log)
+    , m_relays(m_store, { settings.instance, settings.dataCentre, settings.peers, false }, m_log, [this](const std::vector<RelayAddress>& relays, bool) { m_journal.setRelays(relays); })
+    , m_peers(io, settings.peers)
+    , m_relay(m_peers, store, clock, m_log, m_metrics)
     , m_selector(m_random())
     , m_ledger(DaemonLifetime(randomHex(m_random, 12)), LedgerSettings {})
     , m_writer(m_store, m_ledger, clock, m_log)
     , m_forwarder(client, m_directory, m_selector, m_format, clock, m_log, m_metrics)
-    , m_turns(m_forwarder, m_store, m_ledger, m_writer, clock, m_log)
+    , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, clock, m_log)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
     , m_callers(io, settings.callers, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
     , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
@@ -245,7 +249,7 @@
     spawnFiber([this] { watchTargets(); });
     spawnFiber([this] { probeStore(); });
     spawnFiber([this] { m_relays.run(); });
-    m_relay.start();
+    m_peers.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
             tick();
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -3,6 +3,7 @@
 #include "RelayDirectory.h"
 #include "StoreRelay.h"
 #include "StoreWatch.h"
+#include "TurnJournalServer.h"
 
 #include "basilpoint/Net/FiberRuntime.h"
 
@@ -37,7 +38,11 @@
         JsonLog m_log;
         Metrics m_metrics;
         StoreClient m_store;
+        PeerServer m_peers;
         StoreRelay m_relay;
+        unsigned m_tolerated;
+        /// Null if the instance has no disk.
+        std::unique_ptr<TurnJournalServer> m_journal;
         RelayDirectory m_directory;
     };
 
@@ -48,8 +53,16 @@
     , m_random(std::random_device()())
     , m_log(clock, settings.logDescriptor, settings.instance)
     , m_store(store, &peers, settings.dataCentre, clock, m_log, m_metrics)
-    , m_relay(io, settings.peers, store, clock, m_log, m_metrics)
-    , m_directory(m_store, { settings.instance, settings.dataCentre, settings.peers, true }, m_log)
+    , m_peers(io, settings.peers)
+    , m_relay(m_peers, store, clock, m_log, m_metrics)
+    , m_tolerated(settings.tolerated)
+    , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, clock, m_log))
+    , m_directory(m_store, { settings.instance, settings.dataCentre, settings.peers, true }, m_log,
+          [this](const std::vector<RelayAddress>& relays, bool wasKnown) {
+              // A keeper that was in the list and has lost its disk is itself one of the losses that are tolerated.
+              if (m_journal)
+                  m_journal->setRelays(relays, wasKnown && m_tolerated > 0 ? m_tolerated - 1 : m_tolerated);
+          })
 {
 }
 
@@ -96,9 +109,11 @@
 void Keeper::start()
 {
     m_log.write(LogLine("start").field("role", "keeper"));
-    m_relay.start();
+    m_peers.start();
     spawnFiber([this] { m_directory.run(); });
     spawnFiber([this] { watchEmptying(); });
+    if (m_journal)
+        spawnFiber([this] { m_journal->run(); });
     spawnFiber([this] {
         for (;; sleepFiber(logInterval))
             m_log.flush();
--- /dev/null
+++ b/lib/Gateway/PeerCall.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "basilpoint/Net/HttpClient.h"
+#include "basilpoint/Support/Error.h"
+
+namespace basilpoint {
+
+// Paths of the calls between daemons.
+namespace peerPaths {
+    inline constexpr const char* commit = "/store/commit";
+    inline constexpr const char* snapshot = "/store/snapshot";
+    inline constexpr const char* get = "/store/get";
+    inline constexpr const char* changes = "/store/changes";
+    inline constexpr const char* journalAppend = "/journal/append";
+    inline constexpr const char* journalFind = "/journal/find";
+    inline constexpr const char* journalDrop = "/journal/drop";
+    inline constexpr const char* journalAll = "/journal/all";
+}
+
+/// Another daemon did not answer, or could not do what it was asked.
+class PeerUnavailableError final : public Error {
+public:
+    explicit PeerUnavailableError(const std::string& reason);
+};
+
+/// Calls another daemon. \returns its answer; empty if it has nothing.
+/// \throws PeerUnavailableError
+std::string callPeer(HttpClient&, const Endpoint&, const char* path, std::string body, Milliseconds limit);
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/PeerServer.cpp
@@ -0,0 +1,40 @@
+#include "PeerServer.h"
+
+#include "basilpoint/Support/Error.h"
+
+namespace basilpoint {
+
+static constexpr int statusUnavailable = 503;
+static constexpr int statusNotFound = 404;
+// Messages between daemons are as large as what one call to the store may carry.
+static constexpr std::size_t maxMessageBytes = 4 * 1024 * 1024;
+
+static HttpLimits peerLimits()
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = maxMessageBytes;
+    return limits;
+}
+
+PeerServer::PeerServer(boost::asio::io_context& io, const Endpoint& endpoint)
+    : m_server(io, endpoint, peerLimits(), [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
+{
+}
+
+void PeerServer::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    auto handler = m_handlers.find(request.target);
+    if (handler == m_handlers.end())
+        return writer.send({ statusNotFound, {}, {} });
+    std::string body;
+    try {
+        body = handler->second(request.body);
+    } catch (const Error& error) {
+        // The asking daemon logs what it could not do.
+        return writer.send({ statusUnavailable, {}, error.what() });
+    }
+    int status = body.empty() ? statusNotFound : 200;
+    writer.send({ status, {}, std::move(body) });
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -16,10 +16,11 @@
 // A relay that left is found out by its silence at once; the list only has to name new ones.
 static constexpr Milliseconds refreshInterval { 8'000 };
 
-RelayDirectory::RelayDirectory(StoreClient& store, RelayAddress self, JsonLog& log)
+RelayDirectory::RelayDirectory(StoreClient& store, RelayAddress self, JsonLog& log, ChangeHook onChange)
     : m_store(store)
     , m_self(std::move(self))
     , m_log(log)
+    , m_onChange(std::move(onChange))
 {
 }
 
@@ -46,6 +47,8 @@
     std::string key = relaysPrefix + m_self.instance;
     std::string value = encode(m_self);
     auto current = m_store.get(key);
+    if (!m_wasKnown)
+        m_wasKnown = current.has_value();
     if (current && current->value == value)
         return true;
     return m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, value } }, {} }).revision.has_value();
@@ -54,7 +57,7 @@
 void RelayDirectory::refresh()
 {
     std::vector<RelayAddress> relays;
-    for (const KeyValue& it : m_store.snapshot(relaysPrefix, ReadMode::Stale).items) {
+    for (const KeyValue& it : m_store.snapshot(relaysPrefix, m_known ? ReadMode::Stale : ReadMode::Current).items) {
         auto relay = decode(it);
         if (relay && relay->instance != m_self.instance)
             relays.push_back(std::move(*relay));
@@ -63,6 +66,7 @@
         return;
     m_known = relays;
     m_store.setRelays(relays);
+    m_onChange(relays, m_wasKnown.value_or(true));
     m_log.write(LogLine("relays").field("count", relays.size()).field("keepers", std::count_if(relays.begin(), relays.end(), [](const auto& it) { return it.isKeeper; })));
 }
 
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -7,7 +7,10 @@
 /// Enters this daemon in the list of relays, and keeps a client's list up to date.
 class RelayDirectory {
 public:
-    RelayDirectory(StoreClient&, RelayAddress self, JsonLog&);
+    /// Called with each new list of the other daemons. \p wasKnown: this daemon's name stood in the list before it started.
+    using ChangeHook = std::function<void(const std::vector<RelayAddress>&, bool wasKnown)>;
+
+    RelayDirectory(StoreClient&, RelayAddress self, JsonLog&, ChangeHook);
 
     /// Runs for the life of the process.
     void run();
@@ -19,7 +22,9 @@
     StoreClient& m_store;
     RelayAddress m_self;
     JsonLog& m_log;
-    std::vector<RelayAddress> m_known;
+    ChangeHook m_onChange;
+    std::optional<std::vector<RelayAddress>> m_known;
+    std::optional<bool> m_wasKnown;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -1,21 +1,13 @@
 #include "RelayedStore.h"
 
-#include "RelayPaths.h"
+#include "PeerCall.h"
 #include "StoreCodec.h"
 
-#include "basilpoint/Net/Errors.h"
-
-#include <algorithm>
-#include <fmt/format.h>
-
 namespace basilpoint {
 
-static constexpr Milliseconds connectTimeout { 120 };
 static constexpr Milliseconds defaultLimit { 500 };
 // A relay waits for company before it commits, and for its own call to the store.
 static constexpr Milliseconds relayTime { 60 };
-static constexpr int statusOk = 200;
-static constexpr int statusNotFound = 404;
 
 RelayedStore::RelayedStore(HttpClient& client, Endpoint relay)
     : m_client(client)
@@ -25,25 +17,16 @@
 
 std::string RelayedStore::call(const char* path, std::string body, Milliseconds limit)
 {
-    HttpCallOptions options;
-    options.connectTimeout = std::min(connectTimeout, limit);
-    options.readTimeout = limit + relayTime;
-    options.deadline = std::chrono::steady_clock::now() + limit + relayTime;
     try {
-        HttpResponse response = m_client.call(m_relay, { "POST", path, {}, std::move(body) }, options);
-        if (response.status == statusNotFound)
-            return {};
-        if (response.status != statusOk)
-            throw KeyValueUnavailableError(fmt::format("status {} of the relay", response.status));
-        return std::move(response.body);
-    } catch (const TargetError& error) {
+        return callPeer(m_client, m_relay, path, std::move(body), limit + relayTime);
+    } catch (const PeerUnavailableError& error) {
         throw KeyValueUnavailableError(error.what());
     }
 }
 
 std::optional<KeyValue> RelayedStore::get(const std::string& key)
 {
-    std::string answer = call(relayPaths::get, encodeQuery({ key }), defaultLimit);
+    std::string answer = call(peerPaths::get, encodeQuery({ key }), defaultLimit);
     if (answer.empty())
         return std::nullopt;
     return decodeSnapshot(answer).items.at(0);
@@ -78,12 +61,12 @@
 
 KeyTransactionResult RelayedStore::commit(const KeyTransaction& transaction, Milliseconds limit)
 {
-    return decodeResult(call(relayPaths::commit, encodeTransaction(transaction), limit));
+    return decodeResult(call(peerPaths::commit, encodeTransaction(transaction), limit));
 }
 
 std::int64_t RelayedStore::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler& onChange)
 {
-    StoreChanges changes = decodeChanges(call(relayPaths::changes, encodeQuery({ prefix, false, after, wait }), wait + limit));
+    StoreChanges changes = decodeChanges(call(peerPaths::changes, encodeQuery({ prefix, false, after, wait }), wait + limit));
     for (const KeyValue& it : changes.items)
         onChange(it.key, it.modRevision == 0 ? std::nullopt : std::optional(it));
     return changes.next;
@@ -91,7 +74,7 @@
 
 KeySnapshot RelayedStore::snapshot(const std::string& prefix, ReadMode mode, Milliseconds limit)
 {
-    return decodeSnapshot(call(relayPaths::snapshot, encodeQuery({ prefix, mode == ReadMode::Stale }), limit));
+    return decodeSnapshot(call(peerPaths::snapshot, encodeQuery({ prefix, mode == ReadMode::Stale }), limit));
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -1,6 +1,6 @@
 #include "StoreRelay.h"
 
-#include "RelayPaths.h"
+#include "PeerCall.h"
 #include "StoreCodec.h"
 
 #include "basilpoint/Net/Errors.h"
@@ -11,44 +11,15 @@
 namespace basilpoint {
 
 static constexpr Milliseconds shortestTimer { 1 };
-static constexpr int statusUnavailable = 503;
-static constexpr int statusNotFound = 404;
-// Messages between daemons are as large as what one call to the store may carry.
-static constexpr std::size_t maxMessageBytes = 4 * 1024 * 1024;
-
-static HttpLimits relayLimits()
-{
-    HttpLimits limits;
-    limits.maxBodyBytes = maxMessageBytes;
-    return limits;
-}
-
-StoreRelay::StoreRelay(boost::asio::io_context& io, const Endpoint& endpoint, TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
+StoreRelay::StoreRelay(PeerServer& server, TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_clock(clock)
     , m_store(store, nullptr, {}, clock, log, metrics)
     , m_group(CommitGroupSettings {})
-    , m_server(io, endpoint, relayLimits(), [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
 {
-}
-
-void StoreRelay::handle(const HttpRequest& request, ResponseWriter& writer)
-{
-    try {
-        std::string body;
-        if (request.target == relayPaths::commit)
-            body = commit(request.body);
-        else if (request.target == relayPaths::snapshot)
-            body = snapshot(request.body);
-        else if (request.target == relayPaths::changes)
-            body = changes(request.body);
-        else if (request.target == relayPaths::get)
-            body = get(request.body);
-        int status = body.empty() ? statusNotFound : 200;
-        writer.send({ status, {}, std::move(body) });
-    } catch (const KeyValueUnavailableError& error) {
-        // The asking daemon logs what it could not do; here the store's client keeps count.
-        writer.send({ statusUnavailable, {}, error.what() });
-    }
+    server.on(peerPaths::commit, [this](const std::string& body) { return commit(body); });
+    server.on(peerPaths::snapshot, [this](const std::string& body) { return snapshot(body); });
+    server.on(peerPaths::get, [this](const std::string& body) { return get(body); });
+    server.on(peerPaths::changes, [this](const std::string& body) { return changes(body); });
 }
 
 std::string StoreRelay::snapshot(const std::string& body)
--- a/lib/Gateway/StoreRelay.h
+++ b/lib/Gateway/StoreRelay.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "PeerServer.h"
 #include "StoreClient.h"
 #include "StoreCodec.h"
 
 #include "basilpoint/Gateway/CommitGroup.h"
 #include "basilpoint/Net/FiberSignal.h"
-#include "basilpoint/Net/HttpServer.h"
 
 #include <map>
 
@@ -15,10 +15,9 @@
 class StoreRelay {
 public:
     /// \param store the service itself, not by way of another relay.
-    StoreRelay(boost::asio::io_context&, const Endpoint&, TransactionalStore& store, const Clock&, JsonLog&, Metrics&);
+    StoreRelay(PeerServer&, TransactionalStore& store, const Clock&, JsonLog&, Metrics&);
 
-    void start() { m_server.start(); }
-    void stop() { m_server.stop(); }
+    const StoreHealth& health() const { return m_store.health(); }
 
 private:
     struct SharedWait {
@@ -28,7 +27,6 @@
         FiberSignal done;
     };
 
-    void handle(const HttpRequest&, ResponseWriter&);
     std::string commit(const std::string& body);
     std::string snapshot(const std::string& body);
     std::string get(const std::string& body);
@@ -46,7 +44,6 @@
     std::map<CommitGroup::Ticket, std::optional<std::optional<KeyTransactionResult>>> m_waiting;
     FiberSignal m_settled;
     bool m_isTimerSet = false;
-    HttpServer m_server;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -1,6 +1,7 @@
 #include "TurnController.h"
 
 #include "basilpoint/Net/Errors.h"
+#include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Turns/Errors.h"
 
 #include <fmt/format.h>
@@ -11,8 +12,17 @@
 static constexpr Milliseconds retentionMargin { 10'000 };
 // While the store fails for this long, turns are refused at once, since none could be recorded.
 static constexpr Milliseconds failingLimit { 250 };
+// A turn that the store has not confirmed by then goes to the keepers' disks as well.
+static constexpr Milliseconds journalAfter { 110 };
+// With a longer limit than this the store answers so slowly that the keepers are asked at once.
+static constexpr Milliseconds usualLimit { 600 };
+static constexpr Milliseconds journalLimit { 400 };
+// Entries of a longer outage are brought to the store by the keepers.
+static constexpr std::chrono::minutes longestOutage { 10 };
 // Reads of one record before the turn is refused.
 static constexpr int maxReads = 3;
+// Searches on the keepers for one turn; each finds all that they keep of a program.
+static constexpr int maxSearches = 3;
 static constexpr Milliseconds pauseBetweenReads { 30 };
 
 /// A turn from its admission to its end.
@@ -25,11 +35,12 @@
     bool isDenied = false;
 };
 
-TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, const Clock& clock, JsonLog& log)
+TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, const Clock& clock, JsonLog& log)
     : m_forwarder(forwarder)
     , m_store(store)
     , m_ledger(ledger)
     , m_writer(writer)
+    , m_journal(journal)
     , m_clock(clock)
     , m_log(log)
 {
@@ -64,11 +75,36 @@
     return found ? std::optional(ProgramId(found->value)) : std::nullopt;
 }
 
+bool TurnController::isStoreFailing() const
+{
+    return m_store.health().isFailingFor(failingLimit, m_clock.now());
+}
+
+// The store does not have the turn; the keepers may, until what they keep is stored.
+std::optional<TurnController::Refusal> TurnController::findKept(const ForwardedCall& call, const CallId& missing, TurnKnowledge& knowledge)
+{
+    auto entries = m_journal.find(missing, std::min(call.deadline, m_clock.now() + journalLimit));
+    if (!entries)
+        return Refusal { 503, "keepers out of reach" };
+    bool isPrevious = missing == call.attributes.previousTurn;
+    // A turn that exists has its whole chain somewhere, though it may not be found right now.
+    if (entries->empty())
+        return isPrevious ? Refusal { 404, "no such turn" } : Refusal { 503, "history not whole yet" };
+    std::vector<TurnRecord> turns;
+    for (const JournalEntry& entry : *entries)
+        for (const AccountChange& it : entry.changes)
+            if (it.record)
+                turns.push_back(*it.record);
+    m_ledger.adopt(entries->front().program, turns);
+    if (isPrevious)
+        knowledge.origin = entries->front().program;
+    return std::nullopt;
+}
+
 std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, const TurnRequest& request)
 {
-    if (m_store.health().isFailingFor(failingLimit, m_clock.now()))
-        return Refusal { 503, "store out of reach" };
     TurnKnowledge knowledge;
+    int searches = 0;
     try {
         for (;;) {
             TurnVerdict verdict = m_ledger.begin(request, knowledge, m_clock.now());
@@ -76,8 +112,15 @@
                 return std::move(*admitted);
             if (std::holds_alternative<TurnBudgetSpent>(verdict))
                 return Refusal { 402, "budget spent" };
-            if (std::holds_alternative<TurnNotFound>(verdict))
-                return Refusal { 404, "no such turn" };
+            if (auto* missing = std::get_if<TurnNotFound>(&verdict)) {
+                if (auto refusal = findKept(call, missing->missing, knowledge))
+                    return *refusal;
+                if (++searches > maxSearches)
+                    return Refusal { 503, "history not whole yet" };
+                continue;
+            }
+            if (isStoreFailing())
+                return Refusal { 503, "store out of reach" };
             if (auto* needed = std::get_if<TurnNeedsProgram>(&verdict)) {
                 read(needed->program, needed->mayBeStale ? ReadMode::Stale : ReadMode::Current);
                 bool isOrigin = needed->program != request.program;
@@ -102,7 +145,7 @@
 {
     if (!admitted.reservation)
         return true;
-    auto known = m_writer.await(*admitted.reservation, call.deadline, [&] { return call.isCallerGone; });
+    auto known = m_writer.await(*admitted.reservation, call.deadline, [&] { return call.isCallerGone || isStoreFailing(); });
     if (known)
         outcome = *known;
     return known == ChangeOutcome::Stored;
@@ -112,12 +155,45 @@
 {
     turn.isEnded = true;
     TurnRecord record { turn.request.turn, turn.request.previous, call.request.body, turn.output, target };
-    auto change = m_ledger.end(turn.request, turn.handedOut, std::move(record));
-    m_writer.expect(*change);
+    ChangeId change = *m_ledger.end(turn.request, turn.handedOut, std::move(record));
+    m_writer.expect(change);
     m_writer.kick();
-    auto outcome = m_writer.await(*change, call.deadline, [&] { return call.isCallerGone; });
-    m_writer.forget(*change);
-    return outcome == ChangeOutcome::Stored;
+    TimePoint now = m_clock.now();
+    bool isSlow = m_store.health().failingSince() || m_store.health().answerLimit() > usualLimit;
+    auto outcome = m_writer.await(change, std::min(call.deadline, isSlow ? now : now + journalAfter), [&] { return call.isCallerGone; });
+    if (outcome || call.isCallerGone) {
+        m_writer.forget(change);
+        return outcome == ChangeOutcome::Stored;
+    }
+    return keep(call, turn.request.program, change);
+}
+
+// The store is slow or out of reach: the turn counts once the store or enough disks have it.
+bool TurnController::keep(ForwardedCall& call, const ProgramId& program, ChangeId change)
+{
+    auto entry = m_ledger.entryFor(program, change);
+    if (!entry) {
+        m_writer.forget(change);
+        return true;
+    }
+    auto isKept = std::make_shared<bool>(false);
+    TimePoint deadline = call.deadline;
+    spawnFiber([this, entry = *entry, change, isKept, deadline] {
+        *isKept = m_journal.append(entry, deadline);
+        m_log.write(LogLine("turn-journaled").field("turn", entry.changes.back().record->turn.text()).field("program", entry.program.text()).field("step", entry.step()).field("kept", *isKept));
+        m_writer.wakeWaiters();
+        dropOnceStored(entry, change);
+    });
+    auto outcome = m_writer.await(change, deadline, [&] { return call.isCallerGone || *isKept; });
+    return *isKept || outcome == ChangeOutcome::Stored;
+}
+
+void TurnController::dropOnceStored(const JournalEntry& entry, ChangeId change)
+{
+    auto outcome = m_writer.await(change, m_clock.now() + longestOutage, [] { return false; });
+    m_writer.forget(change);
+    if (outcome == ChangeOutcome::Stored)
+        m_journal.drop({ entry.daemon, entry.step() });
 }
 
 StreamHooks TurnController::hooksFor(ForwardedCall& call, Turn& turn)
@@ -150,13 +226,15 @@
     if (auto* refusal = std::get_if<Refusal>(&verdict))
         return *refusal;
     turn.admitted = std::move(std::get<TurnAdmitted>(verdict));
+    std::optional<Refusal> refusal;
     if (turn.admitted.reservation) {
         m_writer.expect(*turn.admitted.reservation);
         m_writer.kick();
+        if (isStoreFailing())
+            refusal = Refusal { 503, "store out of reach" };
     }
-    std::optional<Refusal> refusal;
     ChangeOutcome outcome = ChangeOutcome::Stored;
-    if (!turn.admitted.mayRunAhead && !isReserved(call, turn.admitted, outcome))
+    if (!refusal && !turn.admitted.mayRunAhead && !isReserved(call, turn.admitted, outcome))
         refusal = outcome == ChangeOutcome::Denied ? Refusal { 402, "budget spent" } : Refusal { 503, "reservation not recorded" };
     if (!refusal) {
         call.body = std::move(turn.admitted.history);
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -3,6 +3,7 @@
 #include "Forwarder.h"
 #include "LedgerWriter.h"
 #include "StoreClient.h"
+#include "TurnJournalClient.h"
 
 #include "basilpoint/Turns/TurnLedger.h"
 
@@ -11,7 +12,7 @@
 /// Serves turns: finds their history, keeps their program's budget, and records them.
 class TurnController {
 public:
-    TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, const Clock&, JsonLog&);
+    TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, const Clock&, JsonLog&);
 
     /// Why a turn got no answer of a target.
     struct Refusal {
@@ -31,6 +32,10 @@
     std::variant<TurnAdmitted, Refusal> admit(const ForwardedCall&, const TurnRequest&);
     void read(const ProgramId&, ReadMode);
     std::optional<ProgramId> readOrigin(const CallId& previous);
+    std::optional<Refusal> findKept(const ForwardedCall&, const CallId& missing, TurnKnowledge&);
+    bool keep(ForwardedCall&, const ProgramId&, ChangeId);
+    void dropOnceStored(const JournalEntry&, ChangeId);
+    bool isStoreFailing() const;
     bool isReserved(const ForwardedCall&, const TurnAdmitted&, ChangeOutcome&);
     StreamHooks hooksFor(ForwardedCall&, Turn&);
     std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
@@ -40,6 +45,7 @@
     StoreClient& m_store;
     TurnLedger& m_ledger;
     LedgerWriter& m_writer;
+    TurnJournalClient& m_journal;
     const Clock& m_clock;
     JsonLog& m_log;
 };
--- /dev/null
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -0,0 +1,121 @@
+#include "TurnJournalClient.h"
+
+#include "PeerCall.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+#include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Turns/Errors.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+static constexpr Milliseconds dropLimit { 500 };
+
+std::string encodeEntries(const std::vector<JournalEntry>& entries)
+{
+    Json json = Json::array();
+    for (const JournalEntry& it : entries) {
+        std::string bytes = encodeEntry(it);
+        json.push_back(Json::binary({ bytes.begin(), bytes.end() }));
+    }
+    auto bytes = Json::to_cbor(json);
+    return { bytes.begin(), bytes.end() };
+}
+
+std::vector<JournalEntry> decodeEntries(const std::string& text)
+{
+    std::vector<JournalEntry> entries;
+    try {
+        for (const Json& it : Json::from_cbor(text)) {
+            const auto& bytes = it.get_binary();
+            entries.push_back(decodeEntry({ bytes.begin(), bytes.end() }));
+        }
+    } catch (const Json::exception&) {
+        throw DamagedRecordError("journal entries");
+    }
+    return entries;
+}
+
+/// One question to all keepers.
+struct TurnJournalClient::Round {
+    std::size_t asked = 0;
+    std::size_t ended = 0;
+    std::vector<std::string> answers;
+    FiberSignal changed;
+};
+
+TurnJournalClient::TurnJournalClient(HttpClient& client, unsigned tolerated, const Clock& clock, JsonLog& log)
+    : m_client(client)
+    , m_tolerated(tolerated)
+    , m_clock(clock)
+    , m_log(log)
+{
+}
+
+void TurnJournalClient::setRelays(const std::vector<RelayAddress>& relays)
+{
+    m_keepers.clear();
+    std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_keepers), [](const RelayAddress& it) { return it.isKeeper; });
+}
+
+std::shared_ptr<TurnJournalClient::Round> TurnJournalClient::ask(const char* path, const std::string& body, TimePoint deadline)
+{
+    auto round = std::make_shared<Round>();
+    round->asked = m_keepers.size();
+    auto limit = std::chrono::duration_cast<Milliseconds>(deadline - m_clock.now());
+    for (const RelayAddress& keeper : m_keepers) {
+        spawnFiber([this, round, path, body, keeper, limit] {
+            try {
+                round->answers.push_back(callPeer(m_client, keeper.endpoint, path, body, limit));
+            } catch (const PeerUnavailableError& error) {
+                m_log.write(LogLine("keeper-failed").field("keeper", keeper.instance).field("call", path).field("reason", error.what()));
+            }
+            ++round->ended;
+            round->changed.notifyAll();
+        });
+    }
+    return round;
+}
+
+bool TurnJournalClient::append(const JournalEntry& entry, TimePoint deadline)
+{
+    std::size_t needed = m_tolerated + 1;
+    if (m_keepers.size() < needed || m_clock.now() >= deadline)
+        return false;
+    auto round = ask(peerPaths::journalAppend, encodeEntry(entry), deadline);
+    while (round->answers.size() < needed && round->ended < round->asked)
+        round->changed.wait();
+    return round->answers.size() >= needed;
+}
+
+std::optional<std::vector<JournalEntry>> TurnJournalClient::find(const CallId& turn, TimePoint deadline)
+{
+    std::vector<JournalEntry> found;
+    if (m_keepers.empty() || m_clock.now() >= deadline)
+        return std::nullopt;
+    std::size_t needed = m_keepers.size() > m_tolerated ? m_keepers.size() - m_tolerated : 1;
+    auto round = ask(peerPaths::journalFind, turn.text(), deadline);
+    std::size_t read = 0;
+    for (;;) {
+        for (; read < round->answers.size(); ++read)
+            for (JournalEntry& it : decodeEntries(round->answers[read]))
+                found.push_back(std::move(it));
+        // What is found is certain; what is missing is so only once enough keepers say so.
+        if (!found.empty() || read >= needed)
+            return found;
+        if (round->ended == round->asked)
+            return std::nullopt;
+        round->changed.wait();
+    }
+}
+
+void TurnJournalClient::drop(const EntryName& name)
+{
+    ask(peerPaths::journalDrop, encodeOperation({ JournalOperation::Kind::Drop, {}, name }), m_clock.now() + dropLimit);
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -0,0 +1,223 @@
+#include "TurnJournalServer.h"
+
+#include "PeerCall.h"
+#include "TurnJournalClient.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+#include "basilpoint/Turns/Errors.h"
+#include "basilpoint/Turns/TurnLedger.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace basilpoint {
+
+static constexpr Milliseconds interval { 500 };
+static constexpr Milliseconds synchronizeLimit { 1'500 };
+// The daemon that made an entry stores it as soon as it can; the keeper steps in for one that is gone.
+static constexpr Milliseconds uploadAfter { 4'000 };
+static constexpr std::uint64_t compactBytes = 16 * 1024 * 1024;
+static constexpr std::size_t uploadsPerInterval = 20;
+
+namespace {
+
+    /// The journal has lost its disk and has not read the others yet.
+    class JournalNotReadyError final : public Error {
+    public:
+        JournalNotReadyError()
+            : Error({ "journal-not-ready", 503, Executed::No }, {})
+        {
+        }
+    };
+
+    /// What a fiber waits for while the disk's thread works.
+    struct DiskWait {
+        std::optional<std::exception_ptr> result;
+        FiberSignal done;
+    };
+
+} // namespace
+
+// Without marks: disks here may keep a later unsynced write and lose an earlier one.
+static RecordLogSettings settingsFor(const std::filesystem::path& folder)
+{
+    RecordLogSettings settings;
+    settings.folder = folder / "turns";
+    settings.markSyncedGroups = false;
+    return settings;
+}
+
+TurnJournalServer::TurnJournalServer(boost::asio::io_context& io, PeerServer& server, HttpClient& client, const std::filesystem::path& folder, bool isFirstStart, StoreClient& store, const Clock& clock, JsonLog& log)
+    : m_io(io)
+    , m_client(client)
+    , m_store(store)
+    , m_clock(clock)
+    , m_log(log)
+    , m_disk(settingsFor(folder))
+{
+    m_disk.load([this](std::string_view bytes) { m_journal.apply(decodeOperation(std::string(bytes))); });
+    for (const JournalEntry& it : m_journal.all())
+        m_seen[{ it.daemon, it.step() }] = clock.now();
+    m_log.write(LogLine("journal-loaded").field("entries", m_journal.size()).field("bytes", m_disk.bytes()).field("complete", m_journal.isSynchronized()).field("firstStart", isFirstStart));
+    if (isFirstStart && !m_journal.isSynchronized()) {
+        JournalOperation synchronized { JournalOperation::Kind::Synchronized };
+        m_journal.apply(synchronized);
+        m_disk.write(encodeOperation(synchronized), [](std::exception_ptr) {});
+    }
+    server.on(peerPaths::journalAppend, [this](const std::string& body) { return append(body); });
+    server.on(peerPaths::journalFind, [this](const std::string& body) { return find(body); });
+    server.on(peerPaths::journalDrop, [this](const std::string& body) { return drop(body); });
+    server.on(peerPaths::journalAll, [this](const std::string&) { return all(); });
+}
+
+void TurnJournalServer::setRelays(const std::vector<RelayAddress>& relays, unsigned excused)
+{
+    m_others.clear();
+    std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_others), [](const RelayAddress& it) { return it.isKeeper; });
+    m_excused = excused;
+    m_areOthersKnown = true;
+}
+
+// Suspends until the operation is on disk. \throws what the disk's thread reports.
+void TurnJournalServer::makeLast(JournalOperation operation)
+{
+    auto wait = std::make_shared<DiskWait>();
+    m_disk.write(encodeOperation(operation), [this, wait](std::exception_ptr failure) {
+        boost::asio::post(m_io, [wait, failure] {
+            wait->result = failure;
+            wait->done.notifyAll();
+        });
+    });
+    while (!wait->result)
+        wait->done.wait();
+    if (*wait->result)
+        std::rethrow_exception(*wait->result);
+    m_journal.apply(operation);
+}
+
+std::string TurnJournalServer::append(const std::string& body)
+{
+    JournalEntry entry = decodeEntry(body);
+    EntryName name { entry.daemon, entry.step() };
+    if (!m_journal.has(name))
+        makeLast({ JournalOperation::Kind::Append, body });
+    m_seen.emplace(name, m_clock.now());
+    m_log.write(LogLine("journal-append").field("program", entry.program.text()).field("daemon", entry.daemon.text()).field("step", entry.step()));
+    return "kept";
+}
+
+std::string TurnJournalServer::find(const std::string& body) const
+{
+    if (!m_journal.isSynchronized())
+        throw JournalNotReadyError();
+    return encodeEntries(m_journal.findTurn(CallId(body)));
+}
+
+std::string TurnJournalServer::drop(const std::string& body)
+{
+    JournalOperation operation = decodeOperation(body);
+    if (!m_journal.has(operation.name))
+        return "dropped";
+    m_journal.apply(operation);
+    m_seen.erase(operation.name);
+    // If the drop is lost with the power, the entry is found stored and dropped again.
+    m_disk.write(body, [](std::exception_ptr) {});
+    return "dropped";
+}
+
+std::string TurnJournalServer::all() const
+{
+    if (!m_journal.isSynchronized())
+        throw JournalNotReadyError();
+    return encodeEntries(m_journal.all());
+}
+
+// Reads the other journals after this disk was lost. Every entry lies on one more disk than may be lost,
+// so all but the excused ones must answer.
+bool TurnJournalServer::synchronize()
+{
+    if (!m_areOthersKnown)
+        return false;
+    std::size_t answers = 0;
+    std::vector<RelayAddress> others = m_others;
+    for (const RelayAddress& it : others) {
+        try {
+            for (const JournalEntry& entry : decodeEntries(callPeer(m_client, it.endpoint, peerPaths::journalAll, {}, synchronizeLimit)))
+                append(encodeEntry(entry));
+            ++answers;
+        } catch (const Error& error) {
+            m_log.write(LogLine("journal-not-read").field("keeper", it.instance).field("reason", error.what()));
+        }
+    }
+    if (answers + m_excused < others.size())
+        return false;
+    makeLast({ JournalOperation::Kind::Synchronized });
+    m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("answers", answers).field("excused", m_excused));
+    return true;
+}
+
+void TurnJournalServer::upload(const JournalEntry& entry)
+{
+    std::string key = TurnLedger::accountKey(entry.program);
+    auto current = m_store.get(key);
+    ProgramAccount account = current ? decodeAccount(current->value) : ProgramAccount {};
+    auto hold = account.holds.find(entry.daemon);
+    std::uint64_t stored = hold == account.holds.end() ? 0 : hold->second.step;
+    KeyTransaction transaction;
+    for (const AccountChange& it : entry.changes) {
+        if (it.step <= stored || !applyChange(account, entry.daemon, it) || !it.record)
+            continue;
+        transaction.puts.push_back({ TurnLedger::turnKey(entry.program, it.record->turn), encodeTurn(*it.record) });
+        transaction.puts.push_back({ TurnLedger::originKey(it.record->turn), entry.program.text() });
+    }
+    bool isStored = entry.step() <= stored;
+    if (!isStored) {
+        transaction.conditions.push_back({ key, current ? current->modRevision : 0 });
+        transaction.puts.push_back({ key, encodeAccount(account) });
+        isStored = m_store.commit(transaction).revision.has_value();
+    }
+    m_log.write(LogLine("journal-upload").field("program", entry.program.text()).field("daemon", entry.daemon.text()).field("step", entry.step()).field("storedStep", stored).field("done", isStored));
+    if (isStored)
+        drop(encodeOperation({ JournalOperation::Kind::Drop, {}, { entry.daemon, entry.step() } }));
+}
+
+void TurnJournalServer::uploadOld()
+{
+    if (m_store.health().failingSince())
+        return;
+    std::size_t n = 0;
+    for (const JournalEntry& it : m_journal.all()) {
+        if (m_clock.now() - m_seen[{ it.daemon, it.step() }] < uploadAfter)
+            continue;
+        upload(it);
+        if (++n == uploadsPerInterval)
+            return;
+    }
+}
+
+void TurnJournalServer::compactIfLarge()
+{
+    if (m_disk.bytes() < compactBytes)
+        return;
+    std::vector<std::string> snapshot;
+    for (const JournalOperation& it : m_journal.snapshot())
+        snapshot.push_back(encodeOperation(it));
+    m_disk.compact(std::move(snapshot), [](std::exception_ptr) {});
+}
+
+void TurnJournalServer::run()
+{
+    for (;; sleepFiber(interval)) {
+        try {
+            if (!m_journal.isSynchronized())
+                synchronize();
+            uploadOld();
+            compactIfLarge();
+        } catch (const Error& error) {
+            // Entries stay and are tried again.
+            m_log.write(LogLine("journal-work-failed").field("reason", error.what()));
+        }
+    }
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/TurnJournalServer.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "PeerServer.h"
+#include "StoreClient.h"
+
+#include "basilpoint/Journal/RecordLog.h"
+#include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Turns/TurnJournal.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace basilpoint {
+
+/// Keeps turns on this instance's disk for daemons that cannot reach the store, and brings them there
+/// if those daemons do not.
+class TurnJournalServer {
+public:
+    /// \param isFirstStart the deployment starts for the first time, so an empty disk has lost nothing.
+    TurnJournalServer(boost::asio::io_context&, PeerServer&, HttpClient&, const std::filesystem::path& folder, bool isFirstStart, StoreClient&, const Clock&, JsonLog&);
+
+    /// Other keepers, whose journals a lost one is rebuilt from.
+    /// \param excused keepers that may be missing from the list of those who answer.
+    void setRelays(const std::vector<RelayAddress>&, unsigned excused);
+
+    /// Runs for the life of the process.
+    void run();
+
+private:
+    std::string append(const std::string& body);
+    std::string find(const std::string& body) const;
+    std::string drop(const std::string& body);
+    std::string all() const;
+    void makeLast(JournalOperation);
+    bool synchronize();
+    void upload(const JournalEntry&);
+    void uploadOld();
+    void compactIfLarge();
+
+    boost::asio::io_context& m_io;
+    HttpClient& m_client;
+    StoreClient& m_store;
+    const Clock& m_clock;
+    JsonLog& m_log;
+    TurnJournal m_journal;
+    RecordLog m_disk;
+    std::vector<RelayAddress> m_others;
+    bool m_areOthersKnown = false;
+    unsigned m_excused = 0;
+    /// When an entry was first seen by this process.
+    std::map<EntryName, TimePoint> m_seen;
+};
+
+} // namespace basilpoint
--- a/lib/Journal/GroupCommitter.cpp
+++ b/lib/Journal/GroupCommitter.cpp
@@ -7,8 +7,9 @@
 // Bounds the memory of one write, and so how long the group after it waits.
 static constexpr std::size_t maxGroupBytes = 8 * 1024 * 1024;
 
-GroupCommitter::GroupCommitter(SegmentLog& log)
+GroupCommitter::GroupCommitter(SegmentLog& log, bool markSynced)
     : m_log(log)
+    , m_markSynced(markSynced)
     , m_thread([this] { run(); })
 {
 }
@@ -89,7 +90,7 @@
 
 void GroupCommitter::mark()
 {
-    if (m_failure)
+    if (m_failure || !m_markSynced)
         return;
     try {
         m_log.markSynced();
--- a/lib/Journal/GroupCommitter.h
+++ b/lib/Journal/GroupCommitter.h
@@ -16,7 +16,8 @@
     /// Called on the committer's thread.
     using Done = std::function<void(std::exception_ptr)>;
 
-    explicit GroupCommitter(SegmentLog&);
+    /// \param markSynced whether to mark each group as synced once its callers know.
+    explicit GroupCommitter(SegmentLog&, bool markSynced = true);
 
     /// Waits for what is queued.
     ~GroupCommitter();
@@ -39,6 +40,7 @@
     void mark();
 
     SegmentLog& m_log;
+    bool m_markSynced;
     /// Why no write is taken any more. Used by the thread alone.
     std::exception_ptr m_failure;
     std::mutex m_mutex;
--- a/lib/Journal/JournalStore.cpp
+++ b/lib/Journal/JournalStore.cpp
@@ -1,10 +1,7 @@
 #include "basilpoint/Journal/JournalStore.h"
 
-#include "GroupCommitter.h"
-
 #include "basilpoint/Journal/Errors.h"
-
-#include <cassert>
+#include "basilpoint/Journal/RecordLog.h"
 
 namespace basilpoint {
 
@@ -16,9 +13,7 @@
     }
 
     JournalStoreSettings settings;
-    SegmentLog log;
-    /// Set once the log is loaded. Declared after the log: it stops first.
-    std::unique_ptr<GroupCommitter> committer;
+    RecordLog log;
 };
 
 JournalStore::JournalStore(const JournalStoreSettings& settings)
@@ -35,9 +30,7 @@
 
 void JournalStore::load(const std::function<void(const StorageOp&)>& replay)
 {
-    assert(!m_impl->committer && "a journal is loaded once");
     m_impl->log.load([&](std::string_view bytes) { replay(decodeStorageOp(bytes)); });
-    m_impl->committer = std::make_unique<GroupCommitter>(m_impl->log);
 }
 
 void JournalStore::ensureSpace() const
@@ -50,18 +43,16 @@
 
 void JournalStore::write(const StorageOp& op, Done done)
 {
-    assert(m_impl->committer && "a journal is loaded before it is written");
-    m_impl->committer->write(encodeStorageOp(op), std::move(done));
+    m_impl->log.write(encodeStorageOp(op), std::move(done));
 }
 
 void JournalStore::compact(const std::vector<StorageOp>& snapshot, Done done)
 {
-    assert(m_impl->committer && "a journal is loaded before it is written");
     std::vector<std::string> operations;
     operations.reserve(snapshot.size());
     for (const StorageOp& op : snapshot)
         operations.push_back(encodeStorageOp(op));
-    m_impl->committer->compact(std::move(operations), std::move(done));
+    m_impl->log.compact(std::move(operations), std::move(done));
 }
 
 std::uint64_t JournalStore::bytes() const
--- /dev/null
+++ b/lib/Turns/AccountChange.cpp
@@ -0,0 +1,105 @@
+#include "basilpoint/Turns/AccountChange.h"
+
+#include "RecordCodec.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+// A hold covers this many turns while the budget is ample: most turns then need no write at their start,
+// and go on while the store is out of reach.
+static constexpr TokenCount turnsPerHold = 3;
+// Turns' worth of budget that must be left for a hold of more than one turn, and for topping a hold up when
+// a turn is recorded. A program that moves from daemon to daemon leaves a hold at each, so each step takes
+// less of what is left, and none is refused over idle holds.
+static constexpr TokenCount turnsLeftToHoldMore = 6;
+static constexpr TokenCount turnsLeftToTopUp = 5;
+
+static bool reserve(ProgramAccount& account, const DaemonLifetime& daemon, const AccountChange& change)
+{
+    TokenCount budget = std::min(account.budget, change.budget);
+    TokenCount remaining = 0;
+    {
+        ProgramAccount limited = account;
+        limited.budget = budget;
+        remaining = limited.remaining();
+    }
+    if (remaining < change.most)
+        return false;
+    account.budget = budget;
+    DaemonHold& hold = account.holds[daemon];
+    hold.tokens += remaining >= turnsLeftToHoldMore * change.most ? turnsPerHold * change.most : change.most;
+    hold.step = change.step;
+    account.keepUntil = std::max(account.keepUntil, change.keepUntil);
+    return true;
+}
+
+static void settle(ProgramAccount& account, const DaemonLifetime& daemon, const AccountChange& change)
+{
+    account.budget = std::min(account.budget, change.budget);
+    account.spent += change.used;
+    DaemonHold& hold = account.holds[daemon];
+    hold.tokens -= std::min(hold.tokens, change.used);
+    hold.step = change.step;
+    account.keepUntil = std::max(account.keepUntil, change.keepUntil);
+    // Topping up here saves the next turn a write of its own.
+    if (account.budget != ProgramAccount::unlimited && hold.tokens < change.most && account.remaining() >= turnsLeftToTopUp * change.most)
+        hold.tokens = turnsPerHold * change.most;
+}
+
+bool applyChange(ProgramAccount& account, const DaemonLifetime& daemon, const AccountChange& change)
+{
+    switch (change.kind) {
+    case AccountChange::Kind::Reserve:
+        return reserve(account, daemon, change);
+    case AccountChange::Kind::Settle:
+        settle(account, daemon, change);
+        return true;
+    }
+    assert(false && "unhandled enumerator");
+    return false;
+}
+
+static Json changeToJson(const AccountChange& change)
+{
+    Json json { { "k", static_cast<int>(change.kind) }, { "s", change.step }, { "m", change.most }, { "u", change.used }, { "b", change.budget }, { "t", millisecondsOf(change.keepUntil) } };
+    if (change.record)
+        json["r"] = binary(encodeTurn(*change.record));
+    return json;
+}
+
+static AccountChange changeFrom(const Json& json)
+{
+    AccountChange change;
+    change.kind = json.at("k").get<int>() == 0 ? AccountChange::Kind::Reserve : AccountChange::Kind::Settle;
+    change.step = json.at("s").get<std::uint64_t>();
+    change.most = json.at("m").get<TokenCount>();
+    change.used = json.at("u").get<TokenCount>();
+    change.budget = json.at("b").get<TokenCount>();
+    change.keepUntil = WallTimePoint(Milliseconds(json.at("t").get<std::int64_t>()));
+    if (json.contains("r"))
+        change.record = decodeTurn(bytesOf(json["r"]));
+    return change;
+}
+
+std::string encodeEntry(const JournalEntry& entry)
+{
+    Json changes = Json::array();
+    for (const AccountChange& it : entry.changes)
+        changes.push_back(changeToJson(it));
+    return toBytes({ { "p", entry.program.text() }, { "d", entry.daemon.text() }, { "c", std::move(changes) } });
+}
+
+JournalEntry decodeEntry(const std::string& bytes)
+{
+    return readRecord("journal entry", bytes, [](const Json& json) {
+        JournalEntry entry { ProgramId(json.at("p").get<std::string>()), DaemonLifetime(json.at("d").get<std::string>()), {} };
+        for (const Json& it : json.at("c"))
+            entry.changes.push_back(changeFrom(it));
+        return entry;
+    });
+}
+
+} // namespace basilpoint
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -7,13 +7,7 @@
 
 namespace basilpoint {
 
-// A hold covers this many turns while the budget is ample: most turns then need no write at their start.
-static constexpr TokenCount turnsPerHold = 2;
-// Turns' worth of budget that must be left for a hold of more than one turn, for topping a hold up when a
-// turn is recorded, and for keeping a hold without running turns. A program that moves from daemon to daemon
-// leaves a hold at each, so each step takes less of what is left, and none is refused over idle holds.
-static constexpr TokenCount turnsLeftToHoldMore = 5;
-static constexpr TokenCount turnsLeftToTopUp = 4;
+// With less than this many turns' worth of budget left, a daemon without running turns gives its hold back.
 static constexpr TokenCount turnsLeftToKeep = 3;
 // With this many turns' worth left, a reservation is as good as certain.
 static constexpr TokenCount turnsToRunAhead = 4;
@@ -30,9 +24,9 @@
     return plain ? id : "~" + digestOf(id).text();
 }
 
-static std::string accountKey(const ProgramId& program)
+std::string TurnLedger::accountKey(const ProgramId& program)
 {
-    return TurnLedger::programPrefix(program) + "account";
+    return programPrefix(program) + "account";
 }
 
 static std::string turnPrefix(const ProgramId& program)
@@ -45,6 +39,11 @@
     return "programs/" + keyPart(program.text()) + "/";
 }
 
+std::string TurnLedger::turnKey(const ProgramId& program, const CallId& turn)
+{
+    return turnPrefix(program) + keyPart(turn.text());
+}
+
 std::string TurnLedger::originKey(const CallId& turn)
 {
     return "turns/" + keyPart(turn.text());
@@ -79,14 +78,16 @@
     return hold > used ? hold - used : 0;
 }
 
-std::optional<std::string> TurnLedger::historyOf(const Program& program, const CallId& turn)
+std::optional<std::string> TurnLedger::historyOf(const Program& program, const CallId& turn, CallId& missing)
 {
     std::vector<const TurnRecord*> chain;
     std::size_t bytes = 0;
     for (CallId id = turn; !id.empty(); id = chain.back()->previous) {
         auto it = program.turns.find(id);
-        if (it == program.turns.end() || chain.size() > program.turns.size())
+        if (it == program.turns.end() || chain.size() > program.turns.size()) {
+            missing = id;
             return std::nullopt;
+        }
         chain.push_back(it->second.get());
         bytes += it->second->input.size() + it->second->output.size();
     }
@@ -101,7 +102,8 @@
 {
     if (request.previous.empty())
         return std::string();
-    if (auto history = historyOf(program, request.previous))
+    CallId missing;
+    if (auto history = historyOf(program, request.previous, missing))
         return std::move(*history);
     if (!knowledge.isProgramRead)
         return TurnVerdict(TurnNeedsProgram { request.program, true });
@@ -109,15 +111,15 @@
     if (!knowledge.isOriginKnown)
         return TurnVerdict(TurnNeedsOrigin { request.previous });
     if (!knowledge.origin)
-        return TurnVerdict(TurnNotFound {});
+        return TurnVerdict(TurnNotFound { missing });
     if (*knowledge.origin == request.program)
-        return knowledge.isProgramFresh ? TurnVerdict(TurnNotFound {}) : TurnVerdict(TurnNeedsProgram { request.program });
+        return knowledge.isProgramFresh ? TurnVerdict(TurnNotFound { missing }) : TurnVerdict(TurnNeedsProgram { request.program });
     auto origin = m_programs.find(*knowledge.origin);
-    auto history = origin == m_programs.end() ? std::nullopt : historyOf(origin->second, request.previous);
+    auto history = origin == m_programs.end() ? std::nullopt : historyOf(origin->second, request.previous, missing);
     if (!history && !knowledge.isOriginFresh)
         return TurnVerdict(TurnNeedsProgram { *knowledge.origin });
     if (!history)
-        return TurnVerdict(TurnNotFound {});
+        return TurnVerdict(TurnNotFound { missing });
     // The chain becomes part of this program, whose retention may outlast the other's.
     addTurn(program, { request.previous, {}, *history, {}, origin->second.turns.at(request.previous)->target });
     program.imported.insert(request.previous);
@@ -153,8 +155,8 @@
     account.budget = std::min(account.budget, request.budget);
     TokenCount remaining = account.remaining();
     for (const Change& it : program.changes)
-        if (const auto* pending = std::get_if<Reserve>(&it))
-            remaining -= std::min(remaining, pending->atLeast);
+        if (it.change.kind == AccountChange::Kind::Reserve)
+            remaining -= std::min(remaining, it.change.most);
     if (remaining < request.mostTokens) {
         bool isSeenLately = program.seenSpentAt != TimePoint::min() && now - program.seenSpentAt < spentLifetime;
         if (!isProgramFresh && !isSeenLately)
@@ -164,9 +166,7 @@
         return TurnBudgetSpent {};
     }
     program.running += request.mostTokens;
-    ChangeId id(m_nextChange++);
-    program.changes.push_back(Reserve { id, m_nextStep++, request.mostTokens, request.budget, request.keepUntil });
-    queue(request.program, program);
+    ChangeId id = addChange(request, program, { AccountChange::Kind::Reserve, m_nextStep++, request.mostTokens, 0, request.budget, request.keepUntil });
     admitted.reservation = id;
     admitted.mayRunAhead = remaining >= turnsToRunAhead * request.mostTokens;
     return admitted;
@@ -200,67 +200,65 @@
     if (!record && handedOut == 0)
         return std::nullopt;
     bool mustStore = record.has_value();
-    ChangeId id(m_nextChange++);
     if (record)
         addTurn(program, *record);
     program.unsettled += handedOut;
-    program.changes.push_back(Settle { id, m_nextStep++, handedOut, request.mostTokens, std::move(record), request.keepUntil });
-    queue(request.program, program);
+    ChangeId id = addChange(request, program, { AccountChange::Kind::Settle, m_nextStep++, request.mostTokens, handedOut, request.budget, request.keepUntil, std::move(record) });
     evict();
     return mustStore ? std::optional(id) : std::nullopt;
 }
 
-void TurnLedger::queue(const ProgramId& id, Program& program)
+ChangeId TurnLedger::addChange(const TurnRequest& request, Program& program, AccountChange change)
 {
-    if (program.isQueued || program.isInBatch || program.changes.empty())
-        return;
-    program.isQueued = true;
-    m_waiting.push_back(id);
+    ChangeId id(m_nextChange++);
+    program.changes.push_back({ id, std::move(change) });
+    queue(request.program, program);
+    return id;
 }
 
-bool TurnLedger::apply(ProgramAccount& account, const Reserve& reserve) const
+std::optional<JournalEntry> TurnLedger::entryFor(const ProgramId& id, ChangeId change) const
 {
-    account.budget = std::min(account.budget, reserve.budget);
-    TokenCount remaining = account.remaining();
-    if (remaining < reserve.atLeast)
-        return false;
-    DaemonHold& hold = account.holds[m_self];
-    hold.tokens += remaining >= turnsLeftToHoldMore * reserve.atLeast ? turnsPerHold * reserve.atLeast : reserve.atLeast;
-    hold.step = reserve.step;
-    account.keepUntil = std::max(account.keepUntil, reserve.keepUntil);
-    return true;
+    auto program = m_programs.find(id);
+    if (program == m_programs.end())
+        return std::nullopt;
+    JournalEntry entry { id, m_self, {} };
+    for (const Change& it : program->second.changes) {
+        entry.changes.push_back(it.change);
+        if (it.id == change)
+            return entry;
+    }
+    return std::nullopt;
 }
 
-void TurnLedger::apply(ProgramAccount& account, const Settle& settle) const
+void TurnLedger::adopt(const ProgramId& id, const std::vector<TurnRecord>& turns)
 {
-    account.spent += settle.used;
-    DaemonHold& hold = account.holds[m_self];
-    hold.tokens -= std::min(hold.tokens, settle.used);
-    hold.step = settle.step;
-    // Topping up here saves the next turn a write of its own.
-    if (account.budget != ProgramAccount::unlimited && hold.tokens < settle.most && account.remaining() >= turnsLeftToTopUp * settle.most)
-        hold.tokens = turnsPerHold * settle.most;
-    account.keepUntil = std::max(account.keepUntil, settle.keepUntil);
+    Program& program = touch(id);
+    for (const TurnRecord& it : turns)
+        addTurn(program, it);
+    evict();
+}
+
+void TurnLedger::queue(const ProgramId& id, Program& program)
+{
+    if (program.isQueued || program.isInBatch || program.changes.empty())
+        return;
+    program.isQueued = true;
+    m_waiting.push_back(id);
 }
 
 void TurnLedger::putTurn(LedgerBatch& batch, const ProgramId& program, const TurnRecord& record) const
 {
-    batch.puts.emplace_back(turnPrefix(program) + keyPart(record.turn.text()), encodeTurn(record));
+    batch.puts.emplace_back(turnKey(program, record.turn), encodeTurn(record));
 }
 
 // Reservations that the account does not hold are refused; they never reach the store.
 void TurnLedger::dropDenied(Program& program)
 {
     ProgramAccount account = program.account;
-    std::erase_if(program.changes, [&](Change& it) {
-        if (auto* settle = std::get_if<Settle>(&it)) {
-            apply(account, *settle);
+    std::erase_if(program.changes, [&](const Change& it) {
+        if (applyChange(account, m_self, it.change))
             return false;
-        }
-        auto& reserve = std::get<Reserve>(it);
-        if (apply(account, reserve))
-            return false;
-        m_outcomes.emplace_back(reserve.id, ChangeOutcome::Denied);
+        m_outcomes.emplace_back(it.id, ChangeOutcome::Denied);
         return true;
     });
 }
@@ -274,29 +272,24 @@
     bool isWhole = true;
     bool hasReserve = false;
     TokenCount most = 0;
-    for (Change& it : program.changes) {
-        if (auto* reserve = std::get_if<Reserve>(&it)) {
-            bool fits = apply(kept.account, *reserve);
-            assert(fits && "denied reservations were dropped");
-            static_cast<void>(fits);
-            kept.step = reserve->step;
-            hasReserve = true;
-            continue;
-        }
-        auto& settle = std::get<Settle>(it);
-        // Two entries for the turn, and one for the account; an imported chain takes one more.
-        std::size_t needed = (settle.record ? 2 : 0) + 1 + program.imported.size();
+    for (const Change& it : program.changes) {
+        const AccountChange& change = it.change;
+        // Two entries for a turn, and one for the account; an imported chain takes one more.
+        std::size_t needed = (change.record ? 2 : 0) + 1 + program.imported.size();
         if (batch.entries() + part.entries() + needed > m_settings.maxBatchEntries) {
             isWhole = false;
             break;
         }
-        apply(kept.account, settle);
-        kept.step = settle.step;
-        most = std::max(most, settle.most);
-        if (!settle.record)
+        bool fits = applyChange(kept.account, m_self, change);
+        assert(fits && "denied reservations were dropped");
+        static_cast<void>(fits);
+        kept.step = change.step;
+        most = std::max(most, change.most);
+        hasReserve = hasReserve || change.kind == AccountChange::Kind::Reserve;
+        if (!change.record)
             continue;
-        putTurn(part, id, *settle.record);
-        part.puts.emplace_back(originKey(settle.record->turn), id.text());
+        putTurn(part, id, *change.record);
+        part.puts.emplace_back(originKey(change.record->turn), id.text());
     }
     if (kept.step == 0 || batch.entries() + part.entries() + 1 > m_settings.maxBatchEntries)
         return false;
@@ -344,13 +337,11 @@
 void TurnLedger::dropStored(Program& program, std::uint64_t step)
 {
     while (!program.changes.empty()) {
-        Change& front = program.changes.front();
-        auto* settle = std::get_if<Settle>(&front);
-        if ((settle ? settle->step : std::get<Reserve>(front).step) > step)
+        const Change& front = program.changes.front();
+        if (front.change.step > step)
             return;
-        if (settle)
-            program.unsettled -= std::min(program.unsettled, settle->used);
-        m_outcomes.emplace_back(settle ? settle->id : std::get<Reserve>(front).id, ChangeOutcome::Stored);
+        program.unsettled -= std::min(program.unsettled, front.change.used);
+        m_outcomes.emplace_back(front.id, ChangeOutcome::Stored);
         program.changes.pop_front();
     }
 }
--- a/lib/Turns/TurnRecord.cpp
+++ b/lib/Turns/TurnRecord.cpp
@@ -1,8 +1,6 @@
 #include "basilpoint/Turns/TurnRecord.h"
 
-#include "basilpoint/Turns/Errors.h"
-
-#include <nlohmann/json.hpp>
+#include "RecordCodec.h"
 
 namespace basilpoint {
 
@@ -23,33 +21,6 @@
     return used >= budget ? 0 : budget - used;
 }
 
-static Json binary(const std::string& bytes)
-{
-    return Json::binary({ bytes.begin(), bytes.end() });
-}
-
-static std::string textOf(const Json& json)
-{
-    const auto& bytes = json.get_binary();
-    return { bytes.begin(), bytes.end() };
-}
-
-static std::string toBytes(const Json& json)
-{
-    auto bytes = Json::to_cbor(json);
-    return { bytes.begin(), bytes.end() };
-}
-
-template <typename Read>
-static auto readRecord(const char* what, const std::string& bytes, Read read)
-{
-    try {
-        return read(Json::from_cbor(bytes));
-    } catch (const Json::exception&) {
-        throw DamagedRecordError(what);
-    }
-}
-
 std::string encodeTurn(const TurnRecord& record)
 {
     return toBytes({ { "t", record.turn.text() }, { "p", record.previous.text() }, { "i", binary(record.input) }, { "o", binary(record.output) }, { "a", record.target.text() } });
@@ -58,7 +29,7 @@
 TurnRecord decodeTurn(const std::string& bytes)
 {
     return readRecord("turn", bytes, [&](const Json& json) {
-        return TurnRecord { CallId(json.at("t").get<std::string>()), CallId(json.at("p").get<std::string>()), textOf(json.at("i")), textOf(json.at("o")), TargetId(json.at("a").get<std::string>()) };
+        return TurnRecord { CallId(json.at("t").get<std::string>()), CallId(json.at("p").get<std::string>()), bytesOf(json.at("i")), bytesOf(json.at("o")), TargetId(json.at("a").get<std::string>()) };
     });
 }
 
@@ -67,8 +38,7 @@
     Json holds = Json::object();
     for (const auto& [daemon, hold] : account.holds)
         holds[daemon.text()] = { hold.tokens, hold.step };
-    auto keepUntil = std::chrono::duration_cast<Milliseconds>(account.keepUntil.time_since_epoch()).count();
-    return toBytes({ { "b", account.budget }, { "s", account.spent }, { "h", holds }, { "k", keepUntil } });
+    return toBytes({ { "b", account.budget }, { "s", account.spent }, { "h", holds }, { "k", millisecondsOf(account.keepUntil) } });
 }
 
 ProgramAccount decodeAccount(const std::string& bytes)
