--- a/include/basilpoint/Gateway/Gateway.h
+++ b/include/basilpoint/Gateway/Gateway.h
@@ -20,6 +20,8 @@
     Endpoint peers;
     /// Disks of keepers that may be lost at once.
     unsigned tolerated = 0;
+    /// The deployment starts for the first time.
+    bool isFirstStart = false;
     /// Time from a request to stop to the forced end.
     Milliseconds stopLimit { 8'000 };
     /// Where log lines go.
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -138,6 +138,9 @@
     /// All that is known here of \p program, in the form of its stored records.
     std::vector<StoredRecord> knownRecords(const ProgramId& program) const;
 
+    /// Tokens that the program's account, as known here, neither has spent nor lets a daemon hold.
+    TokenCount remainingOf(const ProgramId&, TokenCount budget) const;
+
     /// Turns of \p program that are kept elsewhere until they are stored.
     void adopt(const ProgramId&, const std::vector<TurnRecord>&);
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -247,6 +247,7 @@
 
 void Gateway::start()
 {
+    m_turns.setFirstStart(m_settings.isFirstStart);
     m_log.write(LogLine("start").field("callers", m_settings.callers.text()).field("dataCentre", m_settings.dataCentre.text()));
     spawnFiber([this] { watchConfiguration(); });
     spawnFiber([this] { watchTargets(); });
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -22,6 +22,8 @@
 static constexpr Milliseconds usualLimit { 600 };
 // A grant of less than this part of a turn's most tokens would mostly break the turn off.
 static constexpr TokenCount leastGrantDivisor = 3;
+// Records of programs are kept for less than this after their last turn.
+static constexpr std::chrono::minutes longestRetention { 2 };
 static constexpr Milliseconds peerLimit { 150 };
 static constexpr Milliseconds journalLimit { 400 };
 // Entries of a longer outage are brought to the store by the keepers.
@@ -52,6 +54,7 @@
     , m_writer(writer)
     , m_journal(journal)
     , m_client(client)
+    , m_startedAt(clock.now())
     , m_clock(clock)
     , m_log(log)
 {
@@ -88,32 +91,42 @@
     std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_peers), [](const RelayAddress& it) { return !it.isKeeper; });
 }
 
+// A program's account lives in the daemons' memory as long as they do. One that runs for longer than records
+// are kept, or from the first start, misses no change of its own.
+bool TurnController::hasSeenAll() const
+{
+    return m_isFirstStart || m_clock.now() - m_startedAt > longestRetention;
+}
+
 std::string TurnController::knownRecords(const std::string& program) const
 {
     KeySnapshot known;
     for (StoredRecord& it : m_ledger.knownRecords(ProgramId(program)))
         known.items.push_back({ std::move(it.key), std::move(it.value), it.revision });
-    return known.items.empty() ? std::string() : encodeSnapshot(known);
+    known.revision = hasSeenAll() ? 1 : 0;
+    return encodeSnapshot(known);
 }
 
 // The daemon that served a program before has its chain in memory. What is found is certain.
-bool TurnController::readFromPeers(const ProgramId& program)
+TurnController::PeerKnowledge TurnController::readFromPeers(const ProgramId& program)
 {
     struct Round {
         std::size_t open = 0;
+        std::size_t complete = 0;
         bool anyFound = false;
         FiberSignal changed;
     };
     auto round = std::make_shared<Round>();
-    round->open = m_peers.size();
+    std::size_t asked = m_peers.size();
+    round->open = asked;
     for (const RelayAddress& peer : m_peers) {
         spawnFiber([this, round, peer, program] {
             try {
-                std::string answer = callPeer(m_client, peer.endpoint, peerPaths::programRecords, program.text(), peerLimit);
-                if (!answer.empty()) {
-                    adoptRecords(program, decodeSnapshot(answer));
-                    round->anyFound = true;
-                }
+                KeySnapshot known = decodeSnapshot(callPeer(m_client, peer.endpoint, peerPaths::programRecords, program.text(), peerLimit));
+                round->anyFound = round->anyFound || !known.items.empty();
+                round->complete += known.revision != 0 ? 1 : 0;
+                if (!known.items.empty())
+                    adoptRecords(program, std::move(known));
             } catch (const Error& error) {
                 m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("reason", error.what()));
             }
@@ -123,7 +136,7 @@
     }
     while (round->open > 0)
         round->changed.wait();
-    return round->anyFound;
+    return { round->anyFound, round->complete == asked && hasSeenAll() && asked > 0 };
 }
 
 void TurnController::adoptRecords(const ProgramId& program, KeySnapshot snapshot)
@@ -180,7 +193,7 @@
             }
             auto* needed = std::get_if<TurnNeedsProgram>(&verdict);
             if (isStoreFailing()) {
-                if (knowledge.isProgramRead || !needed || !readFromPeers(needed->program))
+                if (knowledge.isProgramRead || !needed || !readFromPeers(needed->program).anyFound)
                     return Refusal { 503, "store out of reach" };
                 knowledge.isProgramRead = true;
             } else if (needed) {
@@ -221,11 +234,15 @@
     return outcome == ChangeOutcome::Stored;
 }
 
-// The rule for budgets leaves room for the most of one turn. While the account cannot be read, that much
-// may be handed out for a program by all daemons together.
+// While the account cannot be read, the grants of all daemons together stay within what is left of the budget,
+// if that is known for certain; else within the most of one turn, for which the rule for budgets leaves room.
 bool TurnController::takeGrant(const ForwardedCall& call, Turn& turn)
 {
-    TurnJournalClient::GrantRequest request { turn.request.program, m_ledger.self(), m_ledger.takeGrantSteps(), turn.request.mostTokens, turn.request.mostTokens / leastGrantDivisor, turn.request.keepUntil };
+    const TurnRequest& asked = turn.request;
+    TokenCount allowance = asked.mostTokens;
+    if (readFromPeers(asked.program).isComplete)
+        allowance = std::max(allowance, m_ledger.remainingOf(asked.program, asked.budget));
+    TurnJournalClient::GrantRequest request { asked.program, m_ledger.self(), m_ledger.takeGrantSteps(), allowance, asked.mostTokens, asked.mostTokens / leastGrantDivisor, asked.keepUntil };
     auto tokens = m_journal.grant(request, std::min(call.deadline, m_clock.now() + journalLimit));
     m_log.write(LogLine("grant").field("request", call.attributes.call.text()).field("program", request.program.text()).field("allowance", request.allowance).field("tokens", tokens.value_or(0)));
     if (!tokens)
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -12,6 +12,9 @@
 /// Serves turns: finds their history, keeps their program's budget, and records them.
 class TurnController {
 public:
+    /// \param isFirstStart this daemon was there from the deployment's start.
+    void setFirstStart(bool isFirstStart) { m_isFirstStart = isFirstStart; }
+
     /// Other daemons that serve callers, asked for what they know of a program while the store is out of reach.
     void setPeers(const std::vector<RelayAddress>&);
 
@@ -42,7 +45,14 @@
     bool keep(ForwardedCall&, Turn&, ChangeId);
     void dropOnceStored(const JournalEntry&, ChangeId);
     bool isStoreFailing() const;
-    bool readFromPeers(const ProgramId&);
+    /// What the other daemons know of a program.
+    struct PeerKnowledge {
+        bool anyFound = false;
+        /// All daemons that may have changed the program's account have answered.
+        bool isComplete = false;
+    };
+    PeerKnowledge readFromPeers(const ProgramId&);
+    bool hasSeenAll() const;
     void adoptRecords(const ProgramId&, KeySnapshot);
     bool isReserved(const ForwardedCall&, Turn&);
     bool takeGrant(const ForwardedCall&, Turn&);
@@ -58,6 +68,8 @@
     TurnJournalClient& m_journal;
     HttpClient& m_client;
     std::vector<RelayAddress> m_peers;
+    bool m_isFirstStart = false;
+    TimePoint m_startedAt;
     const Clock& m_clock;
     JsonLog& m_log;
 };
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -158,7 +158,7 @@
     auto before = grantedSoFar(request.program, deadline);
     if (!before || *before + request.least > request.allowance)
         return std::nullopt;
-    TokenCount tokens = request.allowance - *before;
+    TokenCount tokens = std::min(request.most, request.allowance - *before);
     JournalEntry entry { request.program, request.daemon, { { AccountChange::Kind::Grant, request.step, tokens, 0, ProgramAccount::unlimited, request.keepUntil } } };
     if (!append({ entry }, deadline))
         return std::nullopt;
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -25,6 +25,8 @@
         std::uint64_t step = 0;
         /// Tokens that all grants of the program together may hand out.
         TokenCount allowance = 0;
+        /// Most that the turn needs.
+        TokenCount most = 0;
         /// Fewer than these are of no use.
         TokenCount least = 0;
         WallTimePoint keepUntil;
--- a/lib/Turns/AccountChange.cpp
+++ b/lib/Turns/AccountChange.cpp
@@ -8,13 +8,11 @@
 
 using Json = nlohmann::json;
 
-// A hold takes this part of what is left of a budget: most turns then need no write at their start, and
-// programs go on while the store is out of reach. One that moves from daemon to daemon leaves a hold at each,
-// so each step takes less, and none is refused over idle holds. Budgets of short programs are worth about
-// 1.4 turns' most for each turn: half of what is left refused one program in 200 on a calm day, a third none.
-static constexpr TokenCount holdDivisor = 3;
-// Turns' worth of budget that must be left for topping a hold up when a turn is recorded.
-static constexpr TokenCount turnsLeftToTopUp = 4;
+// A turn that is recorded leaves a hold for one more with the daemon, which then needs no write at its start and
+// goes on while the store is out of reach; so long as this many turns' worth of budget is left. What a daemon
+// holds is lost to the program when it dies: a third of what was left, held at once, refused programs that went
+// on after all daemons had died.
+static constexpr TokenCount turnsLeftToTopUp = 2;
 
 static bool reserve(ProgramAccount& account, const DaemonLifetime& daemon, const AccountChange& change)
 {
@@ -29,7 +27,7 @@
         return false;
     account.budget = budget;
     DaemonHold& hold = account.holds[daemon];
-    hold.tokens += std::max(change.most, remaining / holdDivisor);
+    hold.tokens += change.most;
     hold.step = change.step;
     account.keepUntil = std::max(account.keepUntil, change.keepUntil);
     return true;
@@ -45,7 +43,7 @@
     account.keepUntil = std::max(account.keepUntil, change.keepUntil);
     // Topping up here saves the next turn a write of its own.
     if (account.budget != ProgramAccount::unlimited && hold.tokens < change.most && account.remaining() >= turnsLeftToTopUp * change.most)
-        hold.tokens = account.remaining() / holdDivisor;
+        hold.tokens = change.most;
 }
 
 bool applyChange(ProgramAccount& account, const DaemonLifetime& daemon, const AccountChange& change)
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -7,8 +7,8 @@
 
 namespace basilpoint {
 
-// With less than this many turns' worth of budget left, a daemon without running turns gives its hold back.
-static constexpr TokenCount turnsLeftToKeep = 3;
+// With less than this many turns' worth of budget left, a daemon gives back what no running turn needs.
+static constexpr TokenCount turnsLeftToKeep = 1;
 // With this many turns' worth left, a reservation is as good as certain.
 static constexpr TokenCount turnsToRunAhead = 4;
 // Looping programs come back at once after a refusal; what the store said holds for them that long.
@@ -230,6 +230,14 @@
     return std::nullopt;
 }
 
+TokenCount TurnLedger::remainingOf(const ProgramId& id, TokenCount budget) const
+{
+    auto program = m_programs.find(id);
+    ProgramAccount account = program == m_programs.end() ? ProgramAccount {} : program->second.account;
+    account.budget = std::min(account.budget, budget);
+    return account.remaining();
+}
+
 std::vector<StoredRecord> TurnLedger::knownRecords(const ProgramId& id) const
 {
     std::vector<StoredRecord> records;
@@ -311,9 +319,11 @@
         kept.imported.push_back(imported);
     }
     DaemonHold& hold = kept.account.holds[m_self];
-    bool isIdle = program.running == 0 && isWhole && !hasReserve;
-    if (isIdle && kept.account.remaining() < turnsLeftToKeep * most)
-        hold.tokens = 0;
+    // Of what running turns do not need, one turn's worth stays for the next; none if other daemons may need it.
+    if (isWhole && !hasReserve) {
+        TokenCount spare = kept.account.remaining() < turnsLeftToKeep * most ? 0 : most;
+        hold.tokens = std::min(hold.tokens, program.running + spare);
+    }
     program.holdAfterBatch = hold.tokens;
     part.puts.emplace_back(key, encodeAccount(kept.account));
     std::move(part.conditions.begin(), part.conditions.end(), std::back_inserter(batch.conditions));
