Judge reservations with outstanding grants against the account as stored

Change: the reservation itself says how much must be left for grants, so the condition of its write holds it; reservations of ended turns are taken back.

--- a/include/basilpoint/Gateway/StoreHealth.h
+++ b/include/basilpoint/Gateway/StoreHealth.h
@@ -18,6 +18,9 @@
     /// Whether calls have failed for at least \p limit without an answer between.
     bool isFailingFor(Milliseconds limit, TimePoint now) const;
 
+    /// Whether a call has failed within \p span.
+    bool hasFailedWithin(Milliseconds span, TimePoint now) const;
+
     /// How long to wait for an answer; follows what answers take.
     Milliseconds answerLimit() const;
 
@@ -29,6 +32,7 @@
 
     double m_usualMilliseconds = 10;
     std::optional<TimePoint> m_failingSince;
+    std::optional<TimePoint> m_lastFailure;
 };
 
 } // namespace basilpoint
--- a/include/basilpoint/Turns/AccountChange.h
+++ b/include/basilpoint/Turns/AccountChange.h
@@ -18,6 +18,8 @@
         Grant,
         /// Ends the grant with step \ref grant, of which \ref used tokens were handed out.
         GrantEnd,
+        /// What was used under the grant with step \ref grant is in the account.
+        GrantStored,
     };
 
     Kind kind = Kind::Reserve;
@@ -26,10 +28,13 @@
     /// Most tokens of one turn.
     TokenCount most = 0;
     TokenCount used = 0;
+    /// Tokens of grants that the account may lack; a reservation leaves them untouched.
+    TokenCount outstanding = 0;
     TokenCount budget = ProgramAccount::unlimited;
     /// Until when the program's records are kept.
     WallTimePoint keepUntil;
     std::optional<TurnRecord> record {};
+    /// Step of the grant that the change belongs to; 0 if there is none.
     std::uint64_t grant = 0;
 
     bool operator==(const AccountChange&) const = default;
--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -36,13 +36,16 @@
 /// \throws DamagedRecordError
 JournalOperation decodeOperation(const std::string& bytes);
 
-/// Whether the entry is a grant or the end of one, which never reaches the store.
+/// Whether the entry is of a grant, and not a change of the account.
 bool isGrant(const JournalEntry&);
 
 /// Tokens that \p grants let daemons hand out: of those that have ended what was used, of the others all.
 /// An entry may stand in the list more than once.
 TokenCount grantedTokens(const std::vector<JournalEntry>& grants);
 
+/// As grantedTokens(), but without what is in the account already.
+TokenCount outstandingTokens(const std::vector<JournalEntry>& grants);
+
 /// Turns that are kept beside the disks until the store has them.
 ///
 /// A turn is acknowledged once it lies on one more disk than may be lost. A journal whose disk was lost
@@ -61,6 +64,9 @@
     /// Grants of the program and their ends.
     std::vector<JournalEntry> grantsOf(const ProgramId&) const;
 
+    /// Grants that neither have ended nor are stored; of daemons that died, if they are old.
+    std::vector<JournalEntry> openGrants() const;
+
     /// Grants whose program's records need not be kept any more.
     std::vector<EntryName> expiredGrants(WallTimePoint now) const;
 
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -56,8 +56,14 @@
     CallId previous;
 };
 
+/// Tokens were granted while accounts could not be read; how many must be known first; then ask again.
+struct TurnNeedsGrants { };
+
 /// The budget does not hold one more turn.
-struct TurnBudgetSpent { };
+struct TurnBudgetSpent {
+    /// Whether that is so only because of granted tokens, of which not all may be used.
+    bool isCertain = true;
+};
 
 /// The store does not have a turn that the history needs.
 struct TurnNotFound {
@@ -65,7 +71,7 @@
     CallId missing;
 };
 
-using TurnVerdict = std::variant<TurnAdmitted, TurnNeedsProgram, TurnNeedsOrigin, TurnBudgetSpent, TurnNotFound>;
+using TurnVerdict = std::variant<TurnAdmitted, TurnNeedsProgram, TurnNeedsOrigin, TurnNeedsGrants, TurnBudgetSpent, TurnNotFound>;
 
 /// What a request has learned from the store so far, so that it never asks twice.
 struct TurnKnowledge {
@@ -77,6 +83,18 @@
     std::optional<ProgramId> origin;
     bool isOriginKnown = false;
     bool isOriginFresh = false;
+    /// Tokens that were granted and may be missing in the account; empty if they must be looked up.
+    std::optional<TokenCount> outstanding = 0;
+};
+
+/// What else is known as a turn ends.
+struct TurnEnd {
+    /// Reservation that began with the turn; taken back if it is not stored yet.
+    std::optional<ChangeId> reservation;
+    /// Step of the grant under which the turn ran; 0 if it ran under none.
+    std::uint64_t grant = 0;
+    /// Whether the account may lack tokens that were granted elsewhere, so that no more may be held than is needed.
+    bool mayMissGrants = false;
 };
 
 /// One stored record as the store has it.
@@ -130,7 +148,7 @@
 
     /// An admitted turn ended. \p record is set if it was answered whole.
     /// \returns the change that must be stored before the caller may see the end; empty if none must.
-    std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record);
+    std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& = {});
 
     /// All that is not stored yet of the program, if \p change is not; for keeping it elsewhere meanwhile.
     std::optional<JournalEntry> entryFor(const ProgramId&, ChangeId change) const;
@@ -144,8 +162,8 @@
     /// Turns of \p program that are kept elsewhere until they are stored.
     void adopt(const ProgramId&, const std::vector<TurnRecord>&);
 
-    /// Two steps of their own for a grant and its end.
-    std::uint64_t takeGrantSteps() { return std::exchange(m_nextStep, m_nextStep + 2); }
+    /// Three steps of their own: for a grant, its end and its storing.
+    std::uint64_t takeGrantSteps() { return std::exchange(m_nextStep, m_nextStep + 3); }
 
     const DaemonLifetime& self() const { return m_self; }
 
@@ -180,6 +198,8 @@
     struct Change {
         ChangeId id;
         AccountChange change;
+        /// Its turn has ended; it is dropped unless it turns out to be stored.
+        bool isCancelled = false;
     };
 
     struct Program {
@@ -219,11 +239,12 @@
     /// \param missing set to the turn that the program lacks, if the history is not whole.
     static std::optional<std::string> historyOf(const Program&, const CallId& turn, CallId& missing);
     std::variant<std::string, TurnVerdict> findHistory(Program&, const TurnRequest&, const TurnKnowledge&);
-    TurnVerdict reserve(Program&, const TurnRequest&, bool isProgramFresh, TurnAdmitted admitted, TimePoint now);
+    TurnVerdict reserve(Program&, const TurnRequest&, const TurnKnowledge&, TurnAdmitted admitted, TimePoint now);
     void queue(const ProgramId&, Program&);
     void dropDenied(Program&);
     bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
     void putTurn(LedgerBatch&, const ProgramId&, const TurnRecord&) const;
+    void cancel(Program&, ChangeId);
     ChangeId addChange(const TurnRequest&, Program&, AccountChange);
     void dropStored(Program&, std::uint64_t step);
     void rebase(Program&, const ProgramAccount&, std::int64_t revision);
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -24,6 +24,8 @@
 static constexpr TokenCount leastGrantDivisor = 3;
 // Records of programs are kept for less than this after their last turn.
 static constexpr std::chrono::minutes longestRetention { 2 };
+// Grants of an outage reach the accounts within this time of its end.
+static constexpr Milliseconds grantsInDoubt { 30'000 };
 static constexpr Milliseconds peerLimit { 150 };
 static constexpr Milliseconds journalLimit { 400 };
 // Entries of a longer outage are brought to the store by the keepers.
@@ -92,7 +94,7 @@
 }
 
 // A program's account lives in the daemons' memory as long as they do. One that runs for longer than records
-// are kept, or from the first start, misses no change of its own.
+// are kept, or from the first start, misses no change of its own; and none is made while all see the store fail.
 bool TurnController::hasSeenAll() const
 {
     return m_isFirstStart || m_clock.now() - m_startedAt > longestRetention;
@@ -103,7 +105,7 @@
     KeySnapshot known;
     for (StoredRecord& it : m_ledger.knownRecords(ProgramId(program)))
         known.items.push_back({ std::move(it.key), std::move(it.value), it.revision });
-    known.revision = hasSeenAll() ? 1 : 0;
+    known.revision = hasSeenAll() && isStoreFailing() ? 1 : 0;
     return encodeSnapshot(known);
 }
 
@@ -176,14 +178,21 @@
 std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, const TurnRequest& request)
 {
     TurnKnowledge knowledge;
+    // While the store fails a reservation only waits; its grants are asked for on their own.
+    if (mayMissGrants() && !isStoreFailing())
+        knowledge.outstanding.reset();
     int searches = 0;
     try {
         for (;;) {
             TurnVerdict verdict = m_ledger.begin(request, knowledge, m_clock.now());
             if (auto* admitted = std::get_if<TurnAdmitted>(&verdict))
                 return std::move(*admitted);
-            if (std::holds_alternative<TurnBudgetSpent>(verdict))
-                return Refusal { 402, "budget spent" };
+            if (auto* spent = std::get_if<TurnBudgetSpent>(&verdict))
+                return spent->isCertain ? Refusal { 402, "budget spent" } : Refusal { 503, "budget not certain yet" };
+            if (std::holds_alternative<TurnNeedsGrants>(verdict)) {
+                knowledge.outstanding = outstandingOf(call, request);
+                continue;
+            }
             if (auto* missing = std::get_if<TurnNotFound>(&verdict)) {
                 if (auto refusal = findKept(call, missing->missing, knowledge))
                     return *refusal;
@@ -234,6 +243,26 @@
     return outcome == ChangeOutcome::Stored;
 }
 
+// After an outage, and after this daemon's start, tokens that were granted meanwhile may be missing in the accounts.
+bool TurnController::mayMissGrants() const
+{
+    TimePoint now = m_clock.now();
+    return m_store.health().hasFailedWithin(grantsInDoubt, now) || (!m_isFirstStart && now - m_startedAt < grantsInDoubt);
+}
+
+TurnEnd TurnController::endOf(const Turn& turn) const
+{
+    return { turn.admitted.reservation, turn.grant ? turn.grant->step : 0, mayMissGrants() };
+}
+
+// Keepers that cannot be asked leave the account's word: grants need enough of them as well.
+TokenCount TurnController::outstandingOf(const ForwardedCall& call, const TurnRequest& request)
+{
+    auto outstanding = m_journal.outstanding(request.program, std::min(call.deadline, m_clock.now() + peerLimit));
+    m_log.write(LogLine("grants-outstanding").field("request", call.attributes.call.text()).field("program", request.program.text()).field("known", outstanding.has_value()).field("tokens", outstanding.value_or(0)));
+    return outstanding.value_or(0);
+}
+
 // While the account cannot be read, the grants of all daemons together stay within what is left of the budget,
 // if that is known for certain; else within the most of one turn, for which the rule for budgets leaves room.
 bool TurnController::takeGrant(const ForwardedCall& call, Turn& turn)
@@ -264,7 +293,7 @@
 {
     turn.isEnded = true;
     TurnRecord record { turn.request.turn, turn.request.previous, call.request.body, turn.output, target };
-    ChangeId change = *m_ledger.end(turn.request, turn.handedOut, std::move(record));
+    ChangeId change = *m_ledger.end(turn.request, turn.handedOut, std::move(record), endOf(turn));
     m_writer.expect(change);
     m_writer.kick();
     TimePoint now = m_clock.now();
@@ -305,8 +334,12 @@
 {
     auto outcome = m_writer.await(change, m_clock.now() + longestOutage, [] { return false; });
     m_writer.forget(change);
-    if (outcome == ChangeOutcome::Stored)
-        m_journal.drop({ entry.daemon, entry.step() });
+    if (outcome != ChangeOutcome::Stored)
+        return;
+    m_journal.drop({ entry.daemon, entry.step() });
+    const AccountChange& settled = entry.changes.back();
+    if (settled.grant != 0)
+        m_journal.grantStored(entry.program, entry.daemon, settled.grant, settled.keepUntil);
 }
 
 StreamHooks TurnController::hooksFor(ForwardedCall& call, Turn& turn)
@@ -346,8 +379,8 @@
     }
     // With the store failing, only a grant lets the turn run, and it is asked for before an engine works in vain.
     bool mustWait = !turn.admitted.mayRunAhead || isStoreFailing();
-    if (mustWait && !isReserved(call, turn))
-        refusal = turn.isDenied ? Refusal { 402, "budget spent" } : Refusal { 503, "reservation not recorded" };
+    if (!refusal && mustWait && !isReserved(call, turn))
+        refusal = turn.isDenied && !mayMissGrants() ? Refusal { 402, "budget spent" } : Refusal { 503, "reservation not recorded" };
     if (!refusal) {
         call.body = std::move(turn.admitted.history);
         call.body->append(call.request.body);
@@ -356,7 +389,7 @@
         refusal = forward(call, turn, writer);
     }
     if (!turn.isEnded)
-        m_ledger.end(turn.request, turn.handedOut, std::nullopt);
+        m_ledger.end(turn.request, turn.handedOut, std::nullopt, endOf(turn));
     if (turn.admitted.reservation)
         m_writer.forget(*turn.admitted.reservation);
     if (turn.grant)
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -56,6 +56,9 @@
     void adoptRecords(const ProgramId&, KeySnapshot);
     bool isReserved(const ForwardedCall&, Turn&);
     bool takeGrant(const ForwardedCall&, Turn&);
+    bool mayMissGrants() const;
+    TurnEnd endOf(const Turn&) const;
+    TokenCount outstandingOf(const ForwardedCall&, const TurnRequest&);
     bool mayHandOut(const Turn&, TokenCount) const;
     StreamHooks hooksFor(ForwardedCall&, Turn&);
     std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -139,7 +139,7 @@
     return round->answers.size() < needed ? std::nullopt : std::optional(round->answers);
 }
 
-std::optional<TokenCount> TurnJournalClient::grantedSoFar(const ProgramId& program, TimePoint deadline)
+std::optional<std::vector<JournalEntry>> TurnJournalClient::grantsOf(const ProgramId& program, TimePoint deadline)
 {
     auto answers = askEnough(peerPaths::journalGrants, program.text(), deadline);
     if (!answers)
@@ -148,7 +148,29 @@
     for (const std::string& it : *answers)
         for (JournalEntry& entry : decodeEntries(it))
             grants.push_back(std::move(entry));
-    return grantedTokens(grants);
+    return grants;
+}
+
+std::optional<TokenCount> TurnJournalClient::grantedSoFar(const ProgramId& program, TimePoint deadline)
+{
+    auto grants = grantsOf(program, deadline);
+    return grants ? std::optional(grantedTokens(*grants)) : std::nullopt;
+}
+
+std::optional<TokenCount> TurnJournalClient::outstanding(const ProgramId& program, TimePoint deadline)
+{
+    auto grants = grantsOf(program, deadline);
+    return grants ? std::optional(outstandingTokens(*grants)) : std::nullopt;
+}
+
+JournalEntry grantStoredEntry(const ProgramId& program, const DaemonLifetime& daemon, std::uint64_t grant, WallTimePoint keepUntil)
+{
+    return { program, daemon, { { AccountChange::Kind::GrantStored, grant + 2, 0, 0, 0, ProgramAccount::unlimited, keepUntil, {}, grant } } };
+}
+
+void TurnJournalClient::grantStored(const ProgramId& program, const DaemonLifetime& daemon, std::uint64_t grant, WallTimePoint keepUntil)
+{
+    ask(peerPaths::journalAppend, encodeEntries({ grantStoredEntry(program, daemon, grant, keepUntil) }), m_clock.now() + dropLimit);
 }
 
 // The grant is written before it is weighed, so of two that meet at least the later one sees both; one that
@@ -159,7 +181,7 @@
     if (!before || *before + request.least > request.allowance)
         return std::nullopt;
     TokenCount tokens = std::min(request.most, request.allowance - *before);
-    JournalEntry entry { request.program, request.daemon, { { AccountChange::Kind::Grant, request.step, tokens, 0, ProgramAccount::unlimited, request.keepUntil } } };
+    JournalEntry entry { request.program, request.daemon, { { AccountChange::Kind::Grant, request.step, tokens, 0, 0, ProgramAccount::unlimited, request.keepUntil } } };
     if (!append({ entry }, deadline))
         return std::nullopt;
     auto after = grantedSoFar(request.program, deadline);
@@ -171,7 +193,7 @@
 
 JournalEntry TurnJournalClient::grantEnd(const GrantRequest& request, TokenCount used)
 {
-    return { request.program, request.daemon, { { AccountChange::Kind::GrantEnd, request.step + 1, 0, used, ProgramAccount::unlimited, request.keepUntil, {}, request.step } } };
+    return { request.program, request.daemon, { { AccountChange::Kind::GrantEnd, request.step + 1, 0, used, 0, ProgramAccount::unlimited, request.keepUntil, {}, request.step } } };
 }
 
 void TurnJournalClient::endGrant(const GrantRequest& request, TokenCount used, TimePoint deadline)
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -39,6 +39,13 @@
     /// Entry that ends a grant of which \p used tokens were handed out.
     static JournalEntry grantEnd(const GrantRequest&, TokenCount used);
 
+    /// Tokens that grants of the program let daemons hand out and that its account may not hold yet; empty if too
+    /// few keepers answer.
+    std::optional<TokenCount> outstanding(const ProgramId&, TimePoint deadline);
+
+    /// What was used under the grant is in the account.
+    void grantStored(const ProgramId&, const DaemonLifetime&, std::uint64_t grant, WallTimePoint keepUntil);
+
     /// Ends a grant whose turn is not kept.
     void endGrant(const GrantRequest&, TokenCount used, TimePoint deadline);
 
@@ -54,6 +61,7 @@
 
     /// Answers of enough keepers to find whatever lies on one more disk than may be lost.
     std::optional<std::vector<std::string>> askEnough(const char* path, const std::string& body, TimePoint deadline);
+    std::optional<std::vector<JournalEntry>> grantsOf(const ProgramId&, TimePoint deadline);
     std::optional<TokenCount> grantedSoFar(const ProgramId&, TimePoint deadline);
     std::shared_ptr<Round> ask(const char* path, const std::string& body, TimePoint deadline);
 
@@ -68,6 +76,9 @@
     std::map<std::string, TimePoint> m_failedAt;
 };
 
+/// Entry that says that what was used under a grant is in the account.
+JournalEntry grantStoredEntry(const ProgramId&, const DaemonLifetime&, std::uint64_t grant, WallTimePoint keepUntil);
+
 std::string encodeEntries(const std::vector<JournalEntry>&);
 /// \throws DamagedRecordError
 std::vector<JournalEntry> decodeEntries(const std::string&);
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -16,6 +16,8 @@
 static constexpr Milliseconds synchronizeLimit { 1'500 };
 // The daemon that made an entry stores it as soon as it can; the keeper steps in for one that is gone.
 static constexpr Milliseconds uploadAfter { 4'000 };
+// No turn runs this long, so a grant without an end is one whose daemon died.
+static constexpr Milliseconds chargeAfter { 12'000 };
 static constexpr std::uint64_t compactBytes = 16 * 1024 * 1024;
 static constexpr std::size_t uploadsPerInterval = 20;
 // Puts of one upload, below what one call to the store takes; an entry mostly adds two.
@@ -199,9 +201,35 @@
         isStored = m_store.commit(transaction).revision.has_value();
     }
     m_log.write(LogLine("journal-upload").field("program", program.text()).field("entries", done.size()).field("turns", transaction.puts.size() / 2).field("done", isStored));
+    if (!isStored)
+        return;
+    for (const JournalEntry& entry : entries)
+        for (const AccountChange& it : entry.changes)
+            if (it.grant != 0 && it.step <= account.holds[entry.daemon].step)
+                keep(grantStoredEntry(program, entry.daemon, it.grant, it.keepUntil));
     for (const EntryName& it : done)
-        if (isStored)
-            drop(encodeOperation({ JournalOperation::Kind::Drop, {}, it }));
+        drop(encodeOperation({ JournalOperation::Kind::Drop, {}, it }));
+}
+
+// The daemon died while a turn ran under the grant: how much it handed out is not known, so all is charged.
+void TurnJournalServer::charge(const JournalEntry& grant)
+{
+    const AccountChange& change = grant.changes.back();
+    std::string key = TurnLedger::accountKey(grant.program);
+    auto current = m_store.get(key);
+    ProgramAccount account = current ? decodeAccount(current->value) : ProgramAccount {};
+    // The grant's step is this daemon's own; the hold's step tells whether another keeper has charged it.
+    DaemonHold& charged = account.holds[DaemonLifetime(grant.daemon.text() + "-grant" + std::to_string(change.step))];
+    bool isStored = charged.step != 0;
+    if (!isStored) {
+        charged.step = change.step;
+        account.spent += change.most;
+        account.keepUntil = std::max(account.keepUntil, change.keepUntil);
+        isStored = m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, encodeAccount(account) } }, {} }).revision.has_value();
+    }
+    m_log.write(LogLine("grant-charged").field("program", grant.program.text()).field("daemon", grant.daemon.text()).field("tokens", change.most).field("done", isStored));
+    if (isStored)
+        keep(grantStoredEntry(grant.program, grant.daemon, change.step, change.keepUntil));
 }
 
 void TurnJournalServer::uploadOld()
@@ -218,6 +246,9 @@
         if (++n == uploadsPerInterval)
             return;
     }
+    for (const JournalEntry& it : m_journal.openGrants())
+        if (m_clock.now() - m_seen[{ it.daemon, it.step() }] >= chargeAfter)
+            charge(it);
 }
 
 void TurnJournalServer::compactIfLarge()
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -35,6 +35,7 @@
     void makeLast(JournalOperation);
     bool synchronize();
     void upload(const ProgramId&, const std::vector<JournalEntry>&);
+    void charge(const JournalEntry& grant);
     void uploadOld();
     void compactIfLarge();
 
--- a/lib/Turns/AccountChange.cpp
+++ b/lib/Turns/AccountChange.cpp
@@ -23,7 +23,7 @@
         limited.budget = budget;
         remaining = limited.remaining();
     }
-    if (remaining < change.most)
+    if (remaining < change.most + change.outstanding)
         return false;
     account.budget = budget;
     DaemonHold& hold = account.holds[daemon];
@@ -56,6 +56,7 @@
         return true;
     case AccountChange::Kind::Grant:
     case AccountChange::Kind::GrantEnd:
+    case AccountChange::Kind::GrantStored:
         // Tokens under a grant reach the account when their turn is settled.
         return true;
     }
@@ -65,7 +66,7 @@
 
 static Json changeToJson(const AccountChange& change)
 {
-    Json json { { "k", static_cast<int>(change.kind) }, { "s", change.step }, { "m", change.most }, { "u", change.used }, { "b", change.budget }, { "t", millisecondsOf(change.keepUntil) }, { "g", change.grant } };
+    Json json { { "k", static_cast<int>(change.kind) }, { "s", change.step }, { "m", change.most }, { "u", change.used }, { "o", change.outstanding }, { "b", change.budget }, { "t", millisecondsOf(change.keepUntil) }, { "g", change.grant } };
     if (change.record)
         json["r"] = binary(encodeTurn(*change.record));
     return json;
@@ -75,13 +76,14 @@
 {
     AccountChange change;
     int kind = json.at("k").get<int>();
-    if (kind < 0 || kind > static_cast<int>(AccountChange::Kind::GrantEnd))
+    if (kind < 0 || kind > static_cast<int>(AccountChange::Kind::GrantStored))
         throw DamagedRecordError("account change");
     change.kind = static_cast<AccountChange::Kind>(kind);
     change.grant = json.at("g").get<std::uint64_t>();
     change.step = json.at("s").get<std::uint64_t>();
     change.most = json.at("m").get<TokenCount>();
     change.used = json.at("u").get<TokenCount>();
+    change.outstanding = json.at("o").get<TokenCount>();
     change.budget = json.at("b").get<TokenCount>();
     change.keepUntil = WallTimePoint(Milliseconds(json.at("t").get<std::int64_t>()));
     if (json.contains("r"))
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -79,28 +79,72 @@
 
 bool isGrant(const JournalEntry& entry)
 {
-    return !entry.changes.empty() && (entry.changes.back().kind == AccountChange::Kind::Grant || entry.changes.back().kind == AccountChange::Kind::GrantEnd);
+    if (entry.changes.empty())
+        return false;
+    AccountChange::Kind kind = entry.changes.back().kind;
+    return kind != AccountChange::Kind::Reserve && kind != AccountChange::Kind::Settle;
 }
 
-TokenCount grantedTokens(const std::vector<JournalEntry>& grants)
+namespace {
+
+    /// What is known of one grant.
+    struct GrantState {
+        const JournalEntry* entry = nullptr;
+        TokenCount granted = 0;
+        std::optional<TokenCount> used;
+        bool isStored = false;
+
+        TokenCount tokens() const { return used.value_or(granted); }
+    };
+
+} // namespace
+
+static std::map<EntryName, GrantState> statesOf(const std::vector<JournalEntry>& grants)
 {
-    std::map<EntryName, TokenCount> granted;
-    std::map<EntryName, TokenCount> used;
+    std::map<EntryName, GrantState> states;
     for (const JournalEntry& entry : grants) {
         const AccountChange& change = entry.changes.back();
-        if (change.kind == AccountChange::Kind::Grant)
-            granted[{ entry.daemon, change.step }] = change.most;
-        else if (change.kind == AccountChange::Kind::GrantEnd)
-            used[{ entry.daemon, change.grant }] = change.used;
+        if (change.kind == AccountChange::Kind::Grant) {
+            GrantState& state = states[{ entry.daemon, change.step }];
+            state.entry = &entry;
+            state.granted = change.most;
+        } else if (change.kind == AccountChange::Kind::GrantEnd)
+            states[{ entry.daemon, change.grant }].used = change.used;
+        else if (change.kind == AccountChange::Kind::GrantStored)
+            states[{ entry.daemon, change.grant }].isStored = true;
     }
+    return states;
+}
+
+TokenCount grantedTokens(const std::vector<JournalEntry>& grants)
+{
     TokenCount total = 0;
-    for (const auto& [name, tokens] : granted) {
-        auto end = used.find(name);
-        total += end == used.end() ? tokens : end->second;
-    }
+    for (const auto& [name, state] : statesOf(grants))
+        total += state.tokens();
     return total;
 }
 
+TokenCount outstandingTokens(const std::vector<JournalEntry>& grants)
+{
+    TokenCount total = 0;
+    for (const auto& [name, state] : statesOf(grants))
+        total += state.isStored ? 0 : state.tokens();
+    return total;
+}
+
+std::vector<JournalEntry> TurnJournal::openGrants() const
+{
+    std::vector<JournalEntry> grants;
+    for (const auto& [name, entry] : m_entries)
+        if (isGrant(entry))
+            grants.push_back(entry);
+    std::vector<JournalEntry> open;
+    for (const auto& [name, state] : statesOf(grants))
+        if (state.entry && !state.used && !state.isStored)
+            open.push_back(*state.entry);
+    return open;
+}
+
 std::vector<JournalEntry> TurnJournal::grantsOf(const ProgramId& program) const
 {
     std::vector<JournalEntry> grants;
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -140,10 +140,10 @@
     TurnAdmitted admitted { std::move(std::get<std::string>(history)), {}, std::nullopt, true };
     if (!request.previous.empty())
         admitted.lastTarget = program.turns.at(request.previous)->target;
-    return reserve(program, request, knowledge.isProgramFresh, std::move(admitted), now);
+    return reserve(program, request, knowledge, std::move(admitted), now);
 }
 
-TurnVerdict TurnLedger::reserve(Program& program, const TurnRequest& request, bool isProgramFresh, TurnAdmitted admitted, TimePoint now)
+TurnVerdict TurnLedger::reserve(Program& program, const TurnRequest& request, const TurnKnowledge& knowledge, TurnAdmitted admitted, TimePoint now)
 {
     if (request.budget == ProgramAccount::unlimited)
         return admitted;
@@ -151,22 +151,24 @@
         program.running += request.mostTokens;
         return admitted;
     }
+    if (!knowledge.outstanding)
+        return TurnNeedsGrants {};
     ProgramAccount account = program.account;
     account.budget = std::min(account.budget, request.budget);
     TokenCount remaining = account.remaining();
     for (const Change& it : program.changes)
         if (it.change.kind == AccountChange::Kind::Reserve)
             remaining -= std::min(remaining, it.change.most);
-    if (remaining < request.mostTokens) {
+    if (remaining < request.mostTokens + *knowledge.outstanding) {
         bool isSeenLately = program.seenSpentAt != TimePoint::min() && now - program.seenSpentAt < spentLifetime;
-        if (!isProgramFresh && !isSeenLately)
+        if (!knowledge.isProgramFresh && !isSeenLately)
             return TurnNeedsProgram { request.program };
-        if (isProgramFresh)
+        if (knowledge.isProgramFresh)
             program.seenSpentAt = now;
-        return TurnBudgetSpent {};
+        return TurnBudgetSpent { remaining < request.mostTokens };
     }
     program.running += request.mostTokens;
-    ChangeId id = addChange(request, program, { AccountChange::Kind::Reserve, m_nextStep++, request.mostTokens, 0, request.budget, request.keepUntil });
+    ChangeId id = addChange(request, program, { AccountChange::Kind::Reserve, m_nextStep++, request.mostTokens, 0, *knowledge.outstanding, request.budget, request.keepUntil });
     admitted.reservation = id;
     admitted.mayRunAhead = remaining >= turnsToRunAhead * request.mostTokens;
     return admitted;
@@ -190,28 +192,39 @@
     evict();
 }
 
-std::optional<ChangeId> TurnLedger::end(const TurnRequest& request, TokenCount handedOut, std::optional<TurnRecord> record)
+std::optional<ChangeId> TurnLedger::end(const TurnRequest& request, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& end)
 {
     Program& program = touch(request.program);
     if (request.budget != ProgramAccount::unlimited) {
         assert(program.running >= request.mostTokens && "a turn ends once");
         program.running -= request.mostTokens;
     }
+    if (end.reservation)
+        cancel(program, *end.reservation);
     if (!record && handedOut == 0)
         return std::nullopt;
     bool mustStore = record.has_value();
     if (record)
         addTurn(program, *record);
     program.unsettled += handedOut;
-    ChangeId id = addChange(request, program, { AccountChange::Kind::Settle, m_nextStep++, request.mostTokens, handedOut, request.budget, request.keepUntil, std::move(record) });
+    ChangeId id = addChange(request, program, { AccountChange::Kind::Settle, m_nextStep++, end.mayMissGrants ? 0 : request.mostTokens, handedOut, 0, request.budget, request.keepUntil, std::move(record), end.grant });
     evict();
     return mustStore ? std::optional(id) : std::nullopt;
 }
 
+// A hold that nobody asked for any more would keep tokens from other daemons.
+void TurnLedger::cancel(Program& program, ChangeId id)
+{
+    for (Change& it : program.changes)
+        it.isCancelled = it.isCancelled || it.id == id;
+    if (!program.isInBatch)
+        std::erase_if(program.changes, [](const Change& it) { return it.isCancelled; });
+}
+
 ChangeId TurnLedger::addChange(const TurnRequest& request, Program& program, AccountChange change)
 {
     ChangeId id(m_nextChange++);
-    program.changes.push_back({ id, std::move(change) });
+    program.changes.push_back({ id, std::move(change), false });
     queue(request.program, program);
     return id;
 }
@@ -392,6 +405,7 @@
         program.isInBatch = false;
         program.holdAfterBatch.reset();
         onPart(part, program);
+        std::erase_if(program.changes, [](const Change& it) { return it.isCancelled; });
         queue(part.program, program);
     }
 }
