--- /dev/null
+++ b/unittests/Forwarding/RouteTableTest.cpp
@@ -0,0 +1,75 @@
+#include "basilpoint/Forwarding/RouteTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+static ForwardingRoute route(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    ForwardingRoute result;
+    result.name = name;
+    result.host = host;
+    result.prefix = prefix;
+    result.services = { { ServiceId("pool"), 1 } };
+    return result;
+}
+
+static ForwardingConfiguration configuration(std::uint64_t version)
+{
+    ForwardingConfiguration result;
+    result.version = version;
+    result.routes = { route("outer", "a.example", "/x/"), route("inner", "a.example", "/x/y/"), route("other", "b.example", "/x/") };
+    result.services = { { ServiceId("pool"), "/health", EngineTraits { 16, 1000, 11 } } };
+    return result;
+}
+
+static std::string matched(const RouteTable& table, std::string_view host, std::string_view path)
+{
+    const ForwardingRoute* found = table.match(host, path);
+    return found ? found->name : "";
+}
+
+BOOST_AUTO_TEST_SUITE(RouteTableTest)
+
+BOOST_AUTO_TEST_CASE(picksTheLongestPrefixThatEndsInASlash)
+{
+    RouteTable table(configuration(1));
+    BOOST_TEST(matched(table, "a.example", "/x/y/z") == "inner");
+    BOOST_TEST(matched(table, "a.example", "/x/y/") == "inner");
+    BOOST_TEST(matched(table, "a.example", "/x/y") == "outer");
+    BOOST_TEST(matched(table, "b.example", "/x/y/z") == "other");
+}
+
+BOOST_AUTO_TEST_CASE(findsNothingBesideTheRoutes)
+{
+    RouteTable table(configuration(1));
+    BOOST_TEST(matched(table, "c.example", "/x/y") == "");
+    BOOST_TEST(matched(table, "a.example", "/xy/") == "");
+    BOOST_TEST(matched(table, "a.example", "/") == "");
+    BOOST_TEST(matched(table, "a.example", "") == "");
+    BOOST_TEST(matched(table, "a.example", "x/") == "");
+}
+
+BOOST_AUTO_TEST_CASE(namesServicesWithTheirEngine)
+{
+    RouteTable table(configuration(1));
+    BOOST_REQUIRE(table.service(ServiceId("pool")));
+    BOOST_TEST(table.service(ServiceId("pool"))->engine->tokensPerEvent == 11U);
+    BOOST_TEST(!table.service(ServiceId("none")));
+}
+
+BOOST_AUTO_TEST_CASE(neverGoesBackToAnOlderVersion)
+{
+    ConfigurationHolder holder;
+    BOOST_TEST(!holder.current());
+    BOOST_TEST(holder.offer(configuration(4)));
+    auto held = holder.current();
+    BOOST_TEST(!holder.offer(configuration(3)));
+    BOOST_TEST(!holder.offer(configuration(4)));
+    BOOST_TEST(holder.offer(configuration(9)));
+    BOOST_TEST(holder.current()->configuration().version == 9U);
+    // A call under way keeps the table that it began with.
+    BOOST_TEST(held->configuration().version == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Gateway/StoreCodecTest.cpp
@@ -0,0 +1,41 @@
+#include "StoreCodec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+using namespace basilpoint;
+
+BOOST_AUTO_TEST_SUITE(StoreCodecTest)
+
+BOOST_AUTO_TEST_CASE(messagesComeBackAsTheyWent)
+{
+    KeyTransaction transaction { { { "a", 3 }, { "b", 0 } }, { { "a", std::string("\0\xff", 2) } }, { "c" } };
+    BOOST_TEST((decodeTransaction(encodeTransaction(transaction)) == transaction));
+    KeyTransactionResult refused { std::nullopt, { { "a", "v", 7 } } };
+    BOOST_TEST(!decodeResult(encodeResult(refused)).revision);
+    BOOST_TEST((decodeResult(encodeResult(refused)).current == refused.current));
+    BOOST_TEST(*decodeResult(encodeResult({ 12, {} })).revision == 12);
+    StoreChanges changes { { { "k", "", 0 } }, 44 };
+    BOOST_TEST(decodeChanges(encodeChanges(changes)).next == 44);
+    BOOST_TEST((decodeQuery(encodeQuery({ "p/", true, 5, Milliseconds(9) })).wait == Milliseconds(9)));
+}
+
+RC_BOOST_PROP(otherBytesAreATypedError, ())
+{
+    auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    auto check = [&](auto decode) {
+        try {
+            decode(bytes);
+        } catch (const KeyValueUnavailableError&) {
+            RC_LOG() << "refused";
+        }
+    };
+    check(decodeTransaction);
+    check(decodeResult);
+    check(decodeSnapshot);
+    check(decodeChanges);
+    check(decodeQuery);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -0,0 +1,94 @@
+#include "basilpoint/Gateway/StoreHealth.h"
+#include "basilpoint/Gateway/StorePaths.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+namespace {
+
+struct Fixture {
+    Fixture()
+    {
+        paths.setRelays({ { "gateway-1", DataCentreId("a"), {}, false }, { "keeper-1", DataCentreId("b"), {}, true }, { "keeper-2", DataCentreId("a"), {}, true } });
+    }
+
+    std::string first(StorePaths::Purpose purpose) { return paths.order(purpose, now).front().relay; }
+
+    TimePoint now { std::chrono::hours(1) };
+    StorePaths paths { DataCentreId("a") };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StorePathsTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(commitsShareOneKeeperAndReadsGoDirectly)
+{
+    BOOST_TEST(first(StorePaths::Purpose::Commit) == "keeper-1");
+    BOOST_TEST(first(StorePaths::Purpose::Wait) == "keeper-1");
+    BOOST_TEST(first(StorePaths::Purpose::Read) == "");
+}
+
+BOOST_AUTO_TEST_CASE(failedWayIsLeftOutForATime)
+{
+    paths.failed({ "keeper-1" }, now);
+    BOOST_TEST(first(StorePaths::Purpose::Commit) == "keeper-2");
+    now += std::chrono::seconds(1);
+    BOOST_TEST(first(StorePaths::Purpose::Commit) == "keeper-1");
+    paths.failed({ "keeper-1" }, now);
+    paths.answered({ "keeper-1" });
+    BOOST_TEST(first(StorePaths::Purpose::Commit) == "keeper-1");
+}
+
+BOOST_AUTO_TEST_CASE(daemonThatIsCutFromTheStoreGoesByAnother)
+{
+    paths.failed({}, now);
+    BOOST_TEST(first(StorePaths::Purpose::Read) == "keeper-1");
+    paths.failed({ "keeper-1" }, now);
+    paths.failed({ "keeper-2" }, now);
+    BOOST_TEST(first(StorePaths::Purpose::Read) == "gateway-1");
+}
+
+BOOST_AUTO_TEST_CASE(withAllWaysFailedThereIsStillOneToTry)
+{
+    for (const char* relay : { "", "keeper-1", "keeper-2", "gateway-1" })
+        paths.failed({ relay }, now);
+    BOOST_TEST(paths.order(StorePaths::Purpose::Commit, now).size() == StorePaths::maxTries);
+    paths.setRelays({});
+    BOOST_TEST(paths.order(StorePaths::Purpose::Commit, now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(healthTellsLossAndReturnOnce)
+{
+    StoreHealth health;
+    BOOST_TEST(health.failed(Milliseconds(5), now));
+    BOOST_TEST(!health.failed(Milliseconds(5), now + Milliseconds(100)));
+    BOOST_TEST(!health.isFailingFor(Milliseconds(250), now + Milliseconds(249)));
+    BOOST_TEST(health.isFailingFor(Milliseconds(250), now + Milliseconds(250)));
+    BOOST_TEST(health.answered(Milliseconds(5), now + Milliseconds(300)));
+    BOOST_TEST(!health.answered(Milliseconds(5), now + Milliseconds(310)));
+    BOOST_TEST(health.hasFailedWithin(std::chrono::seconds(1), now + Milliseconds(400)));
+    BOOST_TEST(!health.hasFailedWithin(std::chrono::seconds(1), now + std::chrono::seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(answerLimitFollowsASlowStore)
+{
+    StoreHealth health;
+    Milliseconds usual = health.answerLimit();
+    for (int n = 0; n < 20; ++n)
+        health.answered(Milliseconds(240), now);
+    BOOST_TEST((health.answerLimit() > Milliseconds(240)));
+    // Calls that are given up count as long ones, so a store that turns slow is waited for.
+    StoreHealth givenUp;
+    for (int n = 0; n < 20; ++n)
+        givenUp.failed(givenUp.answerLimit(), now);
+    BOOST_TEST((givenUp.answerLimit() > usual));
+    // Refusals come at once and say nothing of the time.
+    StoreHealth refused;
+    for (int n = 0; n < 20; ++n)
+        refused.failed(Milliseconds(3), now);
+    BOOST_TEST((refused.answerLimit() == usual));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Platform/CallFormatTest.cpp
@@ -0,0 +1,54 @@
+#include "CallFormat.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+BOOST_AUTO_TEST_SUITE(CallFormatTest)
+
+BOOST_AUTO_TEST_CASE(readsWhatACallerSaysOfItsTurn)
+{
+    HttpRequest request { "POST", "/a/b", { { "x-basilpoint-request-id", "r1" }, { "x-basilpoint-deadline-ms", "3000" }, { "x-basilpoint-program-id", "p1" }, { "x-basilpoint-session-id", "s1" }, { "x-basilpoint-finish-ms", "5200.5" }, { "x-basilpoint-token-budget", "2304" }, { "x-basilpoint-token-count", "1840,288" }, { "x-basilpoint-previous-turn", "r0" }, { "x-basilpoint-prompt-prefix", "5c1e:800,bad,91bd:410" } }, "in" };
+    CallAttributes call = platform::callFormat().readCall(request);
+    BOOST_TEST(call.call.text() == "r1");
+    BOOST_TEST((*call.timeLeft == Milliseconds(3000)));
+    BOOST_TEST(call.program.text() == "p1");
+    BOOST_TEST(call.line == "s1");
+    BOOST_TEST((*call.programTimeLeft == Milliseconds(5200)));
+    BOOST_TEST(*call.budget == 2304U);
+    BOOST_TEST(call.promptTokens == 1840U);
+    BOOST_TEST(call.mostTokens == 288U);
+    BOOST_TEST(call.previousTurn.text() == "r0");
+    BOOST_REQUIRE(call.promptParts.size() == 2U);
+    BOOST_TEST(call.promptParts[1].tokens == 410U);
+}
+
+BOOST_AUTO_TEST_CASE(oddNumbersAreAsIfMissing)
+{
+    HttpRequest request { "GET", "/", { { "x-basilpoint-deadline-ms", "-1" }, { "x-basilpoint-token-budget", "many" }, { "x-basilpoint-token-count", "7" } }, "" };
+    CallAttributes call = platform::callFormat().readCall(request);
+    BOOST_TEST(!call.timeLeft);
+    BOOST_TEST(!call.budget);
+    BOOST_TEST(call.mostTokens == 0U);
+    BOOST_TEST(call.call.empty());
+}
+
+BOOST_AUTO_TEST_CASE(dropsWhatOnlyTheSystemMaySay)
+{
+    HttpRequest request { "POST", "/a", { { "x-basilpoint-hold", "h" }, { "x-basilpoint-pin-ms", "4000" }, { "x-basilpoint-kv-backup", "1.2.3.4:5" }, { "kv-from", "1.2.3.4:5/x" }, { "kv-fetch", "1.2.3.4:5" }, { "x-basilpoint-expect-instance", "i-0" }, { "x-basilpoint-urgency", "0" }, { "x-basilpoint-deadline-ms", "9000" }, { "x-other", "kept" } }, "" };
+    platform::callFormat().writeTargetCall(request, { TargetId("i-1"), Milliseconds(120), 5 });
+    HttpHeaders expected { { "x-basilpoint-expect-instance", "i-1" }, { "x-basilpoint-deadline-ms", "120" }, { "x-basilpoint-urgency", "5" }, { "x-other", "kept" } };
+    BOOST_TEST((request.headers == expected));
+}
+
+BOOST_AUTO_TEST_CASE(tellsRefusalsFromAnswers)
+{
+    auto read = platform::callFormat().readAnswer;
+    BOOST_TEST(read({ 503, { { "x-basilpoint-not-run", "1" } }, {} }).isNotRun);
+    BOOST_TEST(read({ 421, { { "x-basilpoint-instance-id", "i-2" } }, {} }).isNotRun);
+    BOOST_TEST(!read({ 503, {}, {} }).isNotRun);
+    BOOST_TEST(!read({ 500, { { "x-basilpoint-server-stamp", "s" } }, {} }).isNotRun);
+    BOOST_TEST(read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "x-basilpoint-request-id", "r" } }, {} }).isSigned);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Turns/LedgerStore.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "basilpoint/Turns/TurnLedger.h"
+
+namespace basilpoint {
+
+/// The store as the ledgers see it: keys with revisions, written all or nothing.
+class LedgerStore {
+public:
+    /// \returns the revision, or 0 if a condition does not hold.
+    std::int64_t commit(const LedgerBatch& batch)
+    {
+        for (const auto& [key, revision] : batch.conditions)
+            if (revisionOf(key) != revision)
+                return 0;
+        ++m_revision;
+        for (const auto& [key, value] : batch.puts)
+            m_records[key] = { key, value, m_revision };
+        return m_revision;
+    }
+
+    std::vector<StoredRecord> conditionKeys(const LedgerBatch& batch) const
+    {
+        std::vector<StoredRecord> found;
+        for (const auto& [key, revision] : batch.conditions)
+            if (auto it = m_records.find(key); it != m_records.end())
+                found.push_back(it->second);
+        return found;
+    }
+
+    std::vector<StoredRecord> below(const std::string& prefix) const
+    {
+        std::vector<StoredRecord> found;
+        for (auto it = m_records.lower_bound(prefix); it != m_records.end() && it->first.starts_with(prefix); ++it)
+            found.push_back(it->second);
+        return found;
+    }
+
+    bool has(const std::string& key) const { return m_records.contains(key); }
+
+    std::string valueOf(const std::string& key) const { return m_records.at(key).value; }
+
+private:
+    std::int64_t revisionOf(const std::string& key) const
+    {
+        auto it = m_records.find(key);
+        return it == m_records.end() ? 0 : it->second.revision;
+    }
+
+    std::map<std::string, StoredRecord> m_records;
+    std::int64_t m_revision = 10;
+};
+
+/// Carries out all that the ledger has to write. \returns the outcomes.
+inline std::map<ChangeId, ChangeOutcome> flush(TurnLedger& ledger, LedgerStore& store)
+{
+    while (auto batch = ledger.nextBatch()) {
+        auto revision = store.commit(*batch);
+        if (revision > 0)
+            ledger.batchStored(batch->number, revision);
+        else
+            ledger.batchRefused(batch->number, store.conditionKeys(*batch));
+    }
+    std::map<ChangeId, ChangeOutcome> outcomes;
+    for (auto [id, outcome] : ledger.takeOutcomes())
+        outcomes[id] = outcome;
+    return outcomes;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -0,0 +1,238 @@
+#include "LedgerStore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+namespace {
+
+constexpr TokenCount most = 100;
+
+struct Fixture {
+    TurnRequest request(const std::string& turn, const std::string& previous = "", const std::string& program = "p", TokenCount budget = 1'000)
+    {
+        return { ProgramId(program), CallId(turn), CallId(previous), budget, most, WallTimePoint(std::chrono::hours(1)) };
+    }
+
+    /// Begins a turn, with the store's records wherever the ledger asks for them.
+    TurnVerdict begin(TurnLedger& ledger, const TurnRequest& turn)
+    {
+        TurnKnowledge knowledge;
+        for (;;) {
+            TurnVerdict verdict = ledger.begin(turn, knowledge, now);
+            if (auto* needed = std::get_if<TurnNeedsProgram>(&verdict)) {
+                ledger.programRead(needed->program, store.below(TurnLedger::programPrefix(needed->program)));
+                bool isOrigin = needed->program != turn.program;
+                (isOrigin ? knowledge.isOriginFresh : knowledge.isProgramFresh) = true;
+                knowledge.isProgramRead = knowledge.isProgramRead || !isOrigin;
+            } else if (auto* origin = std::get_if<TurnNeedsOrigin>(&verdict)) {
+                std::string key = TurnLedger::originKey(origin->previous);
+                knowledge.isOriginKnown = true;
+                if (store.has(key))
+                    knowledge.origin = ProgramId(store.valueOf(key));
+            } else
+                return verdict;
+        }
+    }
+
+    TurnAdmitted admit(TurnLedger& ledger, const TurnRequest& turn)
+    {
+        TurnVerdict verdict = begin(ledger, turn);
+        BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(verdict));
+        return std::get<TurnAdmitted>(verdict);
+    }
+
+    void run(TurnLedger& ledger, const TurnRequest& turn, TokenCount used = 30)
+    {
+        admit(ledger, turn);
+        flush(ledger, store);
+        ledger.end(turn, used, TurnRecord { turn.turn, turn.previous, "in " + turn.turn.text() + ";", "out " + turn.turn.text() + ";", TargetId("t") });
+        flush(ledger, store);
+    }
+
+    ProgramAccount account(const std::string& program = "p") { return decodeAccount(store.valueOf(TurnLedger::accountKey(ProgramId(program)))); }
+
+    TimePoint now { std::chrono::hours(1) };
+    LedgerStore store;
+    TurnLedger a { DaemonLifetime("a"), {} };
+    TurnLedger b { DaemonLifetime("b"), {} };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TurnLedgerTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(historyIsTheChainOldestFirst)
+{
+    run(a, request("1"));
+    run(a, request("2", "1"));
+    run(a, request("3", "1"));
+    TurnAdmitted admitted = admit(a, request("4", "2"));
+    BOOST_TEST(admitted.history == "in 1;out 1;in 2;out 2;");
+    BOOST_TEST(admitted.lastTarget.text() == "t");
+}
+
+BOOST_AUTO_TEST_CASE(anotherDaemonFindsTheChainInTheStore)
+{
+    run(a, request("1"));
+    run(a, request("2", "1"));
+    BOOST_TEST(admit(b, request("3", "2")).history == "in 1;out 1;in 2;out 2;");
+}
+
+BOOST_AUTO_TEST_CASE(anotherProgramContinuesATurnAndKeepsItsChain)
+{
+    run(a, request("1"));
+    run(a, request("2", "1"));
+    BOOST_TEST(admit(b, request("3", "2", "q")).history == "in 1;out 1;in 2;out 2;");
+    flush(b, store);
+    b.end(request("3", "2", "q"), 10, TurnRecord { CallId("3"), CallId("2"), "in 3;", "out 3;", {} });
+    flush(b, store);
+    TurnLedger c(DaemonLifetime("c"), {});
+    BOOST_TEST(admit(c, request("4", "3", "q")).history == "in 1;out 1;in 2;out 2;in 3;out 3;");
+}
+
+BOOST_AUTO_TEST_CASE(unknownTurnIsNotFoundOnlyOnceTheStoreSaysSo)
+{
+    TurnKnowledge nothing;
+    BOOST_TEST(std::holds_alternative<TurnNeedsProgram>(a.begin(request("2", "1"), nothing, now)));
+    TurnVerdict verdict = begin(a, request("2", "1"));
+    BOOST_REQUIRE(std::holds_alternative<TurnNotFound>(verdict));
+    BOOST_TEST(std::get<TurnNotFound>(verdict).missing.text() == "1");
+}
+
+BOOST_AUTO_TEST_CASE(brokenChainNamesTheTurnThatIsMissing)
+{
+    // The older turn lies on the keepers only; the newer one is stored already.
+    run(a, request("1"));
+    a.adopt(ProgramId("p"), { TurnRecord { CallId("kept"), CallId("1"), "k;", "", {} } });
+    run(a, request("2", "kept"));
+    TurnVerdict verdict = begin(b, request("3", "2"));
+    BOOST_REQUIRE(std::holds_alternative<TurnNotFound>(verdict));
+    BOOST_TEST(std::get<TurnNotFound>(verdict).missing.text() == "kept");
+    b.adopt(ProgramId("p"), { TurnRecord { CallId("kept"), CallId("1"), "k;", "", {} } });
+    BOOST_TEST(admit(b, request("3", "2")).history == "in 1;out 1;k;in 2;out 2;");
+}
+
+BOOST_AUTO_TEST_CASE(firstTurnReservesAndTheNextOneNeedsNoWrite)
+{
+    BOOST_TEST(admit(a, request("1")).reservation.has_value());
+    flush(a, store);
+    a.end(request("1"), 30, TurnRecord { CallId("1"), {}, "i", "o", {} });
+    flush(a, store);
+    BOOST_TEST(!admit(a, request("2", "1")).reservation.has_value());
+    BOOST_TEST(account().spent == 30U);
+}
+
+BOOST_AUTO_TEST_CASE(spentBudgetRefusesEverywhere)
+{
+    for (int n = 0; n < 10; ++n) {
+        TurnRequest turn = request(std::to_string(n), n == 0 ? "" : std::to_string(n - 1), "p", 350);
+        if (std::holds_alternative<TurnBudgetSpent>(begin(a, turn)))
+            break;
+        flush(a, store);
+        a.end(turn, most, TurnRecord { turn.turn, turn.previous, "i", "o", {} });
+        flush(a, store);
+    }
+    BOOST_TEST(account().spent == 300U);
+    BOOST_TEST(std::holds_alternative<TurnBudgetSpent>(begin(b, request("x", "2", "p", 350))));
+}
+
+BOOST_AUTO_TEST_CASE(concurrentReservationsOfTwoDaemonsNeverExceedTheBudget)
+{
+    TurnAdmitted first = admit(a, request("1", "", "p", 150));
+    TurnAdmitted second = admit(b, request("2", "", "p", 150));
+    auto stored = flush(a, store);
+    BOOST_TEST((stored.at(*first.reservation) == ChangeOutcome::Stored));
+    auto denied = flush(b, store);
+    BOOST_TEST((denied.at(*second.reservation) == ChangeOutcome::Denied));
+}
+
+BOOST_AUTO_TEST_CASE(reservationLeavesOutstandingGrantsUntouched)
+{
+    TurnKnowledge knowledge;
+    knowledge.outstanding = 80;
+    TurnVerdict verdict = a.begin(request("1", "", "p", 170), knowledge, now);
+    // The cached account may be old, so the store is asked first; then the refusal is not certain.
+    BOOST_TEST(std::holds_alternative<TurnNeedsProgram>(verdict));
+    knowledge.isProgramRead = knowledge.isProgramFresh = true;
+    verdict = a.begin(request("1", "", "p", 170), knowledge, now);
+    BOOST_REQUIRE(std::holds_alternative<TurnBudgetSpent>(verdict));
+    BOOST_TEST(!std::get<TurnBudgetSpent>(verdict).isCertain);
+    knowledge.outstanding = 60;
+    BOOST_TEST(std::holds_alternative<TurnAdmitted>(a.begin(request("1", "", "p", 170), knowledge, now)));
+}
+
+BOOST_AUTO_TEST_CASE(reservationOfATurnThatEndedIsTakenBack)
+{
+    TurnAdmitted admitted = admit(a, request("1"));
+    a.end(request("1"), 0, std::nullopt, { admitted.reservation });
+    flush(a, store);
+    BOOST_TEST(!store.has(TurnLedger::accountKey(ProgramId("p"))));
+}
+
+BOOST_AUTO_TEST_CASE(writeWhoseAnswerIsLostCountsOnce)
+{
+    TurnAdmitted admitted = admit(a, request("1"));
+    auto batch = a.nextBatch();
+    store.commit(*batch);
+    a.batchLost(batch->number);
+    auto outcomes = flush(a, store);
+    BOOST_TEST((outcomes.at(*admitted.reservation) == ChangeOutcome::Stored));
+    BOOST_TEST(account().holds.at(DaemonLifetime("a")).tokens == most);
+    a.end(request("1"), 40, TurnRecord { CallId("1"), {}, "i", "o", {} });
+    batch = a.nextBatch();
+    store.commit(*batch);
+    a.batchLost(batch->number);
+    flush(a, store);
+    BOOST_TEST(account().spent == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(largeLoadGoesOutInBatchesOfTheAllowedSize)
+{
+    for (int n = 0; n < 100; ++n)
+        admit(a, request("1", "", "p" + std::to_string(n)));
+    std::size_t batches = 0;
+    while (auto batch = a.nextBatch()) {
+        BOOST_TEST(batch->entries() <= 32U);
+        a.batchStored(batch->number, store.commit(*batch));
+        ++batches;
+    }
+    BOOST_TEST(batches >= 100 * 2 / 32);
+    BOOST_TEST(a.takeOutcomes().size() == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(memoryIsBoundedAndForgottenProgramsAreReadAgain)
+{
+    LedgerSettings settings;
+    settings.maxCachedBytes = 20'000;
+    TurnLedger small(DaemonLifetime("s"), settings);
+    for (int n = 0; n < 200; ++n)
+        run(small, request("t" + std::to_string(n), "", "p" + std::to_string(n)));
+    BOOST_TEST(small.cachedBytes() <= 21'000U);
+    BOOST_TEST(admit(small, request("next", "t0", "p0")).history == "in t0;out t0;");
+    flush(small, store);
+    small.end(request("next", "t0", "p0"), 30, TurnRecord { CallId("next"), CallId("t0"), "i", "o", {} });
+    BOOST_TEST(flush(small, store).size() == 1U);
+    BOOST_TEST(account("p0").spent == 60U);
+}
+
+BOOST_AUTO_TEST_CASE(entryForTheKeepersHoldsAllThatIsNotStored)
+{
+    admit(a, request("1"));
+    auto change = a.end(request("1"), 40, TurnRecord { CallId("1"), {}, "i", "o", {} });
+    auto entry = a.entryFor(ProgramId("p"), *change);
+    BOOST_REQUIRE(entry);
+    BOOST_TEST(entry->changes.size() == 2U);
+    BOOST_TEST((decodeEntry(encodeEntry(*entry)) == *entry));
+    flush(a, store);
+    BOOST_TEST(!a.entryFor(ProgramId("p"), *change));
+}
+
+BOOST_AUTO_TEST_CASE(idsOfAnyTextMakeHarmlessKeys)
+{
+    std::string key = TurnLedger::turnKey(ProgramId("a/../b"), CallId(std::string(500, 'x')));
+    BOOST_TEST(key.size() < 200U);
+    BOOST_TEST(key.find("..") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
