--- /dev/null
+++ b/unittests/Platform/MiniPlatform.cpp
@@ -0,0 +1,151 @@
+#include "MiniPlatform.h"
+
+#include "../Net/TestRuntime.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Support/Base64.h"
+
+namespace basilpoint::test {
+
+using Json = nlohmann::json;
+
+static constexpr int pollMilliseconds = 5;
+
+static std::string unescape(std::string_view text)
+{
+    std::string out;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        if (text[n] == '%' && n + 2 < text.size()) {
+            out += static_cast<char>(std::stoi(std::string(text.substr(n + 1, 2)), nullptr, 16));
+            n += 2;
+        } else
+            out += text[n];
+    }
+    return out;
+}
+
+static std::string parameter(const HttpRequest& request, const std::string& name)
+{
+    std::string query = "&" + request.target.substr(std::min(request.target.size(), request.target.find('?') + 1));
+    auto at = query.find("&" + name + "=");
+    if (at == std::string::npos)
+        return {};
+    auto begin = at + name.size() + 2;
+    return unescape(query.substr(begin, query.find('&', begin) - begin));
+}
+
+static void sendJson(ResponseWriter& writer, int status, const Json& json)
+{
+    writer.send({ status, { { "content-type", "application/json" } }, json.dump() });
+}
+
+MiniStore::MiniStore(boost::asio::io_context& io)
+    : m_server(io, { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
+{
+    m_server.start();
+}
+
+void MiniStore::put(const std::string& key, const std::string& value)
+{
+    m_items[key] = { encodeBase64(value), ++m_revision, true };
+}
+
+Json MiniStore::itemOf(const std::string& key, const Item& item) const
+{
+    if (!item.isThere)
+        return { { "key", key }, { "rev", item.revision }, { "tombstone", true } };
+    return { { "key", key }, { "value", item.encoded }, { "rev", item.revision }, { "createdRev", item.revision }, { "lease", 0 } };
+}
+
+void MiniStore::range(const std::string& prefix, ResponseWriter& writer) const
+{
+    Json items = Json::array();
+    for (const auto& [key, item] : m_items)
+        if (item.isThere && key.starts_with(prefix))
+            items.push_back(itemOf(key, item));
+    sendJson(writer, 200, { { "items", std::move(items) }, { "hasMore", false }, { "at", m_revision } });
+}
+
+void MiniStore::changes(const std::string& prefix, std::int64_t after, int waitMs, ResponseWriter& writer)
+{
+    for (int waited = 0;; waited += pollMilliseconds) {
+        if (isDown)
+            throw ConnectionLostError("outage");
+        Json events = Json::array();
+        for (const auto& [key, item] : m_items)
+            if (item.revision > after && key.starts_with(prefix))
+                events.push_back(itemOf(key, item));
+        if (!events.empty() || waited >= waitMs)
+            return sendJson(writer, 200, { { "events", std::move(events) }, { "at", m_revision } });
+        pause(std::chrono::milliseconds(pollMilliseconds));
+    }
+}
+
+void MiniStore::transact(const Json& body, ResponseWriter& writer)
+{
+    bool holds = true;
+    Json current = Json::array();
+    for (const Json& it : body.at("expected")) {
+        const Item& item = m_items[it.at("key").get<std::string>()];
+        std::int64_t revision = item.isThere ? item.revision : 0;
+        holds = holds && revision == it.at("rev").get<std::int64_t>();
+        if (item.isThere)
+            current.push_back(itemOf(it.at("key"), item));
+    }
+    if (!holds)
+        return sendJson(writer, 412, { { "items", std::move(current) } });
+    ++m_revision;
+    for (const Json& it : body.at("puts"))
+        m_items[it.at("key").get<std::string>()] = { it.at("value").get<std::string>(), m_revision, true };
+    sendJson(writer, 200, { { "rev", m_revision } });
+}
+
+void MiniStore::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    if (isDown)
+        throw ConnectionLostError("outage");
+    std::string_view path = request.path();
+    if (path == "/-/kv-range")
+        return range(parameter(request, "prefix"), writer);
+    if (path == "/-/kv-watch")
+        return changes(parameter(request, "prefix"), std::stoll(parameter(request, "after")), std::stoi(parameter(request, "waitMs")), writer);
+    if (path == "/-/kv-txn")
+        return transact(Json::parse(request.body), writer);
+    std::string key = parameter(request, "key");
+    if (!has(key))
+        return sendJson(writer, 404, Json::object());
+    sendJson(writer, 200, itemOf(key, m_items.at(key)));
+}
+
+MiniTarget::MiniTarget(boost::asio::io_context& io, std::string id, std::string service)
+    : m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_server(io, { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
+{
+    m_server.start();
+}
+
+std::string MiniTarget::registration(const char* state) const
+{
+    return Json { { "service", m_service }, { "addr", m_server.endpoint().text() }, { "zone", "z" }, { "slots", 4 }, { "state", state }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1'700'000'000'000 } }.dump();
+}
+
+void MiniTarget::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    std::string call(request.header("x-basilpoint-request-id"));
+    if (request.header("x-basilpoint-expect-instance") != m_id)
+        return writer.send({ 421, { { "x-basilpoint-instance-id", m_id } }, {} });
+    runs.push_back({ call, request.body, request.headers });
+    HttpHeaders headers { { "x-basilpoint-request-id", call }, { "x-basilpoint-server-stamp", "stamp-" + m_id } };
+    if (request.target.find("/stream/") == std::string::npos)
+        return writer.send({ 200, headers, "done " + call });
+    headers["content-type"] = "text/event-stream";
+    writer.begin(200, headers);
+    for (const char* word : { "one", "two" }) {
+        writer.write(std::string("id: ") + word + "\ndata: " + word + "-" + call + "\n\n");
+        pause(std::chrono::milliseconds(pollMilliseconds));
+    }
+    writer.end();
+}
+
+} // namespace basilpoint::test
