Ask the store once more before a caller is told that a turn does not exist

The store was read before a turn was stored there, the keepers after they had dropped it; neither had it. Ruled out: a late write (the record was stored 0.5 s before the refusal). Change: keepers are asked between two reads of the store.

--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -154,6 +154,20 @@
     return m_store.health().isFailingFor(failingLimit, m_clock.now());
 }
 
+// The keepers drop a turn once it is stored, which may have been between the two questions; so the store has the
+// last word. A turn that exists has its whole chain somewhere, though it may not be found right now.
+std::optional<TurnController::Refusal> TurnController::findStoredMeanwhile(const CallId& missing, bool isPrevious, TurnKnowledge& knowledge)
+{
+    auto origin = readOrigin(missing);
+    if (!origin)
+        return isPrevious ? Refusal { 404, "no such turn" } : Refusal { 503, "history not whole yet" };
+    if (isPrevious)
+        knowledge.origin = origin;
+    knowledge.isProgramFresh = false;
+    knowledge.isOriginFresh = false;
+    return std::nullopt;
+}
+
 // The store does not have the turn; the keepers may, until what they keep is stored.
 std::optional<TurnController::Refusal> TurnController::findKept(const ForwardedCall& call, const CallId& missing, TurnKnowledge& knowledge)
 {
@@ -161,9 +175,8 @@
     if (!entries)
         return Refusal { 503, "keepers out of reach" };
     bool isPrevious = missing == call.attributes.previousTurn;
-    // A turn that exists has its whole chain somewhere, though it may not be found right now.
     if (entries->empty())
-        return isPrevious ? Refusal { 404, "no such turn" } : Refusal { 503, "history not whole yet" };
+        return findStoredMeanwhile(missing, isPrevious, knowledge);
     std::vector<TurnRecord> turns;
     for (const JournalEntry& entry : *entries)
         for (const AccountChange& it : entry.changes)
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -42,6 +42,7 @@
     void read(const ProgramId&, ReadMode);
     std::optional<ProgramId> readOrigin(const CallId& previous);
     std::optional<Refusal> findKept(const ForwardedCall&, const CallId& missing, TurnKnowledge&);
+    std::optional<Refusal> findStoredMeanwhile(const CallId& missing, bool isPrevious, TurnKnowledge&);
     bool keep(ForwardedCall&, Turn&, ChangeId);
     void dropOnceStored(const JournalEntry&, ChangeId);
     bool isStoreFailing() const;
