--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -88,7 +88,8 @@
 
 void Keeper::watchEmptying()
 {
-    watchStore(m_store, m_random, { m_format.emptyingPrefix, emptyingWait },
+    watchStore(
+        m_store, m_random, { m_format.emptyingPrefix, emptyingWait },
         [this](const std::vector<KeyValue>& items) {
             for (const KeyValue& it : items)
                 confirmEmpty(it.key);
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -1,5 +1,5 @@
-#include "basilpoint/Gateway/StoreHealth.h"
 #include "basilpoint/Gateway/StorePaths.h"
+#include "basilpoint/Gateway/StoreHealth.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -74,7 +74,8 @@
         answer.clear();
         HttpCallOptions options;
         options.reuseConnection = false;
-        options.readTimeout = std::chrono::seconds(5);
+        options.readTimeout = std::chrono::seconds(4);
+        options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
         headers["host"] = "h.example";
         headers.emplace("x-basilpoint-request-id", "call-" + std::to_string(++calls));
         try {
@@ -117,6 +118,19 @@
     int calls = 0;
 };
 
+/// Tries until \p condition holds, for ten seconds.
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        pause(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
 void inFiber(const std::function<void()>& body)
 {
     testRuntime().run(body);
@@ -134,8 +148,8 @@
         day.start("keeper", false);
         day.start("a", true);
         day.start("b", true);
-        BOOST_REQUIRE(waitUntil([&] { return day.isReady("a") && day.isReady("b"); }));
-        BOOST_REQUIRE(waitUntil([&] { return day.store.has("daemons/keeper") && day.store.has("daemons/a") && day.store.has("daemons/b"); }));
+        BOOST_REQUIRE(eventually([&] { return day.isReady("a") && day.isReady("b"); }));
+        BOOST_REQUIRE(eventually([&] { return day.store.has("daemons/keeper") && day.store.has("daemons/a") && day.store.has("daemons/b"); }));
 
         // Turns over two daemons: the engine gets the whole chain each time.
         BOOST_TEST(day.turn("a", "t1", "", "in1;") == 200);
@@ -147,7 +161,7 @@
         BOOST_TEST(day.turn("a", "t3", "t1", "in3;") == 200);
         BOOST_TEST(day.engine.runs.back().body == "in1;one-t1\ntwo-t1\nin3;");
         // Until the daemon knows the keepers it cannot be certain that a turn does not exist.
-        BOOST_TEST(waitUntil([&] { return day.turn("a", "t4", "nothing", "in4;") == 404; }));
+        BOOST_TEST(eventually([&] { return day.turn("a", "t4", "nothing", "in4;") == 404; }));
         BOOST_TEST(day.turn("b", "t5", "", "in5;", "small", 30) == 402);
         auto runs = day.engine.runs.size();
 
@@ -173,7 +187,7 @@
 
         // A killed daemon loses nothing.
         day.processes["b"]->signal(SIGKILL);
-        BOOST_TEST(waitUntil([&] { return !day.processes["b"]->running(); }));
+        BOOST_TEST(eventually([&] { return !day.processes["b"]->running(); }));
         BOOST_TEST(day.turn("a", "t7", "t6", "in7;") == 200);
 
         // While the store is down, a turn goes on and is kept on the keeper's disk.
@@ -183,18 +197,18 @@
         BOOST_TEST(!day.store.has("turns/t8"));
         // The daemon that holds it dies with the outage: the keeper has it, and brings it to the store.
         day.processes["a"]->signal(SIGKILL);
-        BOOST_TEST(waitUntil([&] { return !day.processes["a"]->running(); }));
+        BOOST_TEST(eventually([&] { return !day.processes["a"]->running(); }));
         day.store.isDown = false;
         day.start("b", true);
-        BOOST_REQUIRE(waitUntil([&] { return day.isReady("b"); }));
-        BOOST_TEST(waitUntil([&] { return day.turn("b", "t9", "t8", "in9;") == 200; }));
+        BOOST_REQUIRE(eventually([&] { return day.isReady("b"); }));
+        BOOST_TEST(eventually([&] { return day.turn("b", "t9", "t8", "in9;") == 200; }));
         BOOST_TEST(day.spare.runs.back().body.find("in8;one-t8\ntwo-t8\nin9;") != std::string::npos);
-        BOOST_TEST(waitUntil([&] { return day.store.has("turns/t8"); }));
+        BOOST_TEST(eventually([&] { return day.store.has("turns/t8"); }));
 
         // A planned stop: not ready at once, then a clean exit.
         day.processes["b"]->signal(SIGTERM);
-        BOOST_TEST(waitUntil([&] { return !day.isReady("b"); }));
-        BOOST_TEST(waitUntil([&] { return !day.processes["b"]->running(); }));
+        BOOST_TEST(eventually([&] { return !day.isReady("b"); }));
+        BOOST_TEST(eventually([&] { return !day.processes["b"]->running(); }));
         BOOST_TEST(day.processes["b"]->exitStatus() == 0);
         BOOST_TEST(day.processes["b"]->log().find("\"event\":\"stop\"") != std::string::npos);
         day.end();
--- a/unittests/Turns/TurnJournalTest.cpp
+++ b/unittests/Turns/TurnJournalTest.cpp
@@ -1,5 +1,5 @@
-#include "basilpoint/Turns/Errors.h"
 #include "basilpoint/Turns/TurnJournal.h"
+#include "basilpoint/Turns/Errors.h"
 
 #include <boost/test/unit_test.hpp>
 
