--- a/lib/Gateway/PeerCall.h
+++ b/lib/Gateway/PeerCall.h
@@ -6,7 +6,7 @@
 namespace basilpoint {
 
 // Paths of the calls between daemons.
-namespace peerPaths {
+namespace peerpaths {
     inline constexpr const char* commit = "/store/commit";
     inline constexpr const char* snapshot = "/store/snapshot";
     inline constexpr const char* get = "/store/get";
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -26,7 +26,7 @@
 
 std::optional<KeyValue> RelayedStore::get(const std::string& key)
 {
-    std::string answer = call(peerPaths::get, encodeQuery({ key }), defaultLimit);
+    std::string answer = call(peerpaths::get, encodeQuery({ key }), defaultLimit);
     if (answer.empty())
         return std::nullopt;
     return decodeSnapshot(answer).items.at(0);
@@ -61,12 +61,12 @@
 
 KeyTransactionResult RelayedStore::commit(const KeyTransaction& transaction, Milliseconds limit)
 {
-    return decodeResult(call(peerPaths::commit, encodeTransaction(transaction), limit));
+    return decodeResult(call(peerpaths::commit, encodeTransaction(transaction), limit));
 }
 
 std::int64_t RelayedStore::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler& onChange)
 {
-    StoreChanges changes = decodeChanges(call(peerPaths::changes, encodeQuery({ prefix, false, after, wait }), wait + limit));
+    StoreChanges changes = decodeChanges(call(peerpaths::changes, encodeQuery({ prefix, false, after, wait }), wait + limit));
     for (const KeyValue& it : changes.items)
         onChange(it.key, it.modRevision == 0 ? std::nullopt : std::optional(it));
     return changes.next;
@@ -74,7 +74,7 @@
 
 KeySnapshot RelayedStore::snapshot(const std::string& prefix, ReadMode mode, Milliseconds limit)
 {
-    return decodeSnapshot(call(peerPaths::snapshot, encodeQuery({ prefix, mode == ReadMode::Stale }), limit));
+    return decodeSnapshot(call(peerpaths::snapshot, encodeQuery({ prefix, mode == ReadMode::Stale }), limit));
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -16,10 +16,10 @@
     , m_store(store, nullptr, {}, clock, log, metrics)
     , m_group(CommitGroupSettings {})
 {
-    server.on(peerPaths::commit, [this](const std::string& body) { return commit(body); });
-    server.on(peerPaths::snapshot, [this](const std::string& body) { return snapshot(body); });
-    server.on(peerPaths::get, [this](const std::string& body) { return get(body); });
-    server.on(peerPaths::changes, [this](const std::string& body) { return changes(body); });
+    server.on(peerpaths::commit, [this](const std::string& body) { return commit(body); });
+    server.on(peerpaths::snapshot, [this](const std::string& body) { return snapshot(body); });
+    server.on(peerpaths::get, [this](const std::string& body) { return get(body); });
+    server.on(peerpaths::changes, [this](const std::string& body) { return changes(body); });
 }
 
 std::string StoreRelay::snapshot(const std::string& body)
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -124,7 +124,7 @@
     for (const RelayAddress& peer : m_peers) {
         spawnFiber([this, round, peer, program] {
             try {
-                KeySnapshot known = decodeSnapshot(callPeer(m_client, peer.endpoint, peerPaths::programRecords, program.text(), peerLimit));
+                KeySnapshot known = decodeSnapshot(callPeer(m_client, peer.endpoint, peerpaths::programRecords, program.text(), peerLimit));
                 round->anyFound = round->anyFound || !known.items.empty();
                 round->complete += known.revision != 0 ? 1 : 0;
                 if (!known.items.empty())
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -101,7 +101,7 @@
     std::size_t needed = m_tolerated + 1;
     if (m_keepers.size() < needed || m_clock.now() >= deadline)
         return false;
-    auto round = ask(peerPaths::journalAppend, encodeEntries(entries), deadline);
+    auto round = ask(peerpaths::journalAppend, encodeEntries(entries), deadline);
     while (round->answers.size() < needed && round->ended < round->asked)
         round->changed.wait();
     return round->answers.size() >= needed;
@@ -113,7 +113,7 @@
     if (m_keepers.empty() || m_clock.now() >= deadline)
         return std::nullopt;
     std::size_t needed = m_keepers.size() > m_tolerated ? m_keepers.size() - m_tolerated : 1;
-    auto round = ask(peerPaths::journalFind, turn.text(), deadline);
+    auto round = ask(peerpaths::journalFind, turn.text(), deadline);
     std::size_t read = 0;
     for (;;) {
         for (; read < round->answers.size(); ++read)
@@ -141,7 +141,7 @@
 
 std::optional<std::vector<JournalEntry>> TurnJournalClient::grantsOf(const ProgramId& program, TimePoint deadline)
 {
-    auto answers = askEnough(peerPaths::journalGrants, program.text(), deadline);
+    auto answers = askEnough(peerpaths::journalGrants, program.text(), deadline);
     if (!answers)
         return std::nullopt;
     std::vector<JournalEntry> grants;
@@ -170,7 +170,7 @@
 
 void TurnJournalClient::grantStored(const ProgramId& program, const DaemonLifetime& daemon, std::uint64_t grant, WallTimePoint keepUntil)
 {
-    ask(peerPaths::journalAppend, encodeEntries({ grantStoredEntry(program, daemon, grant, keepUntil) }), m_clock.now() + dropLimit);
+    ask(peerpaths::journalAppend, encodeEntries({ grantStoredEntry(program, daemon, grant, keepUntil) }), m_clock.now() + dropLimit);
 }
 
 // The grant is written before it is weighed, so of two that meet at least the later one sees both; one that
@@ -203,7 +203,7 @@
 
 void TurnJournalClient::drop(const EntryName& name)
 {
-    ask(peerPaths::journalDrop, encodeOperation({ JournalOperation::Kind::Drop, {}, name }), m_clock.now() + dropLimit);
+    ask(peerpaths::journalDrop, encodeOperation({ JournalOperation::Kind::Drop, {}, name }), m_clock.now() + dropLimit);
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -67,13 +67,13 @@
     if (isFirstStart && !m_journal.isSynchronized()) {
         JournalOperation synchronized { JournalOperation::Kind::Synchronized };
         m_journal.apply(synchronized);
-        m_disk.write(encodeOperation(synchronized), [](std::exception_ptr) {});
+        m_disk.write(encodeOperation(synchronized), [](const std::exception_ptr&) {});
     }
-    server.on(peerPaths::journalAppend, [this](const std::string& body) { return append(body); });
-    server.on(peerPaths::journalFind, [this](const std::string& body) { return find(body); });
-    server.on(peerPaths::journalGrants, [this](const std::string& body) { return grants(body); });
-    server.on(peerPaths::journalDrop, [this](const std::string& body) { return drop(body); });
-    server.on(peerPaths::journalAll, [this](const std::string&) { return all(); });
+    server.on(peerpaths::journalAppend, [this](const std::string& body) { return append(body); });
+    server.on(peerpaths::journalFind, [this](const std::string& body) { return find(body); });
+    server.on(peerpaths::journalGrants, [this](const std::string& body) { return grants(body); });
+    server.on(peerpaths::journalDrop, [this](const std::string& body) { return drop(body); });
+    server.on(peerpaths::journalAll, [this](const std::string&) { return all(); });
 }
 
 void TurnJournalServer::setRelays(const std::vector<RelayAddress>& relays, unsigned excused)
@@ -85,10 +85,10 @@
 }
 
 // Suspends until the operation is on disk. \throws what the disk's thread reports.
-void TurnJournalServer::makeLast(JournalOperation operation)
+void TurnJournalServer::makeLast(const JournalOperation& operation)
 {
     auto wait = std::make_shared<DiskWait>();
-    m_disk.write(encodeOperation(operation), [this, wait](std::exception_ptr failure) {
+    m_disk.write(encodeOperation(operation), [this, wait](const std::exception_ptr& failure) {
         boost::asio::post(m_io, [wait, failure] {
             wait->result = failure;
             wait->done.notifyAll();
@@ -111,8 +111,10 @@
 void TurnJournalServer::keep(const JournalEntry& entry)
 {
     EntryName name { entry.daemon, entry.step() };
-    if (!m_journal.has(name))
-        makeLast({ JournalOperation::Kind::Append, encodeEntry(entry) });
+    // Repeats are common: a journal that is rebuilt reads the others until enough of them answer.
+    if (m_journal.has(name))
+        return;
+    makeLast({ JournalOperation::Kind::Append, encodeEntry(entry) });
     m_seen.emplace(name, m_clock.now());
     m_log.write(LogLine("journal-append").field("program", entry.program.text()).field("daemon", entry.daemon.text()).field("step", entry.step()).field("grant", isGrant(entry)));
 }
@@ -139,7 +141,7 @@
     m_journal.apply(operation);
     m_seen.erase(operation.name);
     // If the drop is lost with the power, the entry is found stored and dropped again.
-    m_disk.write(body, [](std::exception_ptr) {});
+    m_disk.write(body, [](const std::exception_ptr&) {});
     return "dropped";
 }
 
@@ -160,7 +162,7 @@
     std::vector<RelayAddress> others = m_others;
     for (const RelayAddress& it : others) {
         try {
-            for (const JournalEntry& entry : decodeEntries(callPeer(m_client, it.endpoint, peerPaths::journalAll, {}, synchronizeLimit)))
+            for (const JournalEntry& entry : decodeEntries(callPeer(m_client, it.endpoint, peerpaths::journalAll, {}, synchronizeLimit)))
                 keep(entry);
             ++answers;
         } catch (const Error& error) {
@@ -258,7 +260,7 @@
     std::vector<std::string> snapshot;
     for (const JournalOperation& it : m_journal.snapshot())
         snapshot.push_back(encodeOperation(it));
-    m_disk.compact(std::move(snapshot), [](std::exception_ptr) {});
+    m_disk.compact(std::move(snapshot), [](const std::exception_ptr&) {});
 }
 
 void TurnJournalServer::run()
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -32,7 +32,7 @@
     std::string grants(const std::string& body) const;
     std::string drop(const std::string& body);
     std::string all() const;
-    void makeLast(JournalOperation);
+    void makeLast(const JournalOperation&);
     bool synchronize();
     void upload(const ProgramId&, const std::vector<JournalEntry>&);
     void charge(const JournalEntry& grant);
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -131,10 +131,10 @@
             writeAll("0\r\n\r\n");
         }
 
-        void watchCaller(std::function<void()> onGone) override
+        void watchCaller(const std::function<void()>& onGone) override
         {
             assert(!m_watch && "one watch per request");
-            m_watch = std::make_shared<CallerWatch>(CallerWatch { std::move(onGone) });
+            m_watch = std::make_shared<CallerWatch>(CallerWatch { onGone });
             m_stream.socket().async_wait(Tcp::socket::wait_read, [watch = m_watch, socket = &m_stream.socket()](boost::system::error_code ec) {
                 // Bytes instead of a close are the caller's next request; they are read after this answer.
                 if (!ec && !watch->ended && isClosed(*socket))
