--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -147,8 +147,9 @@
         return;
     }
     const Registration* known = m_directory.find(registration->id);
+    // An entry that comes back as it was is put as well: it may be about to be dropped as lapsed.
     if (known && *known == *registration)
-        return;
+        return m_directory.put(*registration, m_clock.now());
     if (known && known->startedAt != registration->startedAt)
         dropTarget(*known);
     m_log.write(LogLine("target").field("target", registration->id.text()).field("startedAt", registration->startedAt).field("address", registration->endpoint.text()).field("leaving", registration->isLeaving).field("revision", item.modRevision));
