--- a/unittests/Platform/MiniPlatform.h
+++ b/unittests/Platform/MiniPlatform.h
@@ -23,6 +23,13 @@
     /// While set, every call is refused.
     bool isDown = false;
 
+    /// Ends all waiting calls and accepts no more.
+    void stop()
+    {
+        isDown = true;
+        m_server.stop();
+    }
+
 private:
     struct Item {
         std::string encoded;
@@ -50,6 +57,8 @@
     std::string registration(const char* state) const;
     const std::string& id() const { return m_id; }
 
+    void stop() { m_server.stop(); }
+
     struct Run {
         std::string call;
         std::string body;
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -38,6 +38,11 @@
     {
         processes.clear();
         std::filesystem::remove_all(folder);
+        // The program ends only once no fiber is left.
+        store.stop();
+        for (MiniTarget* it : { &engine, &spare, &tool })
+            it->stop();
+        pause(std::chrono::milliseconds(1'500));
     }
 
     void putConfiguration(int version, const std::vector<std::string>& morePrefixes)
