Wait for the keepers' answers in one place; drop a count that nobody reads

No behaviour changes: the wait stood twice, a condition was always true, the count of active calls had no reader, and a comment told of an older rule.

--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -207,7 +207,6 @@
     Registration chosen = target;
     ForwardEnd end = ForwardEnd::MayHaveRun;
     m_selector.sent(chosen.id);
-    ++m_active;
     try {
         receive(call, attempt, chosen, optionsFor(call, chosen, isLast));
         end = deliver(call, attempt, chosen);
@@ -221,7 +220,6 @@
         attempt.reason = error.what();
         call.isCallerGone = true;
     }
-    --m_active;
     if (writer.started() && end == ForwardEnd::MayHaveRun)
         end = ForwardEnd::BrokenOff;
     m_selector.ended(chosen.id, outcomeOf(call, end, attempt.isUnreachable), m_clock.now());
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -63,9 +63,6 @@
     /// Sends the call to one target after the other as far as its kind allows.
     ForwardEnd forward(ForwardedCall&, ResponseWriter&, const StreamHooks&);
 
-    /// Calls that targets work on now.
-    std::size_t active() const { return m_active; }
-
 private:
     struct Attempt;
 
@@ -87,7 +84,6 @@
     const Clock& m_clock;
     JsonLog& m_log;
     Metrics& m_metrics;
-    std::size_t m_active = 0;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -14,7 +14,7 @@
 
 // Records outlive their retention by this, for clocks that differ.
 static constexpr Milliseconds retentionMargin { 10'000 };
-// While the store fails for this long, turns are refused at once, since none could be recorded.
+// Once the store fails for this long it is not asked again: keepers and other daemons take its place.
 static constexpr Milliseconds failingLimit { 250 };
 // A turn that the store has not confirmed by then goes to the keepers' disks as well.
 static constexpr Milliseconds journalAfter { 110 };
@@ -392,7 +392,7 @@
     }
     // With the store failing, only a grant lets the turn run, and it is asked for before an engine works in vain.
     bool mustWait = !turn.admitted.mayRunAhead || isStoreFailing();
-    if (!refusal && mustWait && !isReserved(call, turn))
+    if (mustWait && !isReserved(call, turn))
         refusal = turn.isDenied && !mayMissGrants() ? Refusal { 402, "budget spent" } : Refusal { 503, "reservation not recorded" };
     if (!refusal) {
         call.body = std::move(turn.admitted.history);
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -96,15 +96,20 @@
     return round;
 }
 
+bool TurnJournalClient::awaitAnswers(Round& round, std::size_t needed)
+{
+    while (round.answers.size() < needed && round.ended < round.asked)
+        round.changed.wait();
+    return round.answers.size() >= needed;
+}
+
 bool TurnJournalClient::append(const std::vector<JournalEntry>& entries, TimePoint deadline)
 {
     std::size_t needed = m_tolerated + 1;
     if (m_keepers.size() < needed || m_clock.now() >= deadline)
         return false;
     auto round = ask(peerpaths::journalAppend, encodeEntries(entries), deadline);
-    while (round->answers.size() < needed && round->ended < round->asked)
-        round->changed.wait();
-    return round->answers.size() >= needed;
+    return awaitAnswers(*round, needed);
 }
 
 std::optional<std::vector<JournalEntry>> TurnJournalClient::find(const CallId& turn, TimePoint deadline)
@@ -134,9 +139,7 @@
         return std::nullopt;
     std::size_t needed = m_keepers.size() - m_tolerated;
     auto round = ask(path, body, deadline);
-    while (round->answers.size() < needed && round->ended < round->asked)
-        round->changed.wait();
-    return round->answers.size() < needed ? std::nullopt : std::optional(round->answers);
+    return awaitAnswers(*round, needed) ? std::optional(round->answers) : std::nullopt;
 }
 
 std::optional<std::vector<JournalEntry>> TurnJournalClient::grantsOf(const ProgramId& program, TimePoint deadline)
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -63,6 +63,8 @@
     std::optional<std::vector<std::string>> askEnough(const char* path, const std::string& body, TimePoint deadline);
     std::optional<std::vector<JournalEntry>> grantsOf(const ProgramId&, TimePoint deadline);
     std::optional<TokenCount> grantedSoFar(const ProgramId&, TimePoint deadline);
+    /// Waits until \p needed keepers have answered or all have ended. \returns whether enough have.
+    static bool awaitAnswers(Round&, std::size_t needed);
     std::shared_ptr<Round> ask(const char* path, const std::string& body, TimePoint deadline);
 
     HttpClient& m_client;
