Bind a daemon's word about an account; keep grants apart from holds

Found by reading, each shown by a test that fails without its piece: reservations and top-ups queued before the outage took effect at its end; writes of unknown fate were not counted; a granted turn was charged to the hold that another turn was running on; a keeper's upload advanced the step, so that a daemon took its reservation for stored without the hold; the allowance was read before the grant was kept, so a daemon back at the store could reserve in between. Ruled out: charges of dead daemons' grants (they only add up). Change: a daemon that vouches for an account voids its unsent claims and names the sent ones; grants are none of a hold; entries for keepers take no hold; a reservation counts as stored only if the hold covers it; the allowance is asked for again after the grant is kept. Chains imported in large numbers are stored in batches of their own before the turns that follow (they would never have fitted one batch).

--- a/include/basilpoint/Turns/AccountChange.h
+++ b/include/basilpoint/Turns/AccountChange.h
@@ -55,6 +55,9 @@
     bool operator==(const JournalEntry&) const = default;
 };
 
+/// Applies what \p account does not have yet of the entry. \returns the turns to be stored with it.
+std::vector<TurnRecord> applyEntry(ProgramAccount& account, const JournalEntry&);
+
 std::string encodeEntry(const JournalEntry&);
 /// \throws DamagedRecordError
 JournalEntry decodeEntry(const std::string& bytes);
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -42,6 +42,8 @@
     std::optional<ChangeId> reservation;
     /// Whether the turn may be handed to an engine before the reservation is stored.
     bool mayRunAhead = true;
+    /// Whether the turn has no tokens of its own yet and may hand out none before it has a grant.
+    bool needsGrant = false;
 };
 
 /// The program's records must be read first; then ask again.
@@ -85,6 +87,8 @@
     bool isOriginFresh = false;
     /// Tokens that were granted and may be missing in the account; empty if they must be looked up.
     std::optional<TokenCount> outstanding = 0;
+    /// Whether accounts can be changed now; if not, a turn beyond this daemon's hold needs a grant.
+    bool mayReserve = true;
 };
 
 /// What else is known as a turn ends.
@@ -93,6 +97,8 @@
     std::optional<ChangeId> reservation;
     /// Step of the grant under which the turn ran; 0 if it ran under none.
     std::uint64_t grant = 0;
+    /// Whether the turn was admitted as one that needs a grant.
+    bool neededGrant = false;
     /// Whether the account may lack tokens that were granted elsewhere, so that no more may be held than is needed.
     bool mayMissGrants = false;
 };
@@ -104,6 +110,16 @@
     std::int64_t revision = 0;
 };
 
+/// What a daemon guarantees about a program's account while it cannot be changed.
+struct AccountWord {
+    /// The program's records as they are known here.
+    std::vector<StoredRecord> records;
+    /// Tokens that changes of this daemon, sent but not confirmed, may yet take from the account.
+    TokenCount claimed = 0;
+    /// Whether no other change of the account was made through this daemon.
+    bool isComplete = false;
+};
+
 /// Writes of one or more programs that happen together.
 struct LedgerBatch {
     std::uint64_t number = 0;
@@ -151,10 +167,12 @@
     std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& = {});
 
     /// All that is not stored yet of the program, if \p change is not; for keeping it elsewhere meanwhile.
+    /// Applied by another, its changes take no hold.
     std::optional<JournalEntry> entryFor(const ProgramId&, ChangeId change) const;
 
-    /// All that is known here of \p program, in the form of its stored records.
-    std::vector<StoredRecord> knownRecords(const ProgramId& program) const;
+    /// What is known here of the program, for grants by it. If the word \p isBinding, unsent changes take nothing
+    /// from the account from now on, so that it stays true until the store is back and grants are counted again.
+    AccountWord giveWord(const ProgramId&, bool isBinding);
 
     /// Tokens that the program's account, as known here, neither has spent nor lets a daemon hold.
     TokenCount remainingOf(const ProgramId&, TokenCount budget) const;
@@ -200,6 +218,10 @@
         AccountChange change;
         /// Its turn has ended; it is dropped unless it turns out to be stored.
         bool isCancelled = false;
+        /// It was made before this daemon gave its word, and must not take effect any more.
+        bool isVoid = false;
+        /// Tokens that it may take from the account if a batch that it was sent in takes effect.
+        TokenCount claimed = 0;
     };
 
     struct Program {
@@ -241,11 +263,17 @@
     std::variant<std::string, TurnVerdict> findHistory(Program&, const TurnRequest&, const TurnKnowledge&);
     TurnVerdict reserve(Program&, const TurnRequest&, const TurnKnowledge&, TurnAdmitted admitted, TimePoint now);
     void queue(const ProgramId&, Program&);
+    static std::vector<StoredRecord> recordsOf(const ProgramId&, const Program&);
+    bool isCovered(const Program&) const;
+    static void weakenVoid(Program&);
     void dropDenied(Program&);
     bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
+    /// \returns whether all imported chains fit into the batch with \p used entries.
+    bool addImports(std::size_t used, LedgerBatch& part, Part&, const Program&) const;
     void putTurn(LedgerBatch&, const ProgramId&, const TurnRecord&) const;
     void cancel(Program&, ChangeId);
     ChangeId addChange(const TurnRequest&, Program&, AccountChange);
+    /// Drops all changes up to \p step, which the account holds.
     void dropStored(Program&, std::uint64_t step);
     void rebase(Program&, const ProgramAccount&, std::int64_t revision);
     void endBatch(std::uint64_t number, const std::function<void(const Part&, Program&)>&);
@@ -265,6 +293,10 @@
     /// Steps rise over all programs, so that one that was forgotten and read again goes on above its last.
     std::uint64_t m_nextStep = 1;
     std::size_t m_cachedBytes = 0;
+    /// Latest time that a caller told.
+    TimePoint m_now = TimePoint::min();
+    /// When a program's account was last forgotten.
+    std::optional<TimePoint> m_forgotAt;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -254,7 +254,7 @@
     spawnFiber([this] { watchTargets(); });
     spawnFiber([this] { probeStore(); });
     spawnFiber([this] { m_relays.run(); });
-    m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_turns.knownRecords(program); });
+    m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_turns.giveWord(program); });
     m_peers.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
--- a/lib/Gateway/LedgerWriter.cpp
+++ b/lib/Gateway/LedgerWriter.cpp
@@ -1,5 +1,7 @@
 #include "LedgerWriter.h"
 
+#include "StoreCodec.h"
+
 #include "basilpoint/Net/FiberRuntime.h"
 
 #include <algorithm>
@@ -66,12 +68,8 @@
         m_pause = Milliseconds(0);
         if (result.revision)
             m_ledger.batchStored(batch.number, *result.revision);
-        else {
-            std::vector<StoredRecord> current;
-            for (KeyValue& it : result.current)
-                current.push_back({ it.key, it.value, it.modRevision });
-            m_ledger.batchRefused(batch.number, current);
-        }
+        else
+            m_ledger.batchRefused(batch.number, recordsFrom(result.current));
     } catch (const KeyValueUnavailableError& error) {
         m_log.write(LogLine("ledger-write-unknown").field("batch", batch.number).field("entries", batch.entries()).field("reason", error.what()));
         m_ledger.batchLost(batch.number);
--- a/lib/Gateway/StoreCodec.cpp
+++ b/lib/Gateway/StoreCodec.cpp
@@ -121,4 +121,27 @@
     });
 }
 
+std::vector<StoredRecord> recordsFrom(const std::vector<KeyValue>& items)
+{
+    std::vector<StoredRecord> records;
+    for (const KeyValue& it : items)
+        records.push_back({ it.key, it.value, it.modRevision });
+    return records;
+}
+
+std::string encodeWord(const AccountWord& word)
+{
+    std::vector<KeyValue> items;
+    for (const StoredRecord& it : word.records)
+        items.push_back({ it.key, it.value, it.revision });
+    return toBytes({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete } });
+}
+
+AccountWord decodeWord(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        return AccountWord { recordsFrom(itemsFrom(json.at("i"))), json.at("c").get<TokenCount>(), json.at("w").get<bool>() };
+    });
+}
+
 } // namespace basilpoint
--- a/lib/Gateway/StoreCodec.h
+++ b/lib/Gateway/StoreCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "basilpoint/Net/TransactionalStore.h"
+#include "basilpoint/Turns/TurnLedger.h"
 
 namespace basilpoint {
 
@@ -35,4 +36,10 @@
 std::string encodeChanges(const StoreChanges&);
 StoreChanges decodeChanges(const std::string&);
 
+std::string encodeWord(const AccountWord&);
+AccountWord decodeWord(const std::string&);
+
+/// The ledger's form of the store's records.
+std::vector<StoredRecord> recordsFrom(const std::vector<KeyValue>&);
+
 } // namespace basilpoint
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -78,7 +78,8 @@
 
 void TurnController::read(const ProgramId& program, ReadMode mode)
 {
-    adoptRecords(program, readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), mode); }));
+    KeySnapshot snapshot = readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), mode); });
+    m_ledger.programRead(program, recordsFrom(snapshot.items));
 }
 
 std::optional<ProgramId> TurnController::readOrigin(const CallId& previous)
@@ -100,13 +101,10 @@
     return m_isFirstStart || m_clock.now() - m_startedAt > longestRetention;
 }
 
-std::string TurnController::knownRecords(const std::string& program) const
+// A word that is given while the store still answers, or by a daemon that may have missed changes, is not complete.
+std::string TurnController::giveWord(const std::string& program)
 {
-    KeySnapshot known;
-    for (StoredRecord& it : m_ledger.knownRecords(ProgramId(program)))
-        known.items.push_back({ std::move(it.key), std::move(it.value), it.revision });
-    known.revision = hasSeenAll() && isStoreFailing() ? 1 : 0;
-    return encodeSnapshot(known);
+    return encodeWord(m_ledger.giveWord(ProgramId(program), hasSeenAll() && isStoreFailing()));
 }
 
 // The daemon that served a program before has its chain in memory. What is found is certain.
@@ -116,6 +114,7 @@
         std::size_t open = 0;
         std::size_t complete = 0;
         bool anyFound = false;
+        TokenCount claimed = 0;
         FiberSignal changed;
     };
     auto round = std::make_shared<Round>();
@@ -124,11 +123,12 @@
     for (const RelayAddress& peer : m_peers) {
         spawnFiber([this, round, peer, program] {
             try {
-                KeySnapshot known = decodeSnapshot(callPeer(m_client, peer.endpoint, peerpaths::programRecords, program.text(), peerLimit));
-                round->anyFound = round->anyFound || !known.items.empty();
-                round->complete += known.revision != 0 ? 1 : 0;
-                if (!known.items.empty())
-                    adoptRecords(program, std::move(known));
+                AccountWord word = decodeWord(callPeer(m_client, peer.endpoint, peerpaths::programRecords, program.text(), peerLimit));
+                round->anyFound = round->anyFound || !word.records.empty();
+                round->complete += word.isComplete ? 1 : 0;
+                round->claimed += word.claimed;
+                if (!word.records.empty())
+                    m_ledger.programRead(program, word.records);
             } catch (const Error& error) {
                 m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("reason", error.what()));
             }
@@ -138,15 +138,8 @@
     }
     while (round->open > 0)
         round->changed.wait();
-    return { round->anyFound, round->complete == asked && hasSeenAll() && asked > 0 };
-}
-
-void TurnController::adoptRecords(const ProgramId& program, KeySnapshot snapshot)
-{
-    std::vector<StoredRecord> records;
-    for (KeyValue& it : snapshot.items)
-        records.push_back({ std::move(it.key), std::move(it.value), it.modRevision });
-    m_ledger.programRead(program, records);
+    AccountWord own = m_ledger.giveWord(program, hasSeenAll() && isStoreFailing());
+    return { round->anyFound, round->complete == asked && own.isComplete && asked > 0, round->claimed + own.claimed };
 }
 
 bool TurnController::isStoreFailing() const
@@ -191,12 +184,14 @@
 std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, const TurnRequest& request)
 {
     TurnKnowledge knowledge;
-    // While the store fails a reservation only waits; its grants are asked for on their own.
-    if (mayMissGrants() && !isStoreFailing())
-        knowledge.outstanding.reset();
+    bool areGrantsKnown = false;
     int searches = 0;
     try {
         for (;;) {
+            // Either may have changed while the last answer was awaited.
+            knowledge.mayReserve = !isStoreFailing();
+            if (mayMissGrants() && !areGrantsKnown)
+                knowledge.outstanding.reset();
             TurnVerdict verdict = m_ledger.begin(request, knowledge, m_clock.now());
             if (auto* admitted = std::get_if<TurnAdmitted>(&verdict))
                 return std::move(*admitted);
@@ -204,6 +199,7 @@
                 return spent->isCertain ? Refusal { 402, "budget spent" } : Refusal { 503, "budget not certain yet" };
             if (std::holds_alternative<TurnNeedsGrants>(verdict)) {
                 knowledge.outstanding = outstandingOf(call, request);
+                areGrantsKnown = true;
                 continue;
             }
             if (auto* missing = std::get_if<TurnNotFound>(&verdict)) {
@@ -241,14 +237,18 @@
 // Whether tokens may be handed out: by the store's word, or under a grant of the keepers while it gives none.
 bool TurnController::isReserved(const ForwardedCall& call, Turn& turn)
 {
-    if (!turn.admitted.reservation || turn.grant)
+    if (turn.grant)
         return true;
+    if (!turn.admitted.reservation)
+        return !turn.admitted.needsGrant || takeGrant(call, turn);
     ChangeId id = *turn.admitted.reservation;
     TimePoint now = m_clock.now();
     TimePoint patience = isStoreFailing() ? now : std::min(call.deadline, now + journalAfter);
     auto isGone = [&call] { return call.isCallerGone; };
     auto outcome = m_writer.await(id, patience, isGone);
-    if (!outcome && !call.isCallerGone && takeGrant(call, turn))
+    // In doubt, a denial may only mean that the account's changes were held back for the sake of grants.
+    bool mayHaveGrant = !outcome || (outcome == ChangeOutcome::Denied && mayMissGrants());
+    if (mayHaveGrant && !call.isCallerGone && takeGrant(call, turn))
         return true;
     if (!outcome)
         outcome = m_writer.await(id, call.deadline, [&] { return call.isCallerGone || isStoreFailing(); });
@@ -265,7 +265,12 @@
 
 TurnEnd TurnController::endOf(const Turn& turn) const
 {
-    return { turn.admitted.reservation, turn.grant ? turn.grant->step : 0, mayMissGrants() };
+    TurnEnd end;
+    end.reservation = turn.admitted.reservation;
+    end.grant = turn.grant ? turn.grant->step : 0;
+    end.mayMissGrants = mayMissGrants();
+    end.neededGrant = turn.admitted.needsGrant;
+    return end;
 }
 
 // Keepers that cannot be asked leave the account's word: grants need enough of them as well.
@@ -281,12 +286,10 @@
 bool TurnController::takeGrant(const ForwardedCall& call, Turn& turn)
 {
     const TurnRequest& asked = turn.request;
-    TokenCount allowance = asked.mostTokens;
-    if (readFromPeers(asked.program).isComplete)
-        allowance = std::max(allowance, m_ledger.remainingOf(asked.program, asked.budget));
-    TurnJournalClient::GrantRequest request { asked.program, m_ledger.self(), m_ledger.takeGrantSteps(), allowance, asked.mostTokens, asked.mostTokens / leastGrantDivisor, asked.keepUntil };
-    auto tokens = m_journal.grant(request, std::min(call.deadline, m_clock.now() + journalLimit));
-    m_log.write(LogLine("grant").field("request", call.attributes.call.text()).field("program", request.program.text()).field("allowance", request.allowance).field("tokens", tokens.value_or(0)));
+    TurnJournalClient::GrantRequest request { asked.program, m_ledger.self(), m_ledger.takeGrantSteps(), asked.mostTokens, asked.mostTokens / leastGrantDivisor, asked.keepUntil };
+    TokenCount allowance = 0;
+    auto tokens = m_journal.grant(request, std::min(call.deadline, m_clock.now() + journalLimit), [&] { return allowance = allowanceOf(asked); });
+    m_log.write(LogLine("grant").field("request", call.attributes.call.text()).field("program", request.program.text()).field("allowance", allowance).field("tokens", tokens.value_or(0)));
     if (!tokens)
         return false;
     turn.grant = request;
@@ -294,12 +297,21 @@
     return true;
 }
 
+TokenCount TurnController::allowanceOf(const TurnRequest& asked)
+{
+    PeerKnowledge known = readFromPeers(asked.program);
+    if (!known.isComplete)
+        return asked.mostTokens;
+    TokenCount remaining = m_ledger.remainingOf(asked.program, asked.budget);
+    return std::max(asked.mostTokens, remaining - std::min(remaining, known.claimed));
+}
+
 // Tokens beyond a grant need the store's word, which may have come meanwhile.
 bool TurnController::mayHandOut(const Turn& turn, TokenCount tokens) const
 {
     if (!turn.grant || turn.handedOut + tokens <= turn.granted)
         return true;
-    return m_writer.outcome(*turn.admitted.reservation) == ChangeOutcome::Stored;
+    return turn.admitted.reservation && m_writer.outcome(*turn.admitted.reservation) == ChangeOutcome::Stored;
 }
 
 bool TurnController::record(ForwardedCall& call, Turn& turn, const TargetId& target)
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -19,7 +19,7 @@
     void setPeers(const std::vector<RelayAddress>&);
 
     /// Answers such a question.
-    std::string knownRecords(const std::string& program) const;
+    std::string giveWord(const std::string& program);
 
     TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, HttpClient&, const Clock&, JsonLog&);
 
@@ -51,12 +51,15 @@
         bool anyFound = false;
         /// All daemons that may have changed the program's account have answered.
         bool isComplete = false;
+        /// Tokens that changes of unknown fate may have taken from the account.
+        TokenCount claimed = 0;
     };
     PeerKnowledge readFromPeers(const ProgramId&);
     bool hasSeenAll() const;
-    void adoptRecords(const ProgramId&, KeySnapshot);
     bool isReserved(const ForwardedCall&, Turn&);
     bool takeGrant(const ForwardedCall&, Turn&);
+    /// Tokens that all grants of the program together may hand out now.
+    TokenCount allowanceOf(const TurnRequest&);
     bool mayMissGrants() const;
     TurnEnd endOf(const Turn&) const;
     TokenCount outstandingOf(const ForwardedCall&, const TurnRequest&);
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -177,18 +177,23 @@
 }
 
 // The grant is written before it is weighed, so of two that meet at least the later one sees both; one that
-// sees the allowance passed gives its tokens back.
-std::optional<TokenCount> TurnJournalClient::grant(const GrantRequest& request, TimePoint deadline)
+// sees the allowance passed gives its tokens back. The allowance is asked for once more as well: a daemon that
+// has reached the store since the first answer counts grants again, but may have done so before this one was kept.
+std::optional<TokenCount> TurnJournalClient::grant(const GrantRequest& request, TimePoint deadline, const AllowanceHook& allowanceOf)
 {
+    TokenCount allowance = allowanceOf();
     auto before = grantedSoFar(request.program, deadline);
-    if (!before || *before + request.least > request.allowance)
+    if (!before || *before + request.least > allowance)
         return std::nullopt;
-    TokenCount tokens = std::min(request.most, request.allowance - *before);
+    TokenCount tokens = std::min(request.most, allowance - *before);
     JournalEntry entry { request.program, request.daemon, { { AccountChange::Kind::Grant, request.step, tokens, 0, 0, ProgramAccount::unlimited, request.keepUntil } } };
     if (!append({ entry }, deadline))
         return std::nullopt;
+    // One turn's worth is allowed whatever the accounts say.
+    if (allowance > request.most)
+        allowance = allowanceOf();
     auto after = grantedSoFar(request.program, deadline);
-    if (after && *after <= request.allowance)
+    if (after && *after <= allowance)
         return tokens;
     endGrant(request, 0, deadline);
     return std::nullopt;
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -23,8 +23,6 @@
         ProgramId program;
         DaemonLifetime daemon;
         std::uint64_t step = 0;
-        /// Tokens that all grants of the program together may hand out.
-        TokenCount allowance = 0;
         /// Most that the turn needs.
         TokenCount most = 0;
         /// Fewer than these are of no use.
@@ -32,9 +30,12 @@
         WallTimePoint keepUntil;
     };
 
+    /// Tells how many tokens all grants of the program together may hand out now.
+    using AllowanceHook = std::function<TokenCount()>;
+
     /// Takes what is left of the allowance. \returns the tokens; empty if too few are left, or too few
     /// keepers answer to be certain.
-    std::optional<TokenCount> grant(const GrantRequest&, TimePoint deadline);
+    std::optional<TokenCount> grant(const GrantRequest&, TimePoint deadline, const AllowanceHook&);
 
     /// Entry that ends a grant of which \p used tokens were handed out.
     static JournalEntry grantEnd(const GrantRequest&, TokenCount used);
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -188,11 +188,9 @@
     for (const JournalEntry& entry : entries) {
         if (transaction.puts.size() + turnsPerEntryLimit > maxUploadPuts)
             break;
-        for (const AccountChange& it : entry.changes) {
-            if (it.step <= account.holds[entry.daemon].step || !applyChange(account, entry.daemon, it) || !it.record)
-                continue;
-            transaction.puts.push_back({ TurnLedger::turnKey(program, it.record->turn), encodeTurn(*it.record) });
-            transaction.puts.push_back({ TurnLedger::originKey(it.record->turn), program.text() });
+        for (const TurnRecord& it : applyEntry(account, entry)) {
+            transaction.puts.push_back({ TurnLedger::turnKey(program, it.turn), encodeTurn(it) });
+            transaction.puts.push_back({ TurnLedger::originKey(it.turn), program.text() });
         }
         done.push_back({ entry.daemon, entry.step() });
     }
--- a/lib/Turns/AccountChange.cpp
+++ b/lib/Turns/AccountChange.cpp
@@ -38,7 +38,9 @@
     account.budget = std::min(account.budget, change.budget);
     account.spent += change.used;
     DaemonHold& hold = account.holds[daemon];
-    hold.tokens -= std::min(hold.tokens, change.used);
+    // Tokens under a grant are none of the hold, which other turns may be running on.
+    if (change.grant == 0)
+        hold.tokens -= std::min(hold.tokens, change.used);
     hold.step = change.step;
     account.keepUntil = std::max(account.keepUntil, change.keepUntil);
     // Topping up here saves the next turn a write of its own.
@@ -64,6 +66,15 @@
     return false;
 }
 
+std::vector<TurnRecord> applyEntry(ProgramAccount& account, const JournalEntry& entry)
+{
+    std::vector<TurnRecord> turns;
+    for (const AccountChange& it : entry.changes)
+        if (it.step > account.holds[entry.daemon].step && applyChange(account, entry.daemon, it) && it.record)
+            turns.push_back(*it.record);
+    return turns;
+}
+
 static Json changeToJson(const AccountChange& change)
 {
     Json json { { "k", static_cast<int>(change.kind) }, { "s", change.step }, { "m", change.most }, { "u", change.used }, { "o", change.outstanding }, { "b", change.budget }, { "t", millisecondsOf(change.keepUntil) }, { "g", change.grant } };
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -13,6 +13,8 @@
 static constexpr TokenCount turnsToRunAhead = 4;
 // Looping programs come back at once after a refusal; what the store said holds for them that long.
 static constexpr Milliseconds spentLifetime { 1'000 };
+// A forgotten account matters as long as its program may come again: longer than any retention.
+static constexpr std::chrono::minutes forgottenLifetime { 2 };
 static constexpr std::size_t programOverheadBytes = 400;
 static constexpr std::size_t turnOverheadBytes = 200;
 static constexpr std::size_t longestIdInKey = 64;
@@ -128,6 +130,7 @@
 
 TurnVerdict TurnLedger::begin(const TurnRequest& request, const TurnKnowledge& knowledge, TimePoint now)
 {
+    m_now = now;
     Program& program = touch(request.program);
     if (!program.isKnown) {
         if (!request.previous.empty() && !knowledge.isProgramRead)
@@ -137,7 +140,8 @@
     auto history = findHistory(program, request, knowledge);
     if (auto* verdict = std::get_if<TurnVerdict>(&history))
         return *verdict;
-    TurnAdmitted admitted { std::move(std::get<std::string>(history)), {}, std::nullopt, true };
+    TurnAdmitted admitted;
+    admitted.history = std::move(std::get<std::string>(history));
     if (!request.previous.empty())
         admitted.lastTarget = program.turns.at(request.previous)->target;
     return reserve(program, request, knowledge, std::move(admitted), now);
@@ -151,6 +155,10 @@
         program.running += request.mostTokens;
         return admitted;
     }
+    if (!knowledge.mayReserve) {
+        admitted.needsGrant = true;
+        return admitted;
+    }
     if (!knowledge.outstanding)
         return TurnNeedsGrants {};
     ProgramAccount account = program.account;
@@ -195,7 +203,7 @@
 std::optional<ChangeId> TurnLedger::end(const TurnRequest& request, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& end)
 {
     Program& program = touch(request.program);
-    if (request.budget != ProgramAccount::unlimited) {
+    if (request.budget != ProgramAccount::unlimited && !end.neededGrant) {
         assert(program.running >= request.mostTokens && "a turn ends once");
         program.running -= request.mostTokens;
     }
@@ -206,7 +214,9 @@
     bool mustStore = record.has_value();
     if (record)
         addTurn(program, *record);
-    program.unsettled += handedOut;
+    // Tokens under a grant are none of the hold.
+    if (end.grant == 0)
+        program.unsettled += handedOut;
     ChangeId id = addChange(request, program, { AccountChange::Kind::Settle, m_nextStep++, end.mayMissGrants ? 0 : request.mostTokens, handedOut, 0, request.budget, request.keepUntil, std::move(record), end.grant });
     evict();
     return mustStore ? std::optional(id) : std::nullopt;
@@ -224,7 +234,9 @@
 ChangeId TurnLedger::addChange(const TurnRequest& request, Program& program, AccountChange change)
 {
     ChangeId id(m_nextChange++);
-    program.changes.push_back({ id, std::move(change), false });
+    Change& added = program.changes.emplace_back();
+    added.id = id;
+    added.change = std::move(change);
     queue(request.program, program);
     return id;
 }
@@ -236,7 +248,9 @@
         return std::nullopt;
     JournalEntry entry { id, m_self, {} };
     for (const Change& it : program->second.changes) {
-        entry.changes.push_back(it.change);
+        AccountChange& kept = entry.changes.emplace_back(it.change);
+        kept.most = 0;
+        kept.outstanding = 0;
         if (it.id == change)
             return entry;
     }
@@ -251,19 +265,31 @@
     return account.remaining();
 }
 
-std::vector<StoredRecord> TurnLedger::knownRecords(const ProgramId& id) const
+std::vector<StoredRecord> TurnLedger::recordsOf(const ProgramId& id, const Program& program)
 {
     std::vector<StoredRecord> records;
-    auto program = m_programs.find(id);
-    if (program == m_programs.end())
-        return records;
-    if (program->second.revision != 0)
-        records.push_back({ accountKey(id), encodeAccount(program->second.account), program->second.revision });
-    for (const auto& [turn, record] : program->second.turns)
+    if (program.revision != 0)
+        records.push_back({ accountKey(id), encodeAccount(program.account), program.revision });
+    for (const auto& [turn, record] : program.turns)
         records.push_back({ turnKey(id, turn), encodeTurn(*record), 0 });
     return records;
 }
 
+AccountWord TurnLedger::giveWord(const ProgramId& id, bool isBinding)
+{
+    AccountWord word;
+    word.isComplete = isBinding && (!m_forgotAt || m_now - *m_forgotAt > forgottenLifetime);
+    auto program = m_programs.find(id);
+    if (program == m_programs.end())
+        return word;
+    word.records = recordsOf(id, program->second);
+    for (Change& it : program->second.changes) {
+        word.claimed += it.claimed;
+        it.isVoid = it.isVoid || isBinding;
+    }
+    return word;
+}
+
 void TurnLedger::adopt(const ProgramId& id, const std::vector<TurnRecord>& turns)
 {
     Program& program = touch(id);
@@ -285,32 +311,56 @@
     batch.puts.emplace_back(turnKey(program, record.turn), encodeTurn(record));
 }
 
-// Reservations that the account does not hold are refused; they never reach the store.
+void TurnLedger::weakenVoid(Program& program)
+{
+    for (Change& it : program.changes)
+        if (it.isVoid && it.change.kind == AccountChange::Kind::Settle)
+            it.change.most = 0;
+}
+
+// Reservations that the account does not hold are refused; they never reach the store. Nor do those from before
+// this daemon gave its word: of what was left then, others may have been granted all.
 void TurnLedger::dropDenied(Program& program)
 {
+    weakenVoid(program);
     ProgramAccount account = program.account;
     std::erase_if(program.changes, [&](const Change& it) {
-        if (applyChange(account, m_self, it.change))
+        bool isVoidReservation = it.isVoid && it.change.kind == AccountChange::Kind::Reserve;
+        if (!isVoidReservation && applyChange(account, m_self, it.change))
             return false;
         m_outcomes.emplace_back(it.id, ChangeOutcome::Denied);
         return true;
     });
 }
 
+bool TurnLedger::addImports(std::size_t used, LedgerBatch& part, Part& kept, const Program& program) const
+{
+    for (const CallId& it : program.imported) {
+        // One entry stays for the account.
+        if (used + part.entries() + 2 > m_settings.maxBatchEntries)
+            return false;
+        putTurn(part, kept.program, *program.turns.at(it));
+        kept.imported.push_back(it);
+    }
+    return true;
+}
+
 bool TurnLedger::addPart(LedgerBatch& batch, Batch& record, const ProgramId& id, Program& program)
 {
     LedgerBatch part;
     Part kept { id, program.account, 0, {} };
     std::string key = accountKey(id);
     part.conditions.emplace_back(key, program.revision);
+    // A turn that goes on from an imported chain must not be stored before it.
+    bool areImportsIn = addImports(batch.entries(), part, kept, program);
     bool isWhole = true;
     bool hasReserve = false;
     TokenCount most = 0;
-    for (const Change& it : program.changes) {
+    for (Change& it : program.changes) {
         const AccountChange& change = it.change;
-        // Two entries for a turn, and one for the account; an imported chain takes one more.
-        std::size_t needed = (change.record ? 2 : 0) + 1 + program.imported.size();
-        if (batch.entries() + part.entries() + needed > m_settings.maxBatchEntries) {
+        // Two entries for a turn, and one for the account.
+        std::size_t needed = (change.record ? 2 : 0) + 1;
+        if (!areImportsIn || batch.entries() + part.entries() + needed > m_settings.maxBatchEntries) {
             isWhole = false;
             break;
         }
@@ -318,6 +368,7 @@
         assert(fits && "denied reservations were dropped");
         static_cast<void>(fits);
         kept.step = change.step;
+        it.claimed = std::max(it.claimed, change.most);
         most = std::max(most, change.most);
         hasReserve = hasReserve || change.kind == AccountChange::Kind::Reserve;
         if (!change.record)
@@ -325,12 +376,8 @@
         putTurn(part, id, *change.record);
         part.puts.emplace_back(originKey(change.record->turn), id.text());
     }
-    if (kept.step == 0 || batch.entries() + part.entries() + 1 > m_settings.maxBatchEntries)
+    if ((kept.step == 0 && kept.imported.empty()) || batch.entries() + part.entries() + 1 > m_settings.maxBatchEntries)
         return false;
-    for (const CallId& imported : program.imported) {
-        putTurn(part, id, *program.turns.at(imported));
-        kept.imported.push_back(imported);
-    }
     DaemonHold& hold = kept.account.holds[m_self];
     // Of what running turns do not need, one turn's worth stays for the next; none if other daemons may need it.
     if (isWhole && !hasReserve) {
@@ -370,16 +417,35 @@
     return batch;
 }
 
+// Whether the hold is enough for all turns that run on it, but those whose reservations are still to come. It is
+// not if another has stored this daemon's changes, without their holds.
+bool TurnLedger::isCovered(const Program& program) const
+{
+    auto hold = program.account.holds.find(m_self);
+    TokenCount tokens = hold == program.account.holds.end() ? 0 : hold->second.tokens;
+    for (const Change& it : program.changes)
+        if (it.change.kind == AccountChange::Kind::Reserve && !it.isCancelled)
+            tokens += it.change.most;
+    return tokens >= program.running + program.unsettled;
+}
+
 void TurnLedger::dropStored(Program& program, std::uint64_t step)
 {
+    std::vector<ChangeId> reservations;
+    std::vector<ChangeId> others;
     while (!program.changes.empty()) {
         const Change& front = program.changes.front();
         if (front.change.step > step)
-            return;
-        program.unsettled -= std::min(program.unsettled, front.change.used);
-        m_outcomes.emplace_back(front.id, ChangeOutcome::Stored);
+            break;
+        if (front.change.grant == 0)
+            program.unsettled -= std::min(program.unsettled, front.change.used);
+        (front.change.kind == AccountChange::Kind::Reserve ? reservations : others).push_back(front.id);
         program.changes.pop_front();
     }
+    for (ChangeId it : others)
+        m_outcomes.emplace_back(it, ChangeOutcome::Stored);
+    for (ChangeId it : reservations)
+        m_outcomes.emplace_back(it, isCovered(program) ? ChangeOutcome::Stored : ChangeOutcome::Denied);
 }
 
 // A newer account came from the store: what it holds of this daemon's changes is stored.
@@ -468,6 +534,7 @@
             continue;
         }
         m_cachedBytes -= program.bytes;
+        m_forgotAt = m_now;
         m_programs.erase(*it);
         it = m_recent.erase(it);
     }
--- a/unittests/Turns/BudgetFuzzTest.cpp
+++ b/unittests/Turns/BudgetFuzzTest.cpp
@@ -1,5 +1,7 @@
 #include "LedgerStore.h"
 
+#include "basilpoint/Turns/TurnJournal.h"
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
@@ -9,17 +11,22 @@
 namespace {
 
 constexpr TokenCount most = 20;
-constexpr TokenCount budget = 150;
+constexpr TokenCount budget = 100;
 constexpr int daemons = 3;
 
 struct RunningTurn {
     TurnRequest request;
     std::optional<ChangeId> reservation;
     bool isReserved = false;
+    bool needsGrant = false;
+    /// Step of its grant; 0 if it has none.
+    std::uint64_t grant = 0;
+    TokenCount granted = 0;
 };
 
 /// Daemons with ledgers of their own before one store, whose answers are lost at times and which executes some
-/// writes late. Keeps count of the tokens that callers got.
+/// writes late. While the store is down, turns run under grants of a journal that all share. Keeps count of the
+/// tokens that callers got.
 class Fleet {
 public:
     Fleet()
@@ -30,9 +37,11 @@
 
     void restart(int n)
     {
+        m_haveAllSeenAll = m_haveAllSeenAll && m_ledgers[n] == nullptr;
         m_ledgers[n] = std::make_unique<TurnLedger>(DaemonLifetime("d" + std::to_string(m_nextLifetime++)), LedgerSettings {});
         m_running[n].clear();
         m_unstored[n].clear();
+        m_underGrant[n].clear();
     }
 
     void begin(int n)
@@ -40,8 +49,12 @@
         TurnLedger& ledger = *m_ledgers[n];
         TurnRequest request { ProgramId("p"), CallId("t" + std::to_string(m_nextTurn++)), m_last, budget, most, {} };
         TurnKnowledge knowledge;
+        knowledge.mayReserve = !m_isStoreDown;
+        knowledge.outstanding = outstandingTokens(m_grants);
         TurnVerdict verdict = ledger.begin(request, knowledge, m_now);
         if (std::holds_alternative<TurnNeedsProgram>(verdict)) {
+            if (m_isStoreDown)
+                return;
             ledger.programRead(request.program, m_store.below(TurnLedger::programPrefix(request.program)));
             knowledge.isProgramRead = knowledge.isProgramFresh = true;
             verdict = ledger.begin(request, knowledge, m_now);
@@ -50,7 +63,32 @@
         if (!admitted)
             return;
         RC_ASSERT(admitted->history == m_history[m_last]);
-        m_running[n].push_back({ request, admitted->reservation, !admitted->reservation });
+        m_running[n].push_back({ request, admitted->reservation, !admitted->reservation && !admitted->needsGrant, admitted->needsGrant });
+        if (admitted->needsGrant)
+            takeGrant(n, m_running[n].back());
+    }
+
+    void toggleStore() { m_isStoreDown = !m_isStoreDown; }
+
+    /// A keeper stores what a daemon could not, as it was when the daemon gave it to the keepers' disks.
+    void upload()
+    {
+        if (m_isStoreDown || m_kept.empty())
+            return;
+        JournalEntry entry = m_kept.front();
+        m_kept.pop_front();
+        std::string key = TurnLedger::accountKey(entry.program);
+        std::int64_t revision = 0;
+        ProgramAccount account;
+        for (const StoredRecord& it : m_store.below(key)) {
+            account = decodeAccount(it.value);
+            revision = it.revision;
+        }
+        LedgerBatch batch { 0, { { key, revision } }, {} };
+        for (const TurnRecord& it : applyEntry(account, entry))
+            batch.puts.emplace_back(TurnLedger::turnKey(entry.program, it.turn), encodeTurn(it));
+        batch.puts.emplace_back(key, encodeAccount(account));
+        RC_ASSERT(m_store.commit(batch) > 0);
     }
 
     void write(int n, int fate)
@@ -58,7 +96,7 @@
         auto batch = m_ledgers[n]->nextBatch();
         if (!batch)
             return;
-        if (fate == 0) { // Never executed, or later.
+        if (fate == 0 || m_isStoreDown) { // Never executed, or later.
             m_ledgers[n]->batchLost(batch->number);
             m_late.push_back(*batch);
         } else if (fate == 1) { // Executed, but the answer is lost.
@@ -76,7 +114,7 @@
 
     void executeLate()
     {
-        if (m_late.empty())
+        if (m_late.empty() || m_isStoreDown)
             return;
         m_store.commit(m_late.front());
         m_late.pop_front();
@@ -88,27 +126,74 @@
             return;
         RunningTurn turn = m_running[n].front();
         m_running[n].erase(m_running[n].begin());
-        if (!turn.isReserved) {
-            m_ledgers[n]->end(turn.request, 0, std::nullopt, { turn.reservation });
+        // In an outage a turn whose reservation is not stored runs under a grant.
+        if (!turn.isReserved && m_isStoreDown && turn.grant == 0)
+            takeGrant(n, turn);
+        TurnEnd end { turn.reservation, turn.grant, m_hadOutage, turn.needsGrant };
+        if (!turn.isReserved && turn.grant == 0) {
+            m_ledgers[n]->end(turn.request, 0, std::nullopt, end);
             return;
         }
+        if (turn.grant != 0) {
+            used = std::min(used, turn.granted);
+            note(AccountChange::Kind::GrantEnd, n, turn.grant, 1, used);
+        }
         m_handedOut += used;
-        RC_ASSERT(m_handedOut <= budget);
+        // Of an outage, one turn's most may be beyond the budget.
+        RC_ASSERT(m_handedOut <= budget + (m_hadOutage ? most : 0));
         if (!isWhole) {
-            m_ledgers[n]->end(turn.request, used, std::nullopt, { turn.reservation });
+            m_ledgers[n]->end(turn.request, used, std::nullopt, end);
             return;
         }
         TurnRecord record { turn.request.turn, turn.request.previous, turn.request.turn.text() + ":", "out;", {} };
-        auto change = m_ledgers[n]->end(turn.request, used, record, { turn.reservation });
+        auto change = m_ledgers[n]->end(turn.request, used, record, end);
         m_unstored[n][*change] = record;
+        if (turn.grant != 0)
+            m_underGrant[n][*change] = turn.grant;
+        if (m_isStoreDown)
+            m_kept.push_back(*m_ledgers[n]->entryFor(ProgramId("p"), *change));
     }
 
 private:
+    void note(AccountChange::Kind kind, int n, std::uint64_t grant, std::uint64_t offset, TokenCount tokens)
+    {
+        AccountChange change;
+        change.kind = kind;
+        change.step = grant + offset;
+        change.grant = offset == 0 ? 0 : grant;
+        (offset == 0 ? change.most : change.used) = tokens;
+        m_grants.push_back({ ProgramId("p"), m_ledgers[n]->self(), { change } });
+    }
+
+    void takeGrant(int n, RunningTurn& turn)
+    {
+        ProgramId program("p");
+        bool isComplete = m_haveAllSeenAll;
+        TokenCount claimed = 0;
+        for (auto& it : m_ledgers) {
+            AccountWord word = it->giveWord(program, m_isStoreDown && m_haveAllSeenAll);
+            isComplete = isComplete && word.isComplete;
+            claimed += word.claimed;
+            m_ledgers[n]->programRead(program, word.records);
+        }
+        TokenCount remaining = m_ledgers[n]->remainingOf(program, budget);
+        TokenCount allowance = isComplete ? std::max(most, remaining - std::min(remaining, claimed)) : most;
+        TokenCount before = grantedTokens(m_grants);
+        if (before + 1 > allowance)
+            return;
+        m_hadOutage = true;
+        turn.grant = m_ledgers[n]->takeGrantSteps();
+        turn.granted = std::min(most, allowance - before);
+        note(AccountChange::Kind::Grant, n, turn.grant, 0, turn.granted);
+    }
+
     void takeOutcomes(int n)
     {
         for (auto [id, outcome] : m_ledgers[n]->takeOutcomes()) {
             for (RunningTurn& it : m_running[n])
                 it.isReserved = it.isReserved || (it.reservation == id && outcome == ChangeOutcome::Stored);
+            if (auto grant = m_underGrant[n].find(id); grant != m_underGrant[n].end())
+                note(AccountChange::Kind::GrantStored, n, grant->second, 2, 0);
             auto record = m_unstored[n].find(id);
             if (record == m_unstored[n].end() || outcome != ChangeOutcome::Stored)
                 continue;
@@ -128,6 +213,13 @@
     std::deque<LedgerBatch> m_late;
     /// Ids of changes are each ledger's own.
     std::map<ChangeId, TurnRecord> m_unstored[daemons];
+    std::map<ChangeId, std::uint64_t> m_underGrant[daemons];
+    std::vector<JournalEntry> m_grants;
+    std::deque<JournalEntry> m_kept;
+    bool m_isStoreDown = false;
+    bool m_hadOutage = false;
+    /// Whether no daemon was started again, which then may have missed changes of its predecessor.
+    bool m_haveAllSeenAll = true;
     std::map<CallId, std::string> m_history { { CallId(), "" } };
     CallId m_last;
     TokenCount m_handedOut = 0;
@@ -143,7 +235,7 @@
 RC_BOOST_PROP(budgetHoldsOverDaemonsLostAnswersAndRestarts, ())
 {
     Fleet fleet;
-    auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(rc::gen::inRange(0, 24), rc::gen::inRange(0, daemons), rc::gen::inRange(0, 100)));
+    auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(rc::gen::inRange(0, 28), rc::gen::inRange(0, daemons), rc::gen::inRange(0, 100)));
     for (auto [kind, n, draw] : steps) {
         if (kind < 7)
             fleet.begin(n);
@@ -151,10 +243,14 @@
             fleet.write(n, draw < 15 ? 0 : draw < 30 ? 1
                                                      : 2);
         else if (kind < 22)
-            fleet.end(n, static_cast<TokenCount>(draw) % (most + 1), draw % 4 != 0);
+            fleet.end(n, draw % 2 == 0 ? most : static_cast<TokenCount>(draw) % (most + 1), draw % 4 != 0);
         else if (kind == 22)
             fleet.executeLate();
-        else if (draw < 30)
+        else if (kind < 25)
+            fleet.toggleStore();
+        else if (kind == 25)
+            fleet.upload();
+        else if (draw < 8)
             fleet.restart(n);
     }
 }
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -162,6 +162,109 @@
     BOOST_TEST(std::holds_alternative<TurnAdmitted>(a.begin(request("1", "", "p", 170), knowledge, now)));
 }
 
+// Grants of other daemons may use all that was left when this daemon gave its word.
+BOOST_AUTO_TEST_CASE(reservationFromBeforeAWordIsDenied)
+{
+    TurnAdmitted admitted = admit(a, request("1"));
+    BOOST_TEST(a.giveWord(ProgramId("p"), true).claimed == 0U);
+    auto outcomes = flush(a, store);
+    BOOST_TEST((outcomes.at(*admitted.reservation) == ChangeOutcome::Denied));
+    BOOST_TEST(!store.has(TurnLedger::accountKey(ProgramId("p"))));
+}
+
+BOOST_AUTO_TEST_CASE(turnFromBeforeAWordIsStoredWithoutAHoldForTheNext)
+{
+    admit(a, request("1"));
+    flush(a, store);
+    a.end(request("1"), 40, TurnRecord { CallId("1"), {}, "i", "o", {} });
+    a.giveWord(ProgramId("p"), true);
+    flush(a, store);
+    BOOST_TEST(account().spent == 40U);
+    BOOST_TEST(account().holds.at(DaemonLifetime("a")).tokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(wordTellsWhatSentChangesMayTake)
+{
+    admit(a, request("1"));
+    auto batch = a.nextBatch();
+    BOOST_TEST(a.giveWord(ProgramId("p"), true).claimed == most);
+    a.batchLost(batch->number);
+    BOOST_TEST(a.giveWord(ProgramId("p"), true).claimed == most);
+    // It takes effect late, and the next write meets it.
+    store.commit(*batch);
+    a.programRead(ProgramId("p"), store.below(TurnLedger::programPrefix(ProgramId("p"))));
+    AccountWord word = a.giveWord(ProgramId("p"), true);
+    BOOST_TEST(word.claimed == 0U);
+    BOOST_TEST(word.isComplete);
+    BOOST_TEST(a.remainingOf(ProgramId("p"), 1'000) == 1'000 - most);
+}
+
+BOOST_AUTO_TEST_CASE(turnUnderAGrantLeavesTheHoldToOthers)
+{
+    admit(a, request("1"));
+    flush(a, store);
+    TurnKnowledge knowledge;
+    knowledge.mayReserve = false;
+    TurnVerdict verdict = a.begin(request("2"), knowledge, now);
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(verdict));
+    BOOST_TEST(std::get<TurnAdmitted>(verdict).needsGrant);
+    TurnEnd end;
+    end.grant = 7;
+    end.neededGrant = true;
+    end.mayMissGrants = true;
+    a.end(request("2"), 30, TurnRecord { CallId("2"), {}, "i", "o", {} }, end);
+    flush(a, store);
+    BOOST_TEST(account().spent == 30U);
+    BOOST_TEST(account().holds.at(DaemonLifetime("a")).tokens == most);
+}
+
+// A keeper that stores a daemon's changes takes no holds for it.
+BOOST_AUTO_TEST_CASE(reservationThatAnotherStoredWithoutItsHoldIsDenied)
+{
+    TurnAdmitted reserving = admit(a, request("1"));
+    ProgramAccount other;
+    other.budget = 1'000;
+    other.holds[DaemonLifetime("a")].step = 50;
+    a.programRead(ProgramId("p"), { { TurnLedger::accountKey(ProgramId("p")), encodeAccount(other), 90 } });
+    auto outcomes = flush(a, store);
+    BOOST_TEST((outcomes.at(*reserving.reservation) == ChangeOutcome::Denied));
+}
+
+BOOST_AUTO_TEST_CASE(entryForOthersTakesNoHold)
+{
+    admit(a, request("1"));
+    auto change = a.end(request("1"), 40, TurnRecord { CallId("1"), {}, "i", "o", {} });
+    admit(a, request("2"));
+    auto entry = a.entryFor(ProgramId("p"), *change);
+    BOOST_REQUIRE(entry);
+    ProgramAccount stored;
+    BOOST_TEST(applyEntry(stored, *entry).size() == 1U);
+    BOOST_TEST(stored.spent == 40U);
+    BOOST_TEST(stored.holds.at(DaemonLifetime("a")).tokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(manyImportedChainsAreStoredBeforeTheTurnThatFollows)
+{
+    constexpr int chains = 70;
+    for (int n = 0; n < chains; ++n) {
+        std::string turn = "o" + std::to_string(n);
+        TurnRequest first = request(turn, "", "origin", ProgramAccount::unlimited);
+        admit(a, first);
+        a.end(first, 1, TurnRecord { first.turn, {}, "i", "o", {} });
+        TurnKnowledge knowledge;
+        knowledge.isProgramRead = knowledge.isOriginKnown = true;
+        knowledge.origin = ProgramId("origin");
+        TurnRequest next = request("n" + std::to_string(n), turn, "p", ProgramAccount::unlimited);
+        BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(a.begin(next, knowledge, now)));
+        a.end(next, 1, TurnRecord { next.turn, next.previous, "i", "o", {} });
+    }
+    flush(a, store);
+    for (int n = 0; n < chains; ++n) {
+        BOOST_TEST(store.has(TurnLedger::turnKey(ProgramId("p"), CallId("o" + std::to_string(n)))));
+        BOOST_TEST(store.has(TurnLedger::turnKey(ProgramId("p"), CallId("n" + std::to_string(n)))));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reservationOfATurnThatEndedIsTakenBack)
 {
     TurnAdmitted admitted = admit(a, request("1"));
