Hand over accounts at planned stops; replace gone keepers; never take unknown grants for none

Ruled out: the grants' own sum (their allowances held in the trace). Turns are refused until a daemon stands in the list. Tests: HandoversTest, KeeperSuccessionTest, TargetDirectoryTest (2 new).

--- a/include/basilpoint/Forwarding/TargetDirectory.h
+++ b/include/basilpoint/Forwarding/TargetDirectory.h
@@ -32,8 +32,18 @@
 /// \ref lapseGrace, within which live targets register again.
 class TargetDirectory {
 public:
+    /// What a registration was.
+    enum class News {
+        /// It stood here as it is; it may have been about to be dropped.
+        None,
+        New,
+        Changed,
+        /// The target runs in another lifetime than before.
+        Restarted,
+    };
+
     /// A target registered, or its registration changed.
-    void put(const Registration&, TimePoint now);
+    News put(const Registration&);
 
     /// A registration was removed.
     void remove(const TargetId&, TimePoint now);
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -126,6 +126,14 @@
     TokenCount claimed = 0;
     /// Whether no other change of the account was made through this daemon.
     bool isComplete = false;
+    /// Whether this lifetime of the daemon has changed no account; an earlier one may have.
+    bool isFresh = false;
+};
+
+/// A program's account as the store has it.
+struct KnownAccount {
+    ProgramId program;
+    StoredRecord record;
 };
 
 /// Writes of one or more programs that happen together.
@@ -209,7 +217,11 @@
     /// Changes whose fate became known since the last call.
     std::vector<std::pair<ChangeId, ChangeOutcome>> takeOutcomes();
 
-    bool hasWork() const { return !m_waiting.empty(); }
+    /// Accounts that are known here and must still be kept.
+    std::vector<KnownAccount> knownAccounts(WallTimePoint now) const;
+
+    /// Whether something is to be stored, or is on its way.
+    bool hasWork() const { return !m_waiting.empty() || !m_batches.empty(); }
     std::size_t cachedBytes() const { return m_cachedBytes; }
     std::size_t programs() const { return m_programs.size(); }
 
--- a/lib/Forwarding/TargetDirectory.cpp
+++ b/lib/Forwarding/TargetDirectory.cpp
@@ -1,14 +1,21 @@
 #include "basilpoint/Forwarding/TargetDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilpoint {
 
-void TargetDirectory::put(const Registration& registration, TimePoint)
+TargetDirectory::News TargetDirectory::put(const Registration& registration)
 {
-    auto& entry = m_entries[registration.id];
-    entry.registration = registration;
-    entry.dropAt = TimePoint::max();
+    auto [it, isNew] = m_entries.try_emplace(registration.id);
+    Registration before = std::exchange(it->second.registration, registration);
+    // Also one that comes back as it was: it may have lapsed.
+    it->second.dropAt = TimePoint::max();
+    if (isNew)
+        return News::New;
+    if (before == registration)
+        return News::None;
+    return before.startedAt == registration.startedAt ? News::Changed : News::Restarted;
 }
 
 // Right after an outage a removal may stem from a lease that ran out meanwhile.
@@ -37,7 +44,7 @@
         if (!listed.contains(id))
             entry.dropAt = !entry.registration.isLeaving && isLapseLikely(now) ? m_regainedAt + lapseGrace : now;
     for (const auto& it : registrations)
-        put(it, now);
+        put(it);
 }
 
 void TargetDirectory::sourceLost()
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -47,7 +47,7 @@
         void watchConfiguration();
         void watchTargets();
         void takeConfiguration(const std::string& bytes);
-        void takeRegistration(const KeyValue&);
+        std::optional<Registration> takeRegistration(const KeyValue&);
         void dropTarget(const Registration&);
         void noteReadiness();
         void logSummary();
@@ -139,21 +139,22 @@
     m_log.write(LogLine("configuration-in-force").field("version", version).field("routes", m_configuration.current()->configuration().routes.size()));
 }
 
-void Gateway::takeRegistration(const KeyValue& item)
+std::optional<Registration> Gateway::takeRegistration(const KeyValue& item)
 {
     auto registration = m_format.decodeRegistration(item.key, item.value);
     if (!registration) {
         m_log.write(LogLine("registration-ignored").field("key", item.key).field("revision", item.modRevision));
-        return;
+        return std::nullopt;
     }
-    const Registration* known = m_directory.find(registration->id);
-    // An entry that comes back as it was is put as well: it may be about to be dropped as lapsed.
-    if (known && *known == *registration)
-        return m_directory.put(*registration, m_clock.now());
-    if (known && known->startedAt != registration->startedAt)
-        dropTarget(*known);
-    m_log.write(LogLine("target").field("target", registration->id.text()).field("startedAt", registration->startedAt).field("address", registration->endpoint.text()).field("leaving", registration->isLeaving).field("revision", item.modRevision));
-    m_directory.put(*registration, m_clock.now());
+    std::optional<Registration> before;
+    if (const Registration* known = m_directory.find(registration->id))
+        before = *known;
+    TargetDirectory::News news = m_directory.put(*registration);
+    if (news == TargetDirectory::News::Restarted)
+        dropTarget(*before);
+    if (news != TargetDirectory::News::None)
+        m_log.write(LogLine("target").field("target", registration->id.text()).field("startedAt", registration->startedAt).field("address", registration->endpoint.text()).field("leaving", registration->isLeaving).field("revision", item.modRevision));
+    return registration;
 }
 
 void Gateway::dropTarget(const Registration& target)
@@ -184,16 +185,16 @@
         m_store, m_random, { m_format.registrationsPrefix, watchWait },
         [this](const std::vector<KeyValue>& items) {
             std::vector<Registration> registrations;
-            for (const KeyValue& it : items) {
-                takeRegistration(it);
-                if (auto registration = m_format.decodeRegistration(it.key, it.value))
+            for (const KeyValue& it : items)
+                if (auto registration = takeRegistration(it))
                     registrations.push_back(std::move(*registration));
-            }
             m_directory.replaceAll(registrations, m_clock.now());
         },
         [this](const std::string& key, const std::optional<KeyValue>& item) {
-            if (item)
-                return takeRegistration(*item);
+            if (item) {
+                takeRegistration(*item);
+                return;
+            }
             m_directory.remove(TargetId(key.substr(m_format.registrationsPrefix.size())), m_clock.now());
             m_log.write(LogLine("registration-removed").field("key", key));
         });
@@ -253,9 +254,12 @@
     spawnFiber([this] { watchConfiguration(); });
     spawnFiber([this] { watchTargets(); });
     spawnFiber([this] { probeStore(); });
+    m_relays.onEnter([this](bool hasCleanStart) { m_turns.entered(hasCleanStart); });
+    m_relays.onAnnounce([this](const std::string& instance) { m_turns.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_turns.giveWord(program); });
     m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_turns.releaseHold(program); });
+    m_peers.on(peerpaths::handOver, [this](const std::string& body) { return m_turns.noteHandover(body); });
     m_peers.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
@@ -281,6 +285,8 @@
     m_callers.stop();
     while (m_clock.now() < end && (m_callers.activeRequests() > 0 || m_ledger.hasWork()))
         sleepFiber(stopPollInterval);
+    if (m_callers.activeRequests() == 0 && !m_ledger.hasWork() && m_turns.handOver(m_settings.instance))
+        m_relays.leave();
     m_log.write(LogLine("stop").field("active", m_callers.activeRequests()).field("unwritten", m_ledger.hasWork()));
     m_log.flush();
 }
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -1,5 +1,6 @@
 #include "basilpoint/Gateway/Keeper.h"
 
+#include "KeeperSuccession.h"
 #include "RelayDirectory.h"
 #include "StoreRelay.h"
 #include "StoreWatch.h"
@@ -14,6 +15,7 @@
 static constexpr Milliseconds logInterval { 200 };
 static constexpr Milliseconds pauseBetweenTries { 300 };
 static constexpr Milliseconds summaryInterval { 10'000 };
+static constexpr Milliseconds siblingInterval { 1'000 };
 static constexpr int maxStateTries = 10;
 // A request to empty an instance may take seconds to be seen, so its watch is cheap.
 static constexpr Milliseconds emptyingWait { 4'000 };
@@ -32,6 +34,7 @@
         void confirmEmpty(const std::string& key);
         void logSummary();
         void watchEmptying();
+        void succeedSiblings();
 
         WireFormat m_format;
         RandomEngine m_random;
@@ -43,7 +46,10 @@
         unsigned m_tolerated;
         /// Null if the instance has no disk.
         std::unique_ptr<TurnJournalServer> m_journal;
+        DataCentreId m_dataCentre;
         RelayDirectory m_directory;
+        KeeperSuccession m_succession;
+        const Clock& m_clock;
     };
 
 } // namespace
@@ -57,12 +63,14 @@
     , m_relay(m_peers, store, clock, m_log, m_metrics)
     , m_tolerated(settings.tolerated)
     , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, clock, m_log))
+    , m_dataCentre(settings.dataCentre)
     , m_directory(m_store, m_peers, peers, { settings.instance, settings.dataCentre, settings.peers, true }, m_log,
           [this](const std::vector<RelayAddress>& relays, bool wasKnown) {
               // A keeper that was in the list and has lost its disk is itself one of the losses that are tolerated.
               if (m_journal)
                   m_journal->setRelays(relays, wasKnown && m_tolerated > 0 ? m_tolerated - 1 : m_tolerated);
           })
+    , m_clock(clock)
 {
 }
 
@@ -100,6 +108,34 @@
         });
 }
 
+// One keeper stands in each data centre, so another one here is one that this one replaces, or is replaced by. A
+// keeper that is cut off for long enters again with what it has.
+void Keeper::succeedSiblings()
+{
+    for (;; sleepFiber(siblingInterval)) {
+        try {
+            std::vector<RelayAddress> relays = m_directory.relays();
+            for (const RelayAddress& it : relays) {
+                if (!it.isKeeper || it.dataCentre != m_dataCentre)
+                    continue;
+                if (m_directory.announceTo(it))
+                    m_succession.answered(it.instance);
+                else
+                    m_succession.failed(it.instance, m_clock.now());
+            }
+            for (const std::string& it : m_succession.gone(m_clock.now())) {
+                if (!m_journal->takePlaceOf(it))
+                    continue;
+                m_directory.remove(it);
+                m_succession.answered(it);
+            }
+        } catch (const Error& error) {
+            // Tried again.
+            m_log.write(LogLine("succession-failed").field("reason", error.what()));
+        }
+    }
+}
+
 void Keeper::logSummary()
 {
     LogLine line("summary");
@@ -113,8 +149,10 @@
     m_peers.start();
     spawnFiber([this] { m_directory.run(); });
     spawnFiber([this] { watchEmptying(); });
-    if (m_journal)
+    if (m_journal) {
         spawnFiber([this] { m_journal->run(); });
+        spawnFiber([this] { succeedSiblings(); });
+    }
     spawnFiber([this] {
         for (;; sleepFiber(logInterval))
             m_log.flush();
--- a/lib/Gateway/PeerCall.h
+++ b/lib/Gateway/PeerCall.h
@@ -13,6 +13,7 @@
     inline constexpr const char* changes = "/store/changes";
     inline constexpr const char* announce = "/daemons/announce";
     inline constexpr const char* programRecords = "/turns/program";
+    inline constexpr const char* handOver = "/turns/handover";
     inline constexpr const char* releaseHold = "/turns/release";
     inline constexpr const char* journalAppend = "/journal/append";
     inline constexpr const char* journalFind = "/journal/find";
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -35,9 +35,15 @@
     });
 }
 
-static std::string encode(const RelayAddress& relay)
+static std::string encode(const RelayAddress& relay, bool hasLeft)
 {
-    return Json { { "address", relay.endpoint.text() }, { "dataCentre", relay.dataCentre.text() }, { "keeper", relay.isKeeper } }.dump();
+    return Json { { "address", relay.endpoint.text() }, { "dataCentre", relay.dataCentre.text() }, { "keeper", relay.isKeeper }, { "left", hasLeft } }.dump();
+}
+
+static bool hasLeft(const KeyValue& item)
+{
+    Json json = Json::parse(item.value, nullptr, false);
+    return json.is_object() && json.value("left", Json(false)) == Json(true);
 }
 
 static std::optional<RelayAddress> decode(const KeyValue& item)
@@ -56,10 +62,12 @@
 bool RelayDirectory::enter()
 {
     std::string key = relaysPrefix + m_self.instance;
-    std::string value = encode(m_self);
+    std::string value = encode(m_self, false);
     auto current = m_store.get(key);
-    if (!m_wasKnown)
+    if (!m_wasKnown) {
         m_wasKnown = current.has_value();
+        m_hasCleanStart = !current || hasLeft(*current);
+    }
     if (current && current->value == value)
         return true;
     return m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, value } }, {} }).revision.has_value();
@@ -68,9 +76,12 @@
 void RelayDirectory::refresh()
 {
     std::vector<RelayAddress> relays;
+    m_isListed = false;
     for (const KeyValue& it : m_store.snapshot(relaysPrefix, m_known ? ReadMode::Stale : ReadMode::Current).items) {
         auto relay = decode(it);
-        if (relay && relay->instance != m_self.instance)
+        if (relay && relay->instance == m_self.instance)
+            m_isListed = true;
+        else if (relay)
             relays.push_back(std::move(*relay));
     }
     mergeAnnounced(relays);
@@ -102,20 +113,38 @@
 void RelayDirectory::announce()
 {
     m_isAnnounced = true;
-    std::string body = encodeSnapshot({ { { relaysPrefix + m_self.instance, encode(m_self), 0 } }, 0 });
     std::vector<RelayAddress> relays = *m_known;
-    for (const RelayAddress& it : relays) {
-        spawnFiber([this, it, body] {
-            try {
-                callPeer(m_peers, it.endpoint, peerpaths::announce, body, announceLimit);
-            } catch (const PeerUnavailableError& error) {
-                // It finds this daemon in the list.
-                m_log.write(LogLine("announce-failed").field("daemon", it.instance).field("reason", error.what()));
-            }
-        });
+    for (const RelayAddress& it : relays)
+        spawnFiber([this, it] { announceTo(it); });
+}
+
+bool RelayDirectory::announceTo(const RelayAddress& relay)
+{
+    try {
+        callPeer(m_peers, relay.endpoint, peerpaths::announce, encodeSnapshot({ { { relaysPrefix + m_self.instance, encode(m_self, false), 0 } }, 0 }), announceLimit);
+        return true;
+    } catch (const PeerUnavailableError& error) {
+        // If it is there at all, it finds this daemon in the list.
+        m_log.write(LogLine("announce-failed").field("daemon", relay.instance).field("reason", error.what()));
+        return false;
     }
 }
 
+const std::vector<RelayAddress>& RelayDirectory::relays() const
+{
+    return m_known ? *m_known : m_none;
+}
+
+void RelayDirectory::remove(const std::string& instance)
+{
+    std::string key = relaysPrefix + instance;
+    auto current = m_store.get(key);
+    bool isRemoved = !current || m_store.commit({ { { key, current->modRevision } }, {}, { key } }).revision.has_value();
+    m_log.write(LogLine("daemon-removed").field("daemon", instance).field("removed", isRemoved));
+    if (isRemoved)
+        m_announced.erase(instance);
+}
+
 void RelayDirectory::noteAnnounced(const std::string& body)
 {
     for (const KeyValue& item : decodeSnapshot(body).items) {
@@ -124,6 +153,8 @@
             continue;
         std::string instance = relay->instance;
         m_announced.insert_or_assign(instance, std::move(*relay));
+        if (m_onAnnounce)
+            m_onAnnounce(instance);
         // Before its own first list this daemon has nobody to count on.
         if (!m_known)
             continue;
@@ -133,14 +164,34 @@
     }
 }
 
+void RelayDirectory::leave()
+{
+    m_isLeaving = true;
+    std::string key = relaysPrefix + m_self.instance;
+    try {
+        auto current = m_store.get(key);
+        bool isNoted = m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, encode(m_self, true) } }, {} }).revision.has_value();
+        m_log.write(LogLine("left").field("noted", isNoted));
+    } catch (const KeyValueUnavailableError& error) {
+        // The next lifetime takes this one for one that may have changed what others do not know.
+        m_log.write(LogLine("left").field("noted", false).field("reason", error.what()));
+    }
+}
+
 void RelayDirectory::run()
 {
     bool isEntered = false;
     Milliseconds pause = firstRefresh;
-    for (;;) {
+    while (!m_isLeaving) {
         try {
-            isEntered = isEntered || enter();
+            if (!isEntered && enter()) {
+                isEntered = true;
+                if (m_onEnter)
+                    m_onEnter(*m_hasCleanStart);
+            }
             refresh();
+            // Another may have taken this daemon out while it was cut off.
+            isEntered = isEntered && m_isListed;
             if (isEntered && !m_isAnnounced)
                 announce();
         } catch (const KeyValueUnavailableError&) {
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -11,11 +11,31 @@
     /// Called with each new list of the other daemons. \p wasKnown: this daemon's name stood in the list before it started.
     using ChangeHook = std::function<void(const std::vector<RelayAddress>&, bool wasKnown)>;
 
+    /// Called once this daemon stands in the list. \p hasCleanStart: no earlier lifetime of it has changed what the
+    /// others do not know.
+    using EnterHook = std::function<void(bool hasCleanStart)>;
+    /// Called when another daemon announces that it has started.
+    using AnnounceHook = std::function<void(const std::string& instance)>;
+
     RelayDirectory(StoreClient&, PeerServer&, HttpClient& peers, RelayAddress self, JsonLog&, ChangeHook);
 
+    void onEnter(EnterHook hook) { m_onEnter = std::move(hook); }
+    void onAnnounce(AnnounceHook hook) { m_onAnnounce = std::move(hook); }
+
     /// Runs for the life of the process.
     void run();
 
+    /// Takes a daemon that is gone for good out of the list.
+    void remove(const std::string& instance);
+
+    /// Whether the daemon answers; it then counts on this one as well.
+    bool announceTo(const RelayAddress&);
+
+    const std::vector<RelayAddress>& relays() const;
+
+    /// Notes in the list that this lifetime has told the others all that it knew.
+    void leave();
+
 private:
     bool enter();
     void refresh();
@@ -29,7 +49,14 @@
     RelayAddress m_self;
     JsonLog& m_log;
     ChangeHook m_onChange;
+    EnterHook m_onEnter;
+    AnnounceHook m_onAnnounce;
+    std::optional<bool> m_hasCleanStart;
+    bool m_isLeaving = false;
+    /// Whether this daemon stood in the list when it was last read.
+    bool m_isListed = false;
     std::optional<std::vector<RelayAddress>> m_known;
+    std::vector<RelayAddress> m_none;
     /// Daemons that announced themselves; the list may lack them for a while.
     std::map<std::string, RelayAddress> m_announced;
     bool m_isAnnounced = false;
--- a/lib/Gateway/StoreCodec.cpp
+++ b/lib/Gateway/StoreCodec.cpp
@@ -130,6 +130,24 @@
     return records;
 }
 
+std::string encodeHandover(const Handover& handover)
+{
+    Json accounts = Json::array();
+    for (const KnownAccount& it : handover.accounts)
+        accounts.push_back({ it.program.text(), it.record.key, binary(it.record.value), it.record.revision });
+    return toBytes({ { "d", handover.daemon }, { "a", std::move(accounts) } });
+}
+
+Handover decodeHandover(const std::string& bytes)
+{
+    return decode(bytes, [](const Json& json) {
+        Handover handover { json.at("d").get<std::string>(), {} };
+        for (const Json& it : json.at("a"))
+            handover.accounts.push_back({ ProgramId(it.at(0).get<std::string>()), { it.at(1).get<std::string>(), bytesOf(it.at(2)), it.at(3).get<std::int64_t>() } });
+        return handover;
+    });
+}
+
 std::string encodeRelease(const HoldRelease& release)
 {
     return toBytes({ { "d", release.daemon.text() }, { "r", release.isReleased } });
@@ -148,13 +166,13 @@
     items.reserve(word.records.size());
     for (const StoredRecord& it : word.records)
         items.push_back({ it.key, it.value, it.revision });
-    return toBytes({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete } });
+    return toBytes({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete }, { "f", word.isFresh } });
 }
 
 AccountWord decodeWord(const std::string& bytes)
 {
     return decode(bytes, [](const Json& json) {
-        return AccountWord { recordsFrom(itemsFrom(json.at("i"))), json.at("c").get<TokenCount>(), json.at("w").get<bool>() };
+        return AccountWord { recordsFrom(itemsFrom(json.at("i"))), json.at("c").get<TokenCount>(), json.at("w").get<bool>(), json.at("f").get<bool>() };
     });
 }
 
--- a/lib/Gateway/StoreCodec.h
+++ b/lib/Gateway/StoreCodec.h
@@ -39,6 +39,15 @@
 std::string encodeWord(const AccountWord&);
 AccountWord decodeWord(const std::string&);
 
+/// What a daemon that stops as planned tells the others.
+struct Handover {
+    std::string daemon;
+    std::vector<KnownAccount> accounts;
+};
+
+std::string encodeHandover(const Handover&);
+Handover decodeHandover(const std::string&);
+
 /// Answer of a daemon that was asked to give back a hold.
 struct HoldRelease {
     DaemonLifetime daemon;
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -27,11 +27,14 @@
 static constexpr Milliseconds peerLimit { 150 };
 // A hold is given back within a commit's usual time, or the turn is refused.
 static constexpr Milliseconds releaseLimit { 150 };
+static constexpr Milliseconds handoverLimit { 500 };
 static constexpr Milliseconds journalLimit { 400 };
 // Entries of a longer outage are brought to the store by the keepers.
 static constexpr std::chrono::minutes longestOutage { 10 };
 // Reads of one record before the turn is refused.
 static constexpr int maxReads = 3;
+// Questions to the keepers for one program's grants before the turn is refused.
+static constexpr int maxGrantQuestions = 2;
 // Searches on the keepers for one turn; each finds all that they keep of a program.
 static constexpr int maxSearches = 3;
 static constexpr Milliseconds pauseBetweenReads { 30 };
@@ -58,7 +61,7 @@
     , m_writer(writer)
     , m_journal(journal)
     , m_client(client)
-    , m_isFirstStart(isFirstStart)
+    , m_hasCleanStart(isFirstStart)
     , m_startedAt(clock.now())
     , m_doubt(!isFirstStart, clock.now())
     , m_clock(clock)
@@ -101,10 +104,10 @@
 }
 
 // A program's account lives in the daemons' memory as long as they do. One that runs for longer than records
-// are kept, or from the first start, misses no change of its own; and none is made while all see the store fail.
+// are kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all see the store fail.
 bool TurnController::hasSeenAll() const
 {
-    return m_isFirstStart || m_clock.now() - m_startedAt > longestRetention;
+    return m_hasCleanStart || m_clock.now() - m_startedAt > longestRetention;
 }
 
 // A word that is given while the store still answers, or by a daemon that may have missed changes, is not complete.
@@ -131,7 +134,8 @@
             try {
                 AccountWord word = decodeWord(callPeer(m_client, peer.endpoint, peerpaths::programRecords, program.text(), peerLimit));
                 round->anyFound = round->anyFound || !word.records.empty();
-                round->complete += word.isComplete ? 1 : 0;
+                bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
+                round->complete += word.isComplete || isCovered ? 1 : 0;
                 round->claimed += word.claimed;
                 if (!word.records.empty())
                     m_ledger.programRead(program, word.records);
@@ -148,6 +152,52 @@
     return { round->anyFound, round->complete == asked && own.isComplete && asked > 0, round->claimed + own.claimed };
 }
 
+void TurnController::entered(bool hasCleanStart)
+{
+    m_hasEntered = true;
+    m_hasCleanStart = m_hasCleanStart || hasCleanStart;
+    m_log.write(LogLine("entered").field("cleanStart", hasCleanStart));
+}
+
+bool TurnController::handOver(const std::string& instance)
+{
+    Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()) };
+    struct Round {
+        std::size_t open = 0;
+        std::size_t taken = 0;
+        FiberSignal changed;
+    };
+    auto round = std::make_shared<Round>();
+    std::size_t asked = m_peers.size();
+    round->open = asked;
+    std::string body = encodeHandover(handover);
+    for (const RelayAddress& peer : m_peers) {
+        spawnFiber([this, round, peer, body] {
+            try {
+                callPeer(m_client, peer.endpoint, peerpaths::handOver, body, handoverLimit);
+                ++round->taken;
+            } catch (const Error& error) {
+                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("reason", error.what()));
+            }
+            --round->open;
+            round->changed.notifyAll();
+        });
+    }
+    while (round->open > 0)
+        round->changed.wait();
+    m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", round->taken).field("asked", asked).field("seenAll", hasSeenAll()));
+    return hasSeenAll() && round->taken == asked;
+}
+
+std::string TurnController::noteHandover(const std::string& body)
+{
+    Handover handover = decodeHandover(body);
+    for (const KnownAccount& it : handover.accounts)
+        m_ledger.programRead(it.program, { it.record });
+    m_handovers.noted(handover.daemon, m_clock.now());
+    return "taken";
+}
+
 std::string TurnController::releaseHold(const std::string& program)
 {
     auto change = m_ledger.releaseHold(ProgramId(program));
@@ -249,8 +299,11 @@
 std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, Turn& turn)
 {
     const TurnRequest& request = turn.request;
+    if (!m_hasEntered)
+        return Refusal { 503, "not in the list of daemons yet" };
     TurnKnowledge knowledge;
     bool areGrantsKnown = false;
+    int unansweredGrants = 0;
     bool hasJoined = false;
     int searches = 0;
     try {
@@ -277,7 +330,9 @@
             }
             if (std::holds_alternative<TurnNeedsGrants>(verdict)) {
                 knowledge.outstanding = outstandingOf(call, request);
-                areGrantsKnown = true;
+                areGrantsKnown = knowledge.outstanding.has_value();
+                if (!areGrantsKnown && ++unansweredGrants == maxGrantQuestions)
+                    return Refusal { 503, "grants not known" };
                 continue;
             }
             if (auto* missing = std::get_if<TurnNotFound>(&verdict)) {
@@ -359,7 +414,9 @@
     bool isBinding = hasSeenAll() && isStoreFailing();
     if (isBinding)
         m_doubt.wordGiven(m_clock.now());
-    return m_ledger.giveWord(program, isBinding);
+    AccountWord word = m_ledger.giveWord(program, isBinding);
+    word.isFresh = !m_hasEntered;
+    return word;
 }
 
 TurnEnd TurnController::endOf(const Turn& turn) const
@@ -372,12 +429,11 @@
     return end;
 }
 
-// Keepers that cannot be asked leave the account's word: grants need enough of them as well.
-TokenCount TurnController::outstandingOf(const ForwardedCall& call, const TurnRequest& request)
+std::optional<TokenCount> TurnController::outstandingOf(const ForwardedCall& call, const TurnRequest& request)
 {
     auto outstanding = m_journal.outstanding(request.program, std::min(call.deadline, m_clock.now() + peerLimit));
     m_log.write(LogLine("grants-outstanding").field("request", call.attributes.call.text()).field("program", request.program.text()).field("known", outstanding.has_value()).field("tokens", outstanding.value_or(0)));
-    return outstanding.value_or(0);
+    return outstanding;
 }
 
 // While the account cannot be read, the grants of all daemons together stay within what is left of the budget,
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -7,6 +7,7 @@
 #include "TurnJournalClient.h"
 
 #include "basilpoint/Turns/GrantDoubt.h"
+#include "basilpoint/Turns/Handovers.h"
 #include "basilpoint/Turns/TurnLedger.h"
 
 namespace basilpoint {
@@ -23,6 +24,18 @@
     /// Answers such a question.
     std::string giveWord(const std::string& program);
 
+    /// This daemon stands in the list of daemons, so that it may change accounts.
+    void entered(bool hasCleanStart);
+
+    /// Another daemon has started and may change accounts.
+    void peerStarted(const std::string& instance) { m_handovers.succeeded(instance); }
+
+    /// Tells the other daemons all that this one knows of accounts. \returns whether that is all there is, and all know it.
+    bool handOver(const std::string& instance);
+
+    /// Takes what another daemon hands over.
+    std::string noteHandover(const std::string& body);
+
     /// Gives back what this daemon holds of a program's budget and does not need, for another that lacks it.
     std::string releaseHold(const std::string& program);
 
@@ -75,7 +88,7 @@
     TokenCount allowanceOf(const TurnRequest&);
     AccountWord ownWord(const ProgramId&);
     TurnEnd endOf(const Turn&) const;
-    TokenCount outstandingOf(const ForwardedCall&, const TurnRequest&);
+    std::optional<TokenCount> outstandingOf(const ForwardedCall&, const TurnRequest&);
     bool mayHandOut(const Turn&, TokenCount) const;
     StreamHooks hooksFor(ForwardedCall&, Turn&);
     std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
@@ -88,7 +101,9 @@
     TurnJournalClient& m_journal;
     HttpClient& m_client;
     std::vector<RelayAddress> m_peers;
-    bool m_isFirstStart;
+    bool m_hasEntered = false;
+    bool m_hasCleanStart;
+    Handovers m_handovers;
     TimePoint m_startedAt;
     GrantDoubt m_doubt;
     bool m_isAskingForNames = false;
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -35,7 +35,8 @@
 
     /// What a fiber waits for while the disk's thread works.
     struct DiskWait {
-        std::optional<std::exception_ptr> result;
+        std::size_t open = 0;
+        std::exception_ptr failure;
         FiberSignal done;
     };
 
@@ -83,39 +84,51 @@
     m_areOthersKnown = true;
 }
 
-// Suspends until the operation is on disk. \throws what the disk's thread reports.
-void TurnJournalServer::makeLast(const JournalOperation& operation)
+// Suspends until all operations are on disk, in few syncs. \throws what the disk's thread reports.
+void TurnJournalServer::makeLast(const std::vector<JournalOperation>& operations)
 {
     auto wait = std::make_shared<DiskWait>();
-    m_disk.write(encodeOperation(operation), [this, wait](const std::exception_ptr& failure) {
-        boost::asio::post(m_io, [wait, failure] {
-            wait->result = failure;
-            wait->done.notifyAll();
+    wait->open = operations.size();
+    for (const JournalOperation& it : operations) {
+        m_disk.write(encodeOperation(it), [this, wait](const std::exception_ptr& failure) {
+            boost::asio::post(m_io, [wait, failure] {
+                if (failure)
+                    wait->failure = failure;
+                --wait->open;
+                wait->done.notifyAll();
+            });
         });
-    });
-    while (!wait->result)
+    }
+    while (wait->open > 0)
         wait->done.wait();
-    if (*wait->result)
-        std::rethrow_exception(*wait->result);
-    m_journal.apply(operation);
+    if (wait->failure)
+        std::rethrow_exception(wait->failure);
+    for (const JournalOperation& it : operations)
+        m_journal.apply(it);
 }
 
 std::string TurnJournalServer::append(const std::string& body)
 {
-    for (const JournalEntry& it : decodeEntries(body))
-        keep(it);
+    keep(decodeEntries(body));
     return "kept";
 }
 
-void TurnJournalServer::keep(const JournalEntry& entry)
+void TurnJournalServer::keep(const std::vector<JournalEntry>& entries)
 {
-    EntryName name { entry.daemon, entry.step() };
-    // Repeats are common: a journal that is rebuilt reads the others until enough of them answer.
-    if (m_journal.has(name))
-        return;
-    makeLast({ JournalOperation::Kind::Append, encodeEntry(entry) });
-    m_seen.emplace(name, m_clock.now());
-    m_log.write(LogLine("journal-append").field("program", entry.program.text()).field("daemon", entry.daemon.text()).field("step", entry.step()).field("grant", isGrant(entry)));
+    std::vector<JournalOperation> operations;
+    std::vector<const JournalEntry*> added;
+    for (const JournalEntry& entry : entries) {
+        // Repeats are common: a journal that is rebuilt reads the others until enough of them answer.
+        if (m_journal.has({ entry.daemon, entry.step() }))
+            continue;
+        operations.push_back({ JournalOperation::Kind::Append, encodeEntry(entry) });
+        added.push_back(&entry);
+    }
+    makeLast(operations);
+    for (const JournalEntry* it : added) {
+        m_seen.emplace(EntryName { it->daemon, it->step() }, m_clock.now());
+        m_log.write(LogLine("journal-append").field("program", it->program.text()).field("daemon", it->daemon.text()).field("step", it->step()).field("grant", isGrant(*it)));
+    }
 }
 
 std::string TurnJournalServer::grants(const std::string& body) const
@@ -158,30 +171,45 @@
     return encodeEntries(m_journal.all());
 }
 
-// Reads the other journals after this disk was lost. Every entry lies on one more disk than may be lost,
-// so all but the excused ones must answer.
-bool TurnJournalServer::synchronize()
+// Takes all entries of \p keepers. \returns how many of them answered.
+std::size_t TurnJournalServer::readFrom(const std::vector<RelayAddress>& keepers)
 {
-    if (!m_areOthersKnown)
-        return false;
     std::size_t answers = 0;
-    std::vector<RelayAddress> others = m_others;
-    for (const RelayAddress& it : others) {
+    for (const RelayAddress& it : keepers) {
         try {
-            for (const JournalEntry& entry : decodeEntries(callPeer(m_client, it.endpoint, peerpaths::journalAll, {}, synchronizeLimit)))
-                keep(entry);
+            keep(decodeEntries(callPeer(m_client, it.endpoint, peerpaths::journalAll, {}, synchronizeLimit)));
             ++answers;
         } catch (const Error& error) {
             m_log.write(LogLine("journal-not-read").field("keeper", it.instance).field("reason", error.what()));
         }
     }
+    return answers;
+}
+
+// After this disk was lost. Every entry lies on one more disk than may be lost, so all but the excused ones
+// must answer.
+bool TurnJournalServer::synchronize()
+{
+    if (!m_areOthersKnown)
+        return false;
+    std::vector<RelayAddress> others = m_others;
+    std::size_t answers = readFrom(others);
     if (answers + m_excused < others.size())
         return false;
-    makeLast({ JournalOperation::Kind::Synchronized });
+    makeLast({ { JournalOperation::Kind::Synchronized } });
     m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("answers", answers).field("excused", m_excused));
     return true;
 }
 
+bool TurnJournalServer::takePlaceOf(const std::string& gone)
+{
+    if (!m_journal.isSynchronized())
+        return false;
+    std::vector<RelayAddress> others = m_others;
+    std::erase_if(others, [&](const RelayAddress& it) { return it.instance == gone; });
+    return readFrom(others) == others.size();
+}
+
 // Stores what the account does not have yet of the entries, which are of one program and in order of their steps.
 // What does not fit into one call goes with the next interval.
 void TurnJournalServer::upload(const ProgramId& program, const std::vector<JournalEntry>& entries)
@@ -212,7 +240,7 @@
     for (const JournalEntry& entry : entries)
         for (const AccountChange& it : entry.changes)
             if (it.grant != 0 && it.step <= account.holds[entry.daemon].step)
-                keep(grantStoredEntry(program, entry.daemon, it.grant, it.keepUntil));
+                keep({ grantStoredEntry(program, entry.daemon, it.grant, it.keepUntil) });
     for (const EntryName& it : done)
         drop(encodeOperation({ JournalOperation::Kind::Drop, {}, it }));
 }
@@ -238,7 +266,7 @@
     }
     m_log.write(LogLine("grant-charged").field("program", grant.program.text()).field("daemon", grant.daemon.text()).field("tokens", change.most).field("done", isStored));
     if (isStored)
-        keep(grantStoredEntry(grant.program, grant.daemon, change.step, change.keepUntil));
+        keep({ grantStoredEntry(grant.program, grant.daemon, change.step, change.keepUntil) });
 }
 
 void TurnJournalServer::uploadOld()
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -22,18 +22,23 @@
     /// \param excused keepers that may be missing from the list of those who answer.
     void setRelays(const std::vector<RelayAddress>&, unsigned excused);
 
+    /// Takes over all that the other keepers but \p gone have. \returns false if one of them did not answer, or
+    /// this journal is itself not complete.
+    bool takePlaceOf(const std::string& gone);
+
     /// Runs for the life of the process.
     void run();
 
 private:
     std::string append(const std::string& body);
-    void keep(const JournalEntry&);
+    void keep(const std::vector<JournalEntry>&);
     std::string find(const std::string& body) const;
     std::string grants(const std::string& body) const;
     std::string outstanding() const;
     std::string drop(const std::string& body);
     std::string all() const;
-    void makeLast(const JournalOperation&);
+    void makeLast(const std::vector<JournalOperation>&);
+    std::size_t readFrom(const std::vector<RelayAddress>&);
     bool synchronize();
     void upload(const ProgramId&, const std::vector<JournalEntry>&);
     void charge(const JournalEntry& grant);
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -327,6 +327,15 @@
     return word;
 }
 
+std::vector<KnownAccount> TurnLedger::knownAccounts(WallTimePoint now) const
+{
+    std::vector<KnownAccount> accounts;
+    for (const auto& [id, program] : m_programs)
+        if (program.revision != 0 && program.account.keepUntil > now)
+            accounts.push_back({ id, { accountKey(id), encodeAccount(program.account), program.revision } });
+    return accounts;
+}
+
 void TurnLedger::adopt(const ProgramId& id, const std::vector<TurnRecord>& turns)
 {
     Program& program = touch(id);
--- a/unittests/Forwarding/TargetDirectoryTest.cpp
+++ b/unittests/Forwarding/TargetDirectoryTest.cpp
@@ -33,7 +33,7 @@
 BOOST_AUTO_TEST_CASE(leavingTargetTakesNoNewCallsButIsKnown)
 {
     directory.replaceAll({ target("1") }, now);
-    directory.put(target("1", true), now);
+    directory.put(target("1", true));
     BOOST_TEST(usable() == 0U);
     BOOST_TEST(directory.find(TargetId("1")));
 }
@@ -65,15 +65,36 @@
     directory.sourceLost();
     directory.sourceRegained(now);
     directory.remove(TargetId("1"), now);
-    directory.put(target("1"), now + Milliseconds(500));
+    directory.put(target("1"));
     BOOST_TEST(directory.sweep(now + TargetDirectory::lapseGrace).empty());
     BOOST_TEST(usable() == 2U);
 }
 
+// CONFIG broke where an unchanged registration was taken for no news and the target dropped after the grace.
+BOOST_AUTO_TEST_CASE(lapsedTargetThatComesBackUnchangedIsNoNewsButStays)
+{
+    directory.replaceAll({ target("1") }, now);
+    directory.sourceLost();
+    directory.remove(TargetId("1"), now);
+    directory.sourceRegained(now);
+    BOOST_TEST((directory.put(target("1")) == TargetDirectory::News::None));
+    BOOST_TEST(directory.sweep(now + 2 * TargetDirectory::lapseGrace).empty());
+    BOOST_TEST(usable() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(newsTellRestartsFromChanges)
+{
+    BOOST_TEST((directory.put(target("1")) == TargetDirectory::News::New));
+    BOOST_TEST((directory.put(target("1", true)) == TargetDirectory::News::Changed));
+    Registration restarted = target("1");
+    restarted.startedAt = 2;
+    BOOST_TEST((directory.put(restarted) == TargetDirectory::News::Restarted));
+}
+
 BOOST_AUTO_TEST_CASE(leavingTargetGetsNoGrace)
 {
     directory.replaceAll({ target("1"), target("2") }, now);
-    directory.put(target("1", true), now);
+    directory.put(target("1", true));
     directory.sourceLost();
     directory.replaceAll({ target("2") }, now);
     BOOST_TEST(directory.sweep(now).size() == 1U);
