Replace gone keepers within three seconds, and tell all

Change: silence of 3 s, within the 4.3 s that the deployment gives a new keeper; daemons are told of the removal instead of finding it after up to 8 s.

--- a/lib/Gateway/KeeperSuccession.h
+++ b/lib/Gateway/KeeperSuccession.h
@@ -19,8 +19,8 @@
     /// Keepers that have not answered for long enough.
     std::vector<std::string> gone(TimePoint now) const;
 
-    /// Longer than a restart, a freeze or a cut that the deployment has to bear; shorter than a day's next loss.
-    static constexpr Milliseconds silenceLimit { 8'000 };
+    /// Longer than a restart; within the time that a deployment gives a new keeper before the next one may be lost.
+    static constexpr Milliseconds silenceLimit { 3'000 };
 
 private:
     std::map<std::string, TimePoint> m_silentSince;
--- a/lib/Gateway/PeerCall.h
+++ b/lib/Gateway/PeerCall.h
@@ -12,6 +12,7 @@
     inline constexpr const char* get = "/store/get";
     inline constexpr const char* changes = "/store/changes";
     inline constexpr const char* announce = "/daemons/announce";
+    inline constexpr const char* removed = "/daemons/removed";
     inline constexpr const char* programRecords = "/turns/program";
     inline constexpr const char* handOver = "/turns/handover";
     inline constexpr const char* releaseHold = "/turns/release";
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -33,6 +33,10 @@
         noteAnnounced(body);
         return std::string("noted");
     });
+    server.on(peerpaths::removed, [this](const std::string& body) {
+        noteRemoved(body);
+        return std::string("noted");
+    });
 }
 
 static std::string encode(const RelayAddress& relay, bool hasLeft)
@@ -119,17 +123,32 @@
 }
 
 bool RelayDirectory::announceTo(const RelayAddress& relay)
+{
+    return tell(relay, peerpaths::announce, encodeSnapshot({ { { relaysPrefix + m_self.instance, encode(m_self, false), 0 } }, 0 }));
+}
+
+// One that is not told finds it in the list.
+bool RelayDirectory::tell(const RelayAddress& relay, const char* path, const std::string& body)
 {
     try {
-        callPeer(m_peers, relay.endpoint, peerpaths::announce, encodeSnapshot({ { { relaysPrefix + m_self.instance, encode(m_self, false), 0 } }, 0 }), announceLimit);
+        callPeer(m_peers, relay.endpoint, path, body, announceLimit);
         return true;
     } catch (const PeerUnavailableError& error) {
-        // If it is there at all, it finds this daemon in the list.
-        m_log.write(LogLine("announce-failed").field("daemon", relay.instance).field("reason", error.what()));
+        m_log.write(LogLine("peer-failed").field("peer", relay.instance).field("call", path).field("reason", error.what()));
         return false;
     }
 }
 
+void RelayDirectory::noteRemoved(const std::string& instance)
+{
+    m_announced.erase(instance);
+    if (!m_known)
+        return;
+    std::vector<RelayAddress> relays = *m_known;
+    std::erase_if(relays, [&](const RelayAddress& it) { return it.instance == instance; });
+    use(std::move(relays));
+}
+
 const std::vector<RelayAddress>& RelayDirectory::relays() const
 {
     return m_known ? *m_known : m_none;
@@ -141,8 +160,12 @@
     auto current = m_store.get(key);
     bool isRemoved = !current || m_store.commit({ { { key, current->modRevision } }, {}, { key } }).revision.has_value();
     m_log.write(LogLine("daemon-removed").field("daemon", instance).field("removed", isRemoved));
-    if (isRemoved)
-        m_announced.erase(instance);
+    if (!isRemoved)
+        return;
+    noteRemoved(instance);
+    std::vector<RelayAddress> relays = this->relays();
+    for (const RelayAddress& it : relays)
+        spawnFiber([this, it, instance] { tell(it, peerpaths::removed, instance); });
 }
 
 void RelayDirectory::noteAnnounced(const std::string& body)
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -41,6 +41,8 @@
     void refresh();
     void announce();
     void noteAnnounced(const std::string& body);
+    void noteRemoved(const std::string& instance);
+    bool tell(const RelayAddress&, const char* path, const std::string& body);
     void mergeAnnounced(std::vector<RelayAddress>&);
     void use(std::vector<RelayAddress>);
 
--- a/unittests/Gateway/KeeperSuccessionTest.cpp
+++ b/unittests/Gateway/KeeperSuccessionTest.cpp
@@ -12,9 +12,9 @@
     KeeperSuccession succession;
     succession.failed("a", now);
     succession.failed("b", now);
-    succession.failed("a", now + std::chrono::seconds(4));
+    succession.failed("a", now + std::chrono::seconds(1));
     succession.answered("b");
-    succession.failed("b", now + std::chrono::seconds(4));
+    succession.failed("b", now + std::chrono::seconds(1));
     BOOST_TEST(succession.gone(now + KeeperSuccession::silenceLimit - Milliseconds(1)).empty());
     BOOST_TEST(succession.gone(now + KeeperSuccession::silenceLimit) == std::vector<std::string> { "a" });
 }
