--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -116,40 +116,52 @@
     return encodeWord(ownWord(ProgramId(program)));
 }
 
-// The daemon that served a program before has its chain in memory. What is found is certain.
-TurnController::PeerKnowledge TurnController::readFromPeers(const ProgramId& program)
+// Suspends until all have answered or failed. \returns how many answered.
+std::size_t TurnController::askPeers(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer)
 {
     struct Round {
         std::size_t open = 0;
-        std::size_t complete = 0;
-        bool anyFound = false;
-        TokenCount claimed = 0;
+        std::size_t answered = 0;
         FiberSignal changed;
-    };
-    auto round = std::make_shared<Round>();
-    std::size_t asked = m_peers.size();
-    round->open = asked;
-    for (const RelayAddress& peer : m_peers) {
-        spawnFiber([this, round, peer, program] {
+    } round;
+    std::vector<RelayAddress> peers = m_peers;
+    round.open = peers.size();
+    for (const RelayAddress& peer : peers) {
+        spawnFiber([&, peer] {
             try {
-                AccountWord word = decodeWord(callPeer(m_client, peer.endpoint, peerpaths::programRecords, program.text(), peerLimit));
-                round->anyFound = round->anyFound || !word.records.empty();
-                bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
-                round->complete += word.isComplete || isCovered ? 1 : 0;
-                round->claimed += word.claimed;
-                if (!word.records.empty())
-                    m_ledger.programRead(program, word.records);
+                onAnswer(peer, callPeer(m_client, peer.endpoint, path, body, limit));
+                ++round.answered;
             } catch (const Error& error) {
-                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("reason", error.what()));
+                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("call", path).field("reason", error.what()));
             }
-            --round->open;
-            round->changed.notifyAll();
+            --round.open;
+            round.changed.notifyAll();
         });
     }
-    while (round->open > 0)
-        round->changed.wait();
+    while (round.open > 0)
+        round.changed.wait();
+    return round.answered;
+}
+
+// The daemon that served a program before has its chain in memory. What is found is certain.
+TurnController::PeerKnowledge TurnController::readFromPeers(const ProgramId& program)
+{
+    PeerKnowledge known;
+    std::size_t asked = m_peers.size();
+    std::size_t complete = 0;
+    askPeers(peerpaths::programRecords, program.text(), peerLimit, [&](const RelayAddress& peer, const std::string& answer) {
+        AccountWord word = decodeWord(answer);
+        bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
+        complete += word.isComplete || isCovered ? 1 : 0;
+        known.claimed += word.claimed;
+        known.anyFound = known.anyFound || !word.records.empty();
+        if (!word.records.empty())
+            m_ledger.programRead(program, word.records);
+    });
     AccountWord own = ownWord(program);
-    return { round->anyFound, round->complete == asked && own.isComplete && asked > 0, round->claimed + own.claimed };
+    known.claimed += own.claimed;
+    known.isComplete = complete == asked && own.isComplete && asked > 0;
+    return known;
 }
 
 void TurnController::entered(bool hasCleanStart)
@@ -162,31 +174,10 @@
 bool TurnController::handOver(const std::string& instance)
 {
     Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()) };
-    struct Round {
-        std::size_t open = 0;
-        std::size_t taken = 0;
-        FiberSignal changed;
-    };
-    auto round = std::make_shared<Round>();
     std::size_t asked = m_peers.size();
-    round->open = asked;
-    std::string body = encodeHandover(handover);
-    for (const RelayAddress& peer : m_peers) {
-        spawnFiber([this, round, peer, body] {
-            try {
-                callPeer(m_client, peer.endpoint, peerpaths::handOver, body, handoverLimit);
-                ++round->taken;
-            } catch (const Error& error) {
-                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("reason", error.what()));
-            }
-            --round->open;
-            round->changed.notifyAll();
-        });
-    }
-    while (round->open > 0)
-        round->changed.wait();
-    m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", round->taken).field("asked", asked).field("seenAll", hasSeenAll()));
-    return hasSeenAll() && round->taken == asked;
+    std::size_t taken = askPeers(peerpaths::handOver, encodeHandover(handover), handoverLimit, [](const RelayAddress&, const std::string&) {});
+    m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", taken).field("asked", asked).field("seenAll", hasSeenAll()));
+    return hasSeenAll() && taken == asked;
 }
 
 std::string TurnController::noteHandover(const std::string& body)
@@ -216,34 +207,15 @@
 // have in common, makes up for it; a living daemon gives back what it does not need.
 TurnController::HoldersAnswer TurnController::askHolders(const ProgramId& program, std::map<DaemonLifetime, TokenCount> holders)
 {
-    struct Round {
-        std::size_t open = 0;
-        std::vector<HoldRelease> answers;
-        FiberSignal changed;
-    };
-    auto round = std::make_shared<Round>();
-    round->open = m_peers.size();
-    for (const RelayAddress& peer : m_peers) {
-        spawnFiber([this, round, peer, program] {
-            try {
-                round->answers.push_back(decodeRelease(callPeer(m_client, peer.endpoint, peerpaths::releaseHold, program.text(), 2 * releaseLimit)));
-            } catch (const Error& error) {
-                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("reason", error.what()));
-            }
-            --round->open;
-            round->changed.notifyAll();
-        });
-    }
-    while (round->open > 0)
-        round->changed.wait();
     HoldersAnswer result;
-    for (const HoldRelease& it : round->answers) {
-        result.anyReleased = result.anyReleased || it.isReleased;
-        holders.erase(it.daemon);
-    }
+    std::size_t answers = askPeers(peerpaths::releaseHold, program.text(), 2 * releaseLimit, [&](const RelayAddress&, const std::string& answer) {
+        HoldRelease release = decodeRelease(answer);
+        result.anyReleased = result.anyReleased || release.isReleased;
+        holders.erase(release.daemon);
+    });
     for (const auto& [daemon, tokens] : holders)
         result.deadTokens += tokens;
-    m_log.write(LogLine("holders-asked").field("program", program.text()).field("answers", round->answers.size()).field("released", result.anyReleased).field("deadTokens", result.deadTokens));
+    m_log.write(LogLine("holders-asked").field("program", program.text()).field("answers", answers).field("released", result.anyReleased).field("deadTokens", result.deadTokens));
     return result;
 }
 
@@ -296,71 +268,107 @@
     return std::nullopt;
 }
 
-std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, Turn& turn)
-{
-    const TurnRequest& request = turn.request;
-    if (!m_hasEntered)
-        return Refusal { 503, "not in the list of daemons yet" };
-    TurnKnowledge knowledge;
+/// What a turn's admission has learned and tried so far.
+struct TurnController::Admission {
+    const ForwardedCall& call;
+    Turn& turn;
+    TurnKnowledge knowledge {};
     bool areGrantsKnown = false;
     int unansweredGrants = 0;
     bool hasJoined = false;
     int searches = 0;
+};
+
+std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnBudgetSpent& spent)
+{
+    const TurnRequest& request = admission.turn.request;
+    Refusal refusal = refusalOf(spent, request.mostTokens);
+    if (spent.holders.empty() || isStoreFailing())
+        return refusal;
+    HoldersAnswer answer = askHolders(request.program, spent.holders);
+    if (answer.anyReleased)
+        read(request.program, ReadMode::Current);
+    else if (answer.deadTokens < spent.lacking)
+        return refusal;
+    else
+        admission.turn.heldBack = std::move(refusal);
+    return std::nullopt;
+}
+
+std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsGrants&)
+{
+    admission.knowledge.outstanding = outstandingOf(admission.call, admission.turn.request);
+    admission.areGrantsKnown = admission.knowledge.outstanding.has_value();
+    if (!admission.areGrantsKnown && ++admission.unansweredGrants == maxGrantQuestions)
+        return Refusal { 503, "grants not known" };
+    return std::nullopt;
+}
+
+std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNotFound& notFound)
+{
+    if (auto refusal = findKept(admission.call, notFound.missing, admission.knowledge))
+        return refusal;
+    if (++admission.searches > maxSearches)
+        return Refusal { 503, "history not whole yet" };
+    return std::nullopt;
+}
+
+std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsProgram& needed)
+{
+    TurnKnowledge& knowledge = admission.knowledge;
+    bool isOrigin = needed.program != admission.turn.request.program;
+    if (isStoreFailing()) {
+        if (knowledge.isProgramRead || !readFromPeers(needed.program).anyFound)
+            return Refusal { 503, "store out of reach" };
+        knowledge.isProgramRead = true;
+        return std::nullopt;
+    }
+    if (!admission.hasJoined && m_reads.join({ needed.program, modeOf(needed) })) {
+        // What that read has found is certain; if it began too early to find all, an own one follows.
+        admission.hasJoined = !needed.mayBeStale;
+        knowledge.isProgramRead = knowledge.isProgramRead || (needed.mayBeStale && !isOrigin);
+        return std::nullopt;
+    }
+    read(needed.program, modeOf(needed));
+    knowledge.isOriginFresh = knowledge.isOriginFresh || isOrigin;
+    knowledge.isProgramRead = knowledge.isProgramRead || !isOrigin;
+    knowledge.isProgramFresh = knowledge.isProgramFresh || (!isOrigin && !needed.mayBeStale);
+    return std::nullopt;
+}
+
+std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsOrigin& needed)
+{
+    if (isStoreFailing())
+        return Refusal { 503, "store out of reach" };
+    admission.knowledge.origin = readOrigin(needed.previous);
+    admission.knowledge.isOriginKnown = true;
+    return std::nullopt;
+}
+
+std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, Turn& turn)
+{
+    if (!m_hasEntered)
+        return Refusal { 503, "not in the list of daemons yet" };
+    Admission admission { call, turn };
     try {
         for (;;) {
             // Either may have changed while the last answer was awaited.
-            knowledge.mayReserve = !isStoreFailing() && !turn.heldBack;
-            if (m_doubt.covers(request.program) && !areGrantsKnown)
-                knowledge.outstanding.reset();
-            TurnVerdict verdict = m_ledger.begin(request, knowledge, m_clock.now());
+            admission.knowledge.mayReserve = !isStoreFailing() && !turn.heldBack;
+            if (m_doubt.covers(turn.request.program) && !admission.areGrantsKnown)
+                admission.knowledge.outstanding.reset();
+            TurnVerdict verdict = m_ledger.begin(turn.request, admission.knowledge, m_clock.now());
             if (auto* admitted = std::get_if<TurnAdmitted>(&verdict))
                 return std::move(*admitted);
-            if (auto* spent = std::get_if<TurnBudgetSpent>(&verdict)) {
-                auto refusal = refusalOf(*spent, request.mostTokens);
-                if (spent->holders.empty() || isStoreFailing())
-                    return refusal;
-                HoldersAnswer answer = askHolders(request.program, spent->holders);
-                if (answer.anyReleased)
-                    read(request.program, ReadMode::Current);
-                else if (answer.deadTokens < spent->lacking)
-                    return refusal;
-                else
-                    turn.heldBack = std::move(refusal);
-                continue;
-            }
-            if (std::holds_alternative<TurnNeedsGrants>(verdict)) {
-                knowledge.outstanding = outstandingOf(call, request);
-                areGrantsKnown = knowledge.outstanding.has_value();
-                if (!areGrantsKnown && ++unansweredGrants == maxGrantQuestions)
-                    return Refusal { 503, "grants not known" };
-                continue;
-            }
-            if (auto* missing = std::get_if<TurnNotFound>(&verdict)) {
-                if (auto refusal = findKept(call, missing->missing, knowledge))
-                    return *refusal;
-                if (++searches > maxSearches)
-                    return Refusal { 503, "history not whole yet" };
-                continue;
-            }
-            auto* needed = std::get_if<TurnNeedsProgram>(&verdict);
-            if (isStoreFailing()) {
-                if (knowledge.isProgramRead || !needed || !readFromPeers(needed->program).anyFound)
-                    return Refusal { 503, "store out of reach" };
-                knowledge.isProgramRead = true;
-            } else if (needed && !hasJoined && m_reads.join({ needed->program, modeOf(*needed) })) {
-                // What that read has found is certain; if it began too early to find all, an own one follows.
-                hasJoined = !needed->mayBeStale;
-                knowledge.isProgramRead = knowledge.isProgramRead || (needed->mayBeStale && needed->program == request.program);
-            } else if (needed) {
-                read(needed->program, modeOf(*needed));
-                bool isOrigin = needed->program != request.program;
-                knowledge.isOriginFresh = knowledge.isOriginFresh || isOrigin;
-                knowledge.isProgramRead = knowledge.isProgramRead || !isOrigin;
-                knowledge.isProgramFresh = knowledge.isProgramFresh || (!isOrigin && !needed->mayBeStale);
-            } else {
-                knowledge.origin = readOrigin(std::get<TurnNeedsOrigin>(verdict).previous);
-                knowledge.isOriginKnown = true;
-            }
+            auto refusal = std::visit(
+                [&](const auto& it) -> std::optional<Refusal> {
+                    if constexpr (std::is_same_v<std::decay_t<decltype(it)>, TurnAdmitted>)
+                        return std::nullopt;
+                    else
+                        return learn(admission, it);
+                },
+                verdict);
+            if (refusal)
+                return *refusal;
             if (call.isCallerGone || m_clock.now() >= call.deadline)
                 return Refusal { 503, "no time left" };
         }
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -56,8 +56,15 @@
 
 private:
     struct Turn;
+    struct Admission;
 
     std::variant<TurnAdmitted, Refusal> admit(const ForwardedCall&, Turn&);
+    // What the ledger needs to know is found out; a refusal ends the admission.
+    std::optional<Refusal> learn(Admission&, const TurnBudgetSpent&);
+    std::optional<Refusal> learn(Admission&, const TurnNeedsGrants&);
+    std::optional<Refusal> learn(Admission&, const TurnNotFound&);
+    std::optional<Refusal> learn(Admission&, const TurnNeedsProgram&);
+    std::optional<Refusal> learn(Admission&, const TurnNeedsOrigin&);
     void read(const ProgramId&, ReadMode);
     std::optional<ProgramId> readOrigin(const CallId& previous);
     std::optional<Refusal> findKept(const ForwardedCall&, const CallId& missing, TurnKnowledge&);
@@ -73,6 +80,7 @@
         /// Tokens that changes of unknown fate may have taken from the account.
         TokenCount claimed = 0;
     };
+    std::size_t askPeers(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer);
     PeerKnowledge readFromPeers(const ProgramId&);
     /// What the daemons that hold parts of a budget answered.
     struct HoldersAnswer {
