--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -8,6 +8,7 @@
 
 #include "basilpoint/Net/FiberRuntime.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace basilpoint {
@@ -16,7 +17,7 @@
 static constexpr Milliseconds pauseBetweenTries { 300 };
 static constexpr Milliseconds summaryInterval { 10'000 };
 static constexpr Milliseconds siblingInterval { 1'000 };
-static constexpr int maxStateTries = 10;
+static constexpr int maxStateTries = 40;
 // A request to empty an instance may take seconds to be seen, so its watch is cheap.
 static constexpr Milliseconds emptyingWait { 4'000 };
 
@@ -31,7 +32,9 @@
         JsonLog& log() { return m_log; }
 
     private:
-        void confirmEmpty(const std::string& key);
+        bool isDiskFree(const std::string& instance);
+        bool confirmEmpty(const std::string& instance);
+        void empty(const std::string& key);
         void logSummary();
         void watchEmptying();
         void succeedSiblings();
@@ -46,6 +49,7 @@
         unsigned m_tolerated;
         /// Null if the instance has no disk.
         std::unique_ptr<TurnJournalServer> m_journal;
+        std::string m_instance;
         DataCentreId m_dataCentre;
         RelayDirectory m_directory;
         KeeperSuccession m_succession;
@@ -63,6 +67,7 @@
     , m_relay(m_peers, store, clock, m_log, m_metrics)
     , m_tolerated(settings.tolerated)
     , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, clock, m_log))
+    , m_instance(settings.instance)
     , m_dataCentre(settings.dataCentre)
     , m_directory(m_store, m_peers, peers, { settings.instance, settings.dataCentre, settings.peers, true }, m_log,
           [this](const std::vector<RelayAddress>& relays, bool wasKnown) {
@@ -74,24 +79,56 @@
 {
 }
 
-// Nothing lasts on the disks, so an instance that is to be emptied is empty at once, and any keeper may say so.
-void Keeper::confirmEmpty(const std::string& key)
+// A keeper that is to go gives what it keeps to all others first, so that each entry still lies on one more disk than
+// may be lost, and is then counted no more. Other instances keep nothing.
+bool Keeper::isDiskFree(const std::string& instance)
+{
+    if (!m_journal)
+        return true;
+    if (instance == m_instance) {
+        if (!m_journal->handOver())
+            return false;
+        m_directory.retire();
+        return true;
+    }
+    std::vector<RelayAddress> relays = m_directory.relays();
+    auto it = std::find_if(relays.begin(), relays.end(), [&](const RelayAddress& relay) { return relay.isKeeper && relay.instance == instance; });
+    if (it == relays.end())
+        return true;
+    // While it runs it sees to that itself.
+    if (m_directory.announceTo(*it) || !m_journal->takePlaceOf(instance))
+        return false;
+    m_directory.remove(instance);
+    return true;
+}
+
+bool Keeper::confirmEmpty(const std::string& instance)
+{
+    std::string stateKey = m_format.emptyingStatePrefix + instance;
+    auto current = m_store.get(stateKey);
+    if (current && current->value == m_format.emptiedState)
+        return true;
+    if (!isDiskFree(instance))
+        return false;
+    bool isWritten = m_store.commit({ { { stateKey, current ? current->modRevision : 0 } }, { { stateKey, m_format.emptiedState } }, {} }).revision.has_value();
+    m_log.write(LogLine("instance-empty").field("emptied", instance).field("written", isWritten));
+    return isWritten;
+}
+
+void Keeper::empty(const std::string& key)
 {
     std::string instance = key.substr(m_format.emptyingPrefix.size());
-    for (int n = 0; n < maxStateTries; ++n) {
-        try {
-            std::string stateKey = m_format.emptyingStatePrefix + instance;
-            auto current = m_store.get(stateKey);
-            bool isWritten = current && current->value == m_format.emptiedState;
-            if (isWritten || m_store.commit({ { { stateKey, current ? current->modRevision : 0 } }, { { stateKey, m_format.emptiedState } }, {} }).revision) {
-                m_log.write(LogLine("instance-empty").field("emptied", instance).field("wasWritten", isWritten));
-                return;
+    spawnFiber([this, instance] {
+        for (int n = 0; n < maxStateTries; ++n) {
+            try {
+                if (confirmEmpty(instance))
+                    return;
+            } catch (const Error& error) {
+                m_log.write(LogLine("instance-empty-unwritten").field("emptied", instance).field("reason", error.what()));
             }
-        } catch (const KeyValueUnavailableError& error) {
-            m_log.write(LogLine("instance-empty-unwritten").field("emptied", instance).field("reason", error.what()));
+            sleepFiber(pauseBetweenTries);
         }
-        sleepFiber(pauseBetweenTries);
-    }
+    });
 }
 
 void Keeper::watchEmptying()
@@ -100,11 +137,11 @@
         m_store, m_random, { m_format.emptyingPrefix, emptyingWait },
         [this](const std::vector<KeyValue>& items) {
             for (const KeyValue& it : items)
-                confirmEmpty(it.key);
+                empty(it.key);
         },
         [this](const std::string& key, const std::optional<KeyValue>& item) {
             if (item)
-                confirmEmpty(key);
+                empty(key);
         });
 }
 
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -154,6 +154,12 @@
     return m_known ? *m_known : m_none;
 }
 
+void RelayDirectory::retire()
+{
+    m_isLeaving = true;
+    remove(m_self.instance);
+}
+
 void RelayDirectory::remove(const std::string& instance)
 {
     std::string key = relaysPrefix + instance;
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -25,6 +25,9 @@
     /// Runs for the life of the process.
     void run();
 
+    /// Takes this daemon out of the list for good.
+    void retire();
+
     /// Takes a daemon that is gone for good out of the list.
     void remove(const std::string& instance);
 
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -109,6 +109,8 @@
 
 std::string TurnJournalServer::append(const std::string& body)
 {
+    if (m_isRetired)
+        throw JournalNotReadyError();
     keep(decodeEntries(body));
     return "kept";
 }
@@ -201,6 +203,23 @@
     return true;
 }
 
+bool TurnJournalServer::handOver()
+{
+    m_isRetired = true;
+    std::vector<RelayAddress> others = m_others;
+    std::string entries = encodeEntries(m_journal.all());
+    for (const RelayAddress& it : others) {
+        try {
+            callPeer(m_client, it.endpoint, peerpaths::journalAppend, entries, synchronizeLimit);
+        } catch (const Error& error) {
+            m_log.write(LogLine("journal-not-handed-over").field("keeper", it.instance).field("reason", error.what()));
+            return false;
+        }
+    }
+    m_log.write(LogLine("journal-handed-over").field("entries", m_journal.size()).field("keepers", others.size()));
+    return true;
+}
+
 bool TurnJournalServer::takePlaceOf(const std::string& gone)
 {
     if (!m_journal.isSynchronized())
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -22,6 +22,9 @@
     /// \param excused keepers that may be missing from the list of those who answer.
     void setRelays(const std::vector<RelayAddress>&, unsigned excused);
 
+    /// Takes no more entries and gives what it has to all other keepers. \returns false if one of them did not take it.
+    bool handOver();
+
     /// Takes over all that the other keepers but \p gone have. \returns false if one of them did not answer, or
     /// this journal is itself not complete.
     bool takePlaceOf(const std::string& gone);
@@ -55,6 +58,7 @@
     std::vector<RelayAddress> m_others;
     bool m_areOthersKnown = false;
     unsigned m_excused = 0;
+    bool m_isRetired = false;
     /// When an entry was first seen by this process.
     std::map<EntryName, TimePoint> m_seen;
 };
