Count a request as active from its first byte

A request whose body was still being read counted as none, was passed on meanwhile, and its answer broke off at the exit (closed 71 ms after the server had stopped, while the handover ran). Change: active from the first byte; a connection accepted as the server stops is closed unread. Test: HttpFuzzTest/requestThatIsBeingReadCountsAsActiveAndIsAnsweredAfterStop, which failed before.

--- a/include/basilpoint/Net/HttpServer.h
+++ b/include/basilpoint/Net/HttpServer.h
@@ -64,7 +64,7 @@
     /// Address with the port that was bound.
     Endpoint endpoint() const;
 
-    /// Requests that are being answered now.
+    /// Requests from their first byte to the end of their answer.
     std::size_t activeRequests() const;
 
 private:
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -232,11 +232,29 @@
     }
 }
 
+/// A request from its first byte to its answer.
+template <typename ServerState>
+struct ActiveRequest {
+    explicit ActiveRequest(ServerState& state)
+        : state(state)
+    {
+        ++state.activeRequests;
+    }
+    ActiveRequest(const ActiveRequest&) = delete;
+    ActiveRequest& operator=(const ActiveRequest&) = delete;
+    ~ActiveRequest() { --state.activeRequests; }
+
+    ServerState& state;
+};
+
 // Only while nothing of a request has come may stop() close the connection.
 template <typename ServerState, typename Parser>
 static IoResult awaitFirstBytes(ServerState& state, beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser)
 {
     stream.expires_after(state.limits.idleTimeout);
+    // Accepted as the server stopped; nobody waits for what might still come.
+    if (state.stopped && buffer.size() == 0)
+        return { asio::error::operation_aborted, 0 };
     if (buffer.size() == 0)
         state.idleStreams.insert(&stream);
     auto result = awaitIo([&](auto handler) { http::async_read_some(stream, buffer, parser, std::move(handler)); });
@@ -263,6 +281,9 @@
     parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     parser.body_limit(state.limits.maxBodyBytes);
     IoResult result = awaitFirstBytes(state, stream, buffer, parser);
+    if (result.ec == asio::error::operation_aborted)
+        return false;
+    ActiveRequest active(state);
     if (!result.ec && !parser.is_done()) {
         stream.expires_after(state.limits.readTimeout);
         result = awaitIo([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
@@ -274,15 +295,12 @@
     auto message = parser.release();
     StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped && !state.closeAnnounced, state.limits.writeTimeout);
     HttpRequest request = toRequest(message);
-    ++state.activeRequests;
     try {
         answer(state.handler, request, writer);
     } catch (const ConnectionLostError&) {
-        --state.activeRequests;
         writer.endWatch();
         return false;
     }
-    --state.activeRequests;
     writer.endWatch();
     return writer.keepAlive() && !state.stopped;
 }
--- a/unittests/Net/HttpFuzzTest.cpp
+++ b/unittests/Net/HttpFuzzTest.cpp
@@ -6,6 +6,8 @@
 #include "RawSocket.h"
 #include "TestRuntime.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
@@ -90,4 +92,26 @@
     }));
 }
 
+// futoor-prod hunt-5b26-19: a planned stop ended while a request was still being read, and its answer broke off.
+BOOST_AUTO_TEST_CASE(requestThatIsBeingReadCountsAsActiveAndIsAnsweredAfterStop)
+{
+    testRuntime().run([] {
+        HttpServer server(testRuntime().io(), Endpoint { "127.0.0.1", 0 }, HttpLimits {}, [](const HttpRequest& request, ResponseWriter& writer) { writer.send({ 200, {}, request.body }); });
+        server.start();
+        boost::asio::ip::tcp::socket socket(testRuntime().io());
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+        auto send = [&](const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); };
+        send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc");
+        BOOST_TEST(waitUntil([&] { return server.activeRequests() == 1; }));
+        server.stop();
+        pause(std::chrono::milliseconds(20));
+        BOOST_TEST(server.activeRequests() == 1U);
+        send("def");
+        BOOST_TEST(waitUntil([&] { return server.activeRequests() == 0; }));
+        std::string answer(1'000, ' ');
+        answer.resize(socket.read_some(boost::asio::buffer(answer)));
+        BOOST_TEST(answer.find("abcdef") != std::string::npos);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
