--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -103,8 +103,9 @@
     std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_peers), [](const RelayAddress& it) { return !it.isKeeper; });
 }
 
-// A program's account lives in the daemons' memory as long as they do. One that runs for longer than records
-// are kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all see the store fail.
+// A program's account lives in the daemons' memory as long as they do. One that runs for longer than records are
+// kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all
+// see the store fail.
 bool TurnController::hasSeenAll() const
 {
     return m_hasCleanStart || m_clock.now() - m_startedAt > longestRetention;
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -59,7 +59,7 @@
     struct Admission;
 
     std::variant<TurnAdmitted, Refusal> admit(const ForwardedCall&, Turn&);
-    // What the ledger needs to know is found out; a refusal ends the admission.
+    /// Finds out what the ledger needs to know; a refusal ends the admission.
     std::optional<Refusal> learn(Admission&, const TurnBudgetSpent&);
     std::optional<Refusal> learn(Admission&, const TurnNeedsGrants&);
     std::optional<Refusal> learn(Admission&, const TurnNotFound&);
--- a/unittests/Gateway/StoreCodecTest.cpp
+++ b/unittests/Gateway/StoreCodecTest.cpp
@@ -21,6 +21,22 @@
     BOOST_TEST((decodeQuery(encodeQuery({ "p/", true, 5, Milliseconds(9) })).wait == Milliseconds(9)));
 }
 
+BOOST_AUTO_TEST_CASE(wordsHandoversAndReleasesComeBackAsTheyWent)
+{
+    AccountWord word { { { "programs/p/account", std::string("\0a", 2), 7 } }, 40, true, true };
+    AccountWord back = decodeWord(encodeWord(word));
+    BOOST_TEST(back.records.at(0).value == word.records.at(0).value);
+    BOOST_TEST(back.records.at(0).revision == 7);
+    BOOST_TEST(back.claimed == 40U);
+    BOOST_TEST(back.isComplete);
+    BOOST_TEST(back.isFresh);
+    Handover handover = decodeHandover(encodeHandover({ "d", { { ProgramId("p"), { "k", "v", 9 } } } }));
+    BOOST_TEST(handover.daemon == "d");
+    BOOST_TEST(handover.accounts.at(0).program.text() == "p");
+    BOOST_TEST(handover.accounts.at(0).record.revision == 9);
+    BOOST_TEST(decodeRelease(encodeRelease({ DaemonLifetime("d"), true })).isReleased);
+}
+
 RC_BOOST_PROP(otherBytesAreATypedError, ())
 {
     auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
@@ -36,6 +52,9 @@
     check(decodeSnapshot);
     check(decodeChanges);
     check(decodeQuery);
+    check(decodeWord);
+    check(decodeHandover);
+    check(decodeRelease);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
