Read numbers, bytes in CBOR and key-value answers in one place each

The platform's adapter and the turns brought copies of what stood elsewhere: parsing a whole text as a number (eight places), bytes and documents in CBOR (five), the rule that an unreadable answer leaves a call's fate unknown (two), and looking up a header (two). Now ParseNumber.h and Cbor.h in Support, KeyValueAnswer.h and HttpResponse::header in Net. No change of behaviour.

--- a/include/basilpoint/Net/HttpTypes.h
+++ b/include/basilpoint/Net/HttpTypes.h
@@ -30,6 +30,9 @@
     int status = 200;
     HttpHeaders headers;
     std::string body;
+
+    /// Value of header \p name (lower case), or empty.
+    std::string_view header(std::string_view name) const;
 };
 
 /// Limits that a listener imposes on callers.
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -1,9 +1,9 @@
 #include "basilpoint/Config/Settings.h"
 
 #include "basilpoint/Support/Error.h"
+#include "basilpoint/Support/ParseNumber.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 #include <cxxopts.hpp>
 
@@ -16,13 +16,12 @@
     return name;
 }
 
-static std::int64_t parseNumber(const std::string& flag, const std::string& text, const std::string& allowed)
+static std::int64_t numberIn(const std::string& flag, const std::string& text, const std::string& allowed)
 {
-    std::int64_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end != text.data() + text.size())
+    auto n = parseNumber<std::int64_t>(text);
+    if (!n)
         throw InvalidInputError("--" + flag, text, allowed);
-    return n;
+    return *n;
 }
 
 static void checkValue(const SettingSpec& spec, const std::string& value)
@@ -32,7 +31,7 @@
         throw InvalidInputError("--" + spec.name, value, spec.allowed);
     if (!spec.range)
         return;
-    std::int64_t n = parseNumber(spec.name, value, spec.allowed);
+    std::int64_t n = numberIn(spec.name, value, spec.allowed);
     if (n < spec.range->first || n > spec.range->second)
         throw InvalidInputError("--" + spec.name, value, spec.allowed);
 }
@@ -50,7 +49,7 @@
 
 std::int64_t SettingValues::number(const std::string& name) const
 {
-    return parseNumber(name, text(name), "a whole number");
+    return numberIn(name, text(name), "a whole number");
 }
 
 Endpoint SettingValues::endpoint(const std::string& name) const
--- a/lib/Config/Yaml.cpp
+++ b/lib/Config/Yaml.cpp
@@ -1,9 +1,9 @@
 #include "basilpoint/Config/Environment.h"
 #include "basilpoint/Support/Error.h"
+#include "basilpoint/Support/ParseNumber.h"
 
 #include <algorithm>
 #include <cassert>
-#include <charconv>
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -25,13 +25,6 @@
     return "line " + std::to_string(mark.line + 1);
 }
 
-template <typename Value>
-static bool parseWhole(const std::string& text, Value& value)
-{
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return ec == std::errc() && end == text.data() + text.size();
-}
-
 // Plain scalars take the type that the JSON schema of YAML gives them; quoted ones stay text.
 static Json scalarToJson(const YAML::Node& node)
 {
@@ -42,12 +35,10 @@
         return text == "true";
     if (text == "null" || text == "~")
         return nullptr;
-    std::uint64_t whole = 0;
-    if (parseWhole(text, whole))
-        return whole;
-    double fraction = 0;
-    if (parseWhole(text, fraction))
-        return fraction;
+    if (auto whole = parseNumber<std::uint64_t>(text))
+        return *whole;
+    if (auto fraction = parseNumber<double>(text))
+        return *fraction;
     return text;
 }
 
--- a/lib/Daemon/ModelCallController.cpp
+++ b/lib/Daemon/ModelCallController.cpp
@@ -8,8 +8,8 @@
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Program/Errors.h"
+#include "basilpoint/Support/ParseNumber.h"
 
-#include <charconv>
 #include <spdlog/spdlog.h>
 
 namespace basilpoint {
@@ -49,11 +49,10 @@
 static std::size_t offsetOf(const HttpRequest& request)
 {
     std::string_view text = request.header("last-event-id");
-    std::size_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (!text.empty() && (ec != std::errc() || end != text.data() + text.size()))
+    auto n = parseNumber<std::size_t>(text);
+    if (!text.empty() && !n)
         throw InvalidInputError("Last-Event-ID", std::string(text.substr(0, 40)), "the id of an event of this answer");
-    return n;
+    return n.value_or(0);
 }
 
 ModelCallController::ModelCallController(const Clock& clock, HttpClient& client, EnvironmentController& environments, ShardController& shards, ProgramGate& gate, ModelDispatcher& dispatcher, DecisionLog& log)
--- a/lib/Fleet/Cbor.h
+++ b/lib/Fleet/Cbor.h
@@ -1,22 +1,14 @@
 #pragma once
 
+#include "basilpoint/Support/Cbor.h"
 #include "basilpoint/Support/Endpoint.h"
 #include "basilpoint/Support/Error.h"
 #include "basilpoint/Support/Ids.h"
 
-#include <nlohmann/json.hpp>
-
 namespace basilpoint {
 
 using Json = nlohmann::json;
 
-inline std::string toCbor(const Json& json)
-{
-    std::string buf;
-    Json::to_cbor(json, buf);
-    return buf;
-}
-
 /// Decodes \p bytes by \p decode, which takes the parsed JSON.
 /// \throws InvalidInputError naming \p what if the bytes have another shape.
 template <typename Decode>
--- a/lib/Gateway/StoreCodec.cpp
+++ b/lib/Gateway/StoreCodec.cpp
@@ -1,28 +1,11 @@
 #include "StoreCodec.h"
 
-#include <nlohmann/json.hpp>
+#include "basilpoint/Support/Cbor.h"
 
 namespace basilpoint {
 
 using Json = nlohmann::json;
 
-static Json binary(const std::string& bytes)
-{
-    return Json::binary({ bytes.begin(), bytes.end() });
-}
-
-static std::string bytesOf(const Json& json)
-{
-    const auto& bytes = json.get_binary();
-    return { bytes.begin(), bytes.end() };
-}
-
-static std::string toBytes(const Json& json)
-{
-    auto bytes = Json::to_cbor(json);
-    return { bytes.begin(), bytes.end() };
-}
-
 template <typename Read>
 static auto decode(const std::string& bytes, Read read)
 {
@@ -37,7 +20,7 @@
 {
     Json json = Json::array();
     for (const KeyValue& it : items)
-        json.push_back({ it.key, binary(it.value), it.modRevision });
+        json.push_back({ it.key, bytesToJson(it.value), it.modRevision });
     return json;
 }
 
@@ -45,7 +28,7 @@
 {
     std::vector<KeyValue> items;
     for (const Json& it : json)
-        items.push_back({ it.at(0).get<std::string>(), bytesOf(it.at(1)), it.at(2).get<std::int64_t>() });
+        items.push_back({ it.at(0).get<std::string>(), bytesFromJson(it.at(1)), it.at(2).get<std::int64_t>() });
     return items;
 }
 
@@ -55,8 +38,8 @@
     for (const auto& it : transaction.conditions)
         json["c"].push_back({ it.key, it.revision });
     for (const auto& it : transaction.puts)
-        json["p"].push_back({ it.key, binary(it.value) });
-    return toBytes(json);
+        json["p"].push_back({ it.key, bytesToJson(it.value) });
+    return toCbor(json);
 }
 
 KeyTransaction decodeTransaction(const std::string& bytes)
@@ -66,7 +49,7 @@
         for (const Json& it : json.at("c"))
             transaction.conditions.push_back({ it.at(0).get<std::string>(), it.at(1).get<std::int64_t>() });
         for (const Json& it : json.at("p"))
-            transaction.puts.push_back({ it.at(0).get<std::string>(), bytesOf(it.at(1)) });
+            transaction.puts.push_back({ it.at(0).get<std::string>(), bytesFromJson(it.at(1)) });
         transaction.deletes = json.at("d").get<std::vector<std::string>>();
         return transaction;
     });
@@ -74,7 +57,7 @@
 
 std::string encodeResult(const KeyTransactionResult& result)
 {
-    return toBytes({ { "r", result.revision.value_or(0) }, { "i", itemsToJson(result.current) } });
+    return toCbor({ { "r", result.revision.value_or(0) }, { "i", itemsToJson(result.current) } });
 }
 
 KeyTransactionResult decodeResult(const std::string& bytes)
@@ -87,7 +70,7 @@
 
 std::string encodeSnapshot(const KeySnapshot& snapshot)
 {
-    return toBytes({ { "r", snapshot.revision }, { "i", itemsToJson(snapshot.items) } });
+    return toCbor({ { "r", snapshot.revision }, { "i", itemsToJson(snapshot.items) } });
 }
 
 KeySnapshot decodeSnapshot(const std::string& bytes)
@@ -99,7 +82,7 @@
 
 std::string encodeQuery(const StoreQuery& query)
 {
-    return toBytes({ { "k", query.key }, { "s", query.mayBeStale }, { "a", query.after }, { "w", query.wait.count() } });
+    return toCbor({ { "k", query.key }, { "s", query.mayBeStale }, { "a", query.after }, { "w", query.wait.count() } });
 }
 
 StoreQuery decodeQuery(const std::string& bytes)
@@ -111,7 +94,7 @@
 
 std::string encodeChanges(const StoreChanges& changes)
 {
-    return toBytes({ { "n", changes.next }, { "i", itemsToJson(changes.items) } });
+    return toCbor({ { "n", changes.next }, { "i", itemsToJson(changes.items) } });
 }
 
 StoreChanges decodeChanges(const std::string& bytes)
@@ -134,8 +117,8 @@
 {
     Json accounts = Json::array();
     for (const KnownAccount& it : handover.accounts)
-        accounts.push_back({ it.program.text(), it.record.key, binary(it.record.value), it.record.revision });
-    return toBytes({ { "d", handover.daemon }, { "a", std::move(accounts) } });
+        accounts.push_back({ it.program.text(), it.record.key, bytesToJson(it.record.value), it.record.revision });
+    return toCbor({ { "d", handover.daemon }, { "a", std::move(accounts) } });
 }
 
 Handover decodeHandover(const std::string& bytes)
@@ -143,14 +126,14 @@
     return decode(bytes, [](const Json& json) {
         Handover handover { json.at("d").get<std::string>(), {} };
         for (const Json& it : json.at("a"))
-            handover.accounts.push_back({ ProgramId(it.at(0).get<std::string>()), { it.at(1).get<std::string>(), bytesOf(it.at(2)), it.at(3).get<std::int64_t>() } });
+            handover.accounts.push_back({ ProgramId(it.at(0).get<std::string>()), { it.at(1).get<std::string>(), bytesFromJson(it.at(2)), it.at(3).get<std::int64_t>() } });
         return handover;
     });
 }
 
 std::string encodeRelease(const HoldRelease& release)
 {
-    return toBytes({ { "d", release.daemon.text() }, { "r", release.isReleased } });
+    return toCbor({ { "d", release.daemon.text() }, { "r", release.isReleased } });
 }
 
 HoldRelease decodeRelease(const std::string& bytes)
@@ -166,7 +149,7 @@
     items.reserve(word.records.size());
     for (const StoredRecord& it : word.records)
         items.push_back({ it.key, it.value, it.revision });
-    return toBytes({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete }, { "f", word.isFresh } });
+    return toCbor({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete }, { "f", word.isFresh } });
 }
 
 AccountWord decodeWord(const std::string& bytes)
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -4,10 +4,10 @@
 
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Support/Cbor.h"
 #include "basilpoint/Turns/Errors.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace basilpoint {
 
@@ -20,22 +20,17 @@
 std::string encodeEntries(const std::vector<JournalEntry>& entries)
 {
     Json json = Json::array();
-    for (const JournalEntry& it : entries) {
-        std::string bytes = encodeEntry(it);
-        json.push_back(Json::binary({ bytes.begin(), bytes.end() }));
-    }
-    auto bytes = Json::to_cbor(json);
-    return { bytes.begin(), bytes.end() };
+    for (const JournalEntry& it : entries)
+        json.push_back(bytesToJson(encodeEntry(it)));
+    return toCbor(json);
 }
 
 std::vector<JournalEntry> decodeEntries(const std::string& text)
 {
     std::vector<JournalEntry> entries;
     try {
-        for (const Json& it : Json::from_cbor(text)) {
-            const auto& bytes = it.get_binary();
-            entries.push_back(decodeEntry({ bytes.begin(), bytes.end() }));
-        }
+        for (const Json& it : Json::from_cbor(text))
+            entries.push_back(decodeEntry(bytesFromJson(it)));
     } catch (const Json::exception&) {
         throw DamagedRecordError("journal entries");
     }
@@ -47,8 +42,7 @@
     Json json = Json::array();
     for (const ProgramId& it : programs)
         json.push_back(it.text());
-    auto bytes = Json::to_cbor(json);
-    return { bytes.begin(), bytes.end() };
+    return toCbor(json);
 }
 
 std::set<ProgramId> decodePrograms(const std::string& text)
--- a/lib/Net/HttpKeyValueStore.cpp
+++ b/lib/Net/HttpKeyValueStore.cpp
@@ -1,10 +1,9 @@
 #include "basilpoint/Net/HttpKeyValueStore.h"
 
 #include "basilpoint/Net/Errors.h"
+#include "basilpoint/Net/KeyValueAnswer.h"
 #include "basilpoint/Support/Base64.h"
-
-#include <charconv>
-#include <nlohmann/json.hpp>
+#include "basilpoint/Support/ParseNumber.h"
 
 namespace basilpoint {
 
@@ -28,25 +27,10 @@
         return 0;
     if (!it->is_string())
         return it->get<std::int64_t>();
-    const auto& text = it->get_ref<const std::string&>();
-    std::int64_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end != text.data() + text.size())
+    auto n = parseNumber<std::int64_t>(it->get_ref<const std::string&>());
+    if (!n)
         throw KeyValueUnavailableError("answer holds a number that is none");
-    return n;
-}
-
-// Whatever is wrong with an answer, the fate of the call is unknown.
-template <typename Read>
-static auto readAnswer(Read read)
-{
-    try {
-        return read();
-    } catch (const Json::exception&) {
-        throw KeyValueUnavailableError("answer of another shape");
-    } catch (const InvalidInputError&) {
-        throw KeyValueUnavailableError("answer of another shape");
-    }
+    return *n;
 }
 
 static KeyValue pairFrom(const Json& json)
@@ -90,7 +74,7 @@
 {
     ++m_counters.reads;
     Json answer = post("/v3/kv/range", { { "key", encodeBase64(key) } });
-    return readAnswer([&]() -> std::optional<KeyValue> {
+    return readKeyValueAnswer([&]() -> std::optional<KeyValue> {
         if (!answer.contains("kvs") || answer["kvs"].empty())
             return std::nullopt;
         return pairFrom(answer["kvs"].at(0));
@@ -101,7 +85,7 @@
 {
     ++m_counters.reads;
     Json answer = post("/v3/kv/range", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } });
-    return readAnswer([&] {
+    return readKeyValueAnswer([&] {
         std::vector<KeyValue> result;
         for (const Json& pair : answer.value("kvs", Json::array()))
             result.push_back(pairFrom(pair));
@@ -115,7 +99,7 @@
     Json compare { { "key", encodeBase64(key) }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expectedRevision) } };
     Json put { { "key", encodeBase64(key) }, { "value", encodeBase64(value) }, { "lease", std::to_string(lease) } };
     Json answer = post("/v3/kv/txn", { { "compare", Json::array({ compare }) }, { "success", Json::array({ { { "request_put", put } } }) } });
-    return readAnswer([&]() -> std::optional<std::int64_t> {
+    return readKeyValueAnswer([&]() -> std::optional<std::int64_t> {
         if (!answer.value("succeeded", false))
             return std::nullopt;
         return numberFrom(answer.at("header"), "revision");
@@ -152,7 +136,7 @@
             m_endpoint, request, [&](std::string_view bytes) {
                 buf.append(bytes);
                 for (auto end = buf.find('\n'); end != std::string::npos; end = buf.find('\n')) {
-                    readAnswer([&] { deliverChanges(buf.substr(0, end), onChange); });
+                    readKeyValueAnswer([&] { deliverChanges(buf.substr(0, end), onChange); });
                     buf.erase(0, end + 1);
                 }
             },
@@ -170,14 +154,14 @@
 {
     ++m_counters.leases;
     Json answer = post("/v3/lease/grant", { { "TTL", std::to_string(ttl.count()) } });
-    return readAnswer([&] { return numberFrom(answer, "ID"); });
+    return readKeyValueAnswer([&] { return numberFrom(answer, "ID"); });
 }
 
 bool HttpKeyValueStore::keepAlive(std::int64_t lease)
 {
     ++m_counters.leases;
     Json answer = post("/v3/lease/keepalive", { { "ID", std::to_string(lease) } });
-    return readAnswer([&] { return answer.contains("result") && numberFrom(answer["result"], "TTL") > 0; });
+    return readKeyValueAnswer([&] { return answer.contains("result") && numberFrom(answer["result"], "TTL") > 0; });
 }
 
 } // namespace basilpoint
--- a/lib/Net/HttpTypes.cpp
+++ b/lib/Net/HttpTypes.cpp
@@ -2,12 +2,22 @@
 
 namespace basilpoint {
 
-std::string_view HttpRequest::header(std::string_view name) const
+static std::string_view valueOf(const HttpHeaders& headers, std::string_view name)
 {
     auto it = headers.find(name);
     return it == headers.end() ? std::string_view() : std::string_view(it->second);
 }
 
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    return valueOf(headers, name);
+}
+
+std::string_view HttpResponse::header(std::string_view name) const
+{
+    return valueOf(headers, name);
+}
+
 std::string_view HttpRequest::path() const
 {
     return std::string_view(target).substr(0, target.find('?'));
--- a/lib/Program/Records.cpp
+++ b/lib/Program/Records.cpp
@@ -89,9 +89,7 @@
 
 std::string encodeRecord(const ProgramRecord& record)
 {
-    std::string buf;
-    Json::to_cbor(std::visit([](const auto& it) { return encode(it); }, record), buf);
-    return buf;
+    return toCbor(std::visit([](const auto& it) { return encode(it); }, record));
 }
 
 ProgramRecord decodeRecord(std::string_view bytes)
--- a/lib/Program/StateCodec.cpp
+++ b/lib/Program/StateCodec.cpp
@@ -15,17 +15,6 @@
     return WallTimePoint(std::chrono::nanoseconds(json.get<std::int64_t>()));
 }
 
-Json bytesToJson(const std::string& bytes)
-{
-    return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
-}
-
-std::string bytesFromJson(const Json& json)
-{
-    const auto& bytes = json.get_binary();
-    return { bytes.begin(), bytes.end() };
-}
-
 static Digest digestFromJson(const Json& json)
 {
     return parseDigest(json.get_ref<const std::string&>());
--- a/lib/Program/StateCodec.h
+++ b/lib/Program/StateCodec.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "basilpoint/Program/Records.h"
-
-#include <nlohmann/json.hpp>
+#include "basilpoint/Support/Cbor.h"
 
 namespace basilpoint {
 
@@ -11,9 +10,6 @@
 nlohmann::json timeToJson(WallTimePoint);
 WallTimePoint timeFromJson(const nlohmann::json&);
 
-nlohmann::json bytesToJson(const std::string& bytes);
-std::string bytesFromJson(const nlohmann::json&);
-
 nlohmann::json encodeOpened(const ProgramOpened&);
 ProgramOpened decodeOpened(const nlohmann::json&);
 
--- a/lib/Shard/Codec.cpp
+++ b/lib/Shard/Codec.cpp
@@ -1,6 +1,5 @@
 #include "basilpoint/Shard/JournalHolder.h"
-
-#include <nlohmann/json.hpp>
+#include "basilpoint/Support/Cbor.h"
 
 namespace basilpoint {
 
@@ -10,7 +9,7 @@
 {
     Json json = Json::array();
     for (const std::string& entry : entries)
-        json.push_back(Json::binary(std::vector<std::uint8_t>(entry.begin(), entry.end())));
+        json.push_back(bytesToJson(entry));
     return json;
 }
 
@@ -18,10 +17,8 @@
 {
     std::vector<std::string> entries;
     entries.reserve(json.size());
-    for (const Json& it : json) {
-        const auto& bytes = it.get_binary();
-        entries.emplace_back(bytes.begin(), bytes.end());
-    }
+    for (const Json& it : json)
+        entries.push_back(bytesFromJson(it));
     return entries;
 }
 
@@ -118,13 +115,6 @@
     throw InvalidInputError("holder request", type, "a known request type");
 }
 
-static std::string toBytes(const Json& json)
-{
-    std::string buf;
-    Json::to_cbor(json, buf);
-    return buf;
-}
-
 template <typename Decode>
 static auto fromBytes(const char* field, std::string_view bytes, Decode decode)
 {
@@ -139,7 +129,7 @@
 {
     Json json = std::visit([](const auto& it) { return encode(it); }, request);
     json["s"] = shard.value();
-    return toBytes(json);
+    return toCbor(json);
 }
 
 std::pair<ShardId, HolderRequest> decodeHolderRequest(std::string_view bytes)
@@ -151,7 +141,7 @@
 
 std::string encodeHolderReply(const HolderReply& reply)
 {
-    return toBytes({ { "ok", reply.accepted }, { "high", toJson(reply.highest) }, { "member", reply.member }, { "pos", toJson(reply.position) }, { "len", reply.length }, { "pairs", toJson(reply.pairs) }, { "e", toJson(reply.entries) } });
+    return toCbor({ { "ok", reply.accepted }, { "high", toJson(reply.highest) }, { "member", reply.member }, { "pos", toJson(reply.position) }, { "len", reply.length }, { "pairs", toJson(reply.pairs) }, { "e", toJson(reply.entries) } });
 }
 
 HolderReply decodeHolderReply(std::string_view bytes)
@@ -166,7 +156,7 @@
     Json json { { "s", op.shard.value() }, { "seal", toJson(op.seal) }, { "member", op.member }, { "pos", toJson(op.position) }, { "pairs", toJson(op.pairs) }, { "e", toJson(op.entries) } };
     if (op.truncateTo)
         json["cut"] = *op.truncateTo;
-    return toBytes(json);
+    return toCbor(json);
 }
 
 StorageOp decodeStorageOp(std::string_view bytes)
--- a/lib/Turns/AccountChange.cpp
+++ b/lib/Turns/AccountChange.cpp
@@ -79,7 +79,7 @@
 {
     Json json { { "k", static_cast<int>(change.kind) }, { "s", change.step }, { "m", change.most }, { "u", change.used }, { "o", change.outstanding }, { "b", change.budget }, { "t", millisecondsOf(change.keepUntil) }, { "g", change.grant } };
     if (change.record)
-        json["r"] = binary(encodeTurn(*change.record));
+        json["r"] = bytesToJson(encodeTurn(*change.record));
     return json;
 }
 
@@ -98,7 +98,7 @@
     change.budget = json.at("b").get<TokenCount>();
     change.keepUntil = WallTimePoint(Milliseconds(json.at("t").get<std::int64_t>()));
     if (json.contains("r"))
-        change.record = decodeTurn(bytesOf(json["r"]));
+        change.record = decodeTurn(bytesFromJson(json["r"]));
     return change;
 }
 
@@ -107,7 +107,7 @@
     Json changes = Json::array();
     for (const AccountChange& it : entry.changes)
         changes.push_back(changeToJson(it));
-    return toBytes({ { "p", entry.program.text() }, { "d", entry.daemon.text() }, { "c", std::move(changes) } });
+    return toCbor({ { "p", entry.program.text() }, { "d", entry.daemon.text() }, { "c", std::move(changes) } });
 }
 
 JournalEntry decodeEntry(const std::string& bytes)
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -8,7 +8,7 @@
 
 std::string encodeOperation(const JournalOperation& operation)
 {
-    return toBytes({ { "k", static_cast<int>(operation.kind) }, { "e", binary(operation.entry) }, { "d", operation.name.daemon.text() }, { "s", operation.name.step } });
+    return toCbor({ { "k", static_cast<int>(operation.kind) }, { "e", bytesToJson(operation.entry) }, { "d", operation.name.daemon.text() }, { "s", operation.name.step } });
 }
 
 JournalOperation decodeOperation(const std::string& bytes)
@@ -17,7 +17,7 @@
         int kind = json.at("k").get<int>();
         if (kind < 0 || kind > static_cast<int>(JournalOperation::Kind::Synchronized))
             throw DamagedRecordError("journal operation");
-        return JournalOperation { static_cast<JournalOperation::Kind>(kind), bytesOf(json.at("e")), { DaemonLifetime(json.at("d").get<std::string>()), json.at("s").get<std::uint64_t>() } };
+        return JournalOperation { static_cast<JournalOperation::Kind>(kind), bytesFromJson(json.at("e")), { DaemonLifetime(json.at("d").get<std::string>()), json.at("s").get<std::uint64_t>() } };
     });
 }
 
--- a/lib/Turns/TurnRecord.cpp
+++ b/lib/Turns/TurnRecord.cpp
@@ -29,13 +29,13 @@
 
 std::string encodeTurn(const TurnRecord& record)
 {
-    return toBytes({ { "t", record.turn.text() }, { "p", record.previous.text() }, { "i", binary(record.input) }, { "o", binary(record.output) }, { "a", record.target.text() } });
+    return toCbor({ { "t", record.turn.text() }, { "p", record.previous.text() }, { "i", bytesToJson(record.input) }, { "o", bytesToJson(record.output) }, { "a", record.target.text() } });
 }
 
 TurnRecord decodeTurn(const std::string& bytes)
 {
     return readRecord("turn", bytes, [&](const Json& json) {
-        return TurnRecord { CallId(json.at("t").get<std::string>()), CallId(json.at("p").get<std::string>()), bytesOf(json.at("i")), bytesOf(json.at("o")), TargetId(json.at("a").get<std::string>()) };
+        return TurnRecord { CallId(json.at("t").get<std::string>()), CallId(json.at("p").get<std::string>()), bytesFromJson(json.at("i")), bytesFromJson(json.at("o")), TargetId(json.at("a").get<std::string>()) };
     });
 }
 
@@ -44,7 +44,7 @@
     Json holds = Json::object();
     for (const auto& [daemon, hold] : account.holds)
         holds[daemon.text()] = { hold.tokens, hold.step };
-    return toBytes({ { "b", account.budget }, { "s", account.spent }, { "h", holds }, { "k", millisecondsOf(account.keepUntil) } });
+    return toCbor({ { "b", account.budget }, { "s", account.spent }, { "h", holds }, { "k", millisecondsOf(account.keepUntil) } });
 }
 
 ProgramAccount decodeAccount(const std::string& bytes)
--- a/tools/basilpoint-standin/KeyValue.cpp
+++ b/tools/basilpoint-standin/KeyValue.cpp
@@ -3,8 +3,8 @@
 
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Base64.h"
+#include "basilpoint/Support/ParseNumber.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace basilpoint::standin {
@@ -43,11 +43,10 @@
     if (!it->is_string())
         return it->get<std::int64_t>();
     const auto& text = it->get_ref<const std::string&>();
-    std::int64_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end != text.data() + text.size())
+    auto n = parseNumber<std::int64_t>(text);
+    if (!n)
         throw InvalidInputError(name, text.substr(0, maxExcerptLength), "a whole number");
-    return n;
+    return *n;
 }
 
 static std::string bytesIn(const Json& json, const char* name)
--- a/tools/basilpoint/EnvCommand.cpp
+++ b/tools/basilpoint/EnvCommand.cpp
@@ -2,7 +2,8 @@
 
 #include "Table.h"
 
-#include <charconv>
+#include "basilpoint/Support/ParseNumber.h"
+
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -25,11 +26,10 @@
 
 static Revision parseRevision(const std::string& text)
 {
-    std::uint64_t n = 0;
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc() || end != text.data() + text.size())
+    auto n = parseNumber<std::uint64_t>(text);
+    if (!n)
         throw InvalidInputError("revision", text, "a whole number");
-    return Revision(n);
+    return Revision(*n);
 }
 
 static Json toJson(const EnvironmentId& id, const StoredEnvironment& stored)
