--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -21,6 +21,9 @@
     auto operator<=>(const RelayAddress&) const = default;
 };
 
+/// Those of \p relays that are keepers, or those that are not.
+std::vector<RelayAddress> relaysWith(const std::vector<RelayAddress>& relays, bool isKeeper);
+
 /// A way to the store: by a relay, or directly if \ref relay is empty.
 struct StorePath {
     std::string relay;
--- a/include/basilpoint/Net/TransactionalStore.h
+++ b/include/basilpoint/Net/TransactionalStore.h
@@ -53,19 +53,25 @@
 };
 
 /// Key-value service that writes several keys at once.
-class TransactionalStore : public KeyValueStore {
+class TransactionalStore {
 public:
+    using ChangeHandler = KeyValueStore::ChangeHandler;
+
+    virtual ~TransactionalStore() = default;
+
+    virtual std::optional<KeyValue> get(const std::string& key) = 0;
+
     /// \throws KeyValueUnavailableError, as all calls do; the writes may happen then, also later,
     /// as long as their conditions hold.
     /// \param limit longest wait for the answer.
     virtual KeyTransactionResult commit(const KeyTransaction&, Milliseconds limit) = 0;
 
-    /// \param limit longest wait for one page of the answer.
     /// Waits up to \p wait for changes after revision \p after, and hands them on.
     /// \param limit longest wait for the answer beyond \p wait.
     /// \returns the revision from which to wait next.
     virtual std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler&) = 0;
 
+    /// \param limit longest wait for one page of the answer.
     virtual KeySnapshot snapshot(const std::string& prefix, ReadMode, Milliseconds limit) = 0;
 };
 
--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -74,6 +74,8 @@
     std::vector<EntryName> expiredGrants(WallTimePoint now) const;
 
     std::vector<JournalEntry> all() const;
+    /// The same, where they lie.
+    const std::map<EntryName, JournalEntry>& entries() const { return m_entries; }
     std::size_t size() const { return m_entries.size(); }
 
     /// Operations that rebuild the journal.
@@ -82,10 +84,11 @@
 private:
     void append(const JournalEntry&);
     void drop(const EntryName&);
-    std::vector<JournalEntry> allGrants() const;
+    std::vector<JournalEntry> entriesOf(const ProgramId&) const;
 
     std::map<EntryName, JournalEntry> m_entries;
     std::map<CallId, std::set<EntryName>> m_byTurn;
+    std::map<ProgramId, std::set<EntryName>> m_byProgram;
     bool m_isSynchronized = false;
 };
 
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -39,6 +39,7 @@
         void watchEmptying();
         void succeedSiblings();
 
+        KeeperSettings m_settings;
         WireFormat m_format;
         RandomEngine m_random;
         JsonLog m_log;
@@ -46,11 +47,8 @@
         StoreClient m_store;
         PeerServer m_peers;
         StoreRelay m_relay;
-        unsigned m_tolerated;
         /// Null if the instance has no disk.
         std::unique_ptr<TurnJournalServer> m_journal;
-        std::string m_instance;
-        DataCentreId m_dataCentre;
         RelayDirectory m_directory;
         KeeperSuccession m_succession;
         const Clock& m_clock;
@@ -59,21 +57,19 @@
 } // namespace
 
 Keeper::Keeper(boost::asio::io_context& io, const KeeperSettings& settings, const WireFormat& format, HttpClient& peers, TransactionalStore& store, const Clock& clock)
-    : m_format(format)
+    : m_settings(settings)
+    , m_format(format)
     , m_random(std::random_device()())
     , m_log(clock, settings.logDescriptor, settings.instance)
     , m_store(store, &peers, settings.dataCentre, clock, m_log, m_metrics)
     , m_peers(io, settings.peers)
     , m_relay(m_peers, store, clock, m_log, m_metrics)
-    , m_tolerated(settings.tolerated)
     , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, clock, m_log))
-    , m_instance(settings.instance)
-    , m_dataCentre(settings.dataCentre)
     , m_directory(m_store, m_peers, peers, { settings.instance, settings.dataCentre, settings.peers, true }, m_log,
           [this](const std::vector<RelayAddress>& relays, bool wasKnown) {
               // A keeper that was in the list and has lost its disk is itself one of the losses that are tolerated.
               if (m_journal)
-                  m_journal->setRelays(relays, wasKnown && m_tolerated > 0 ? m_tolerated - 1 : m_tolerated);
+                  m_journal->setRelays(relays, wasKnown && m_settings.tolerated > 0 ? m_settings.tolerated - 1 : m_settings.tolerated);
           })
     , m_clock(clock)
 {
@@ -85,7 +81,7 @@
 {
     if (!m_journal)
         return true;
-    if (instance == m_instance) {
+    if (instance == m_settings.instance) {
         if (!m_journal->handOver())
             return false;
         m_directory.retire();
@@ -153,7 +149,7 @@
         try {
             std::vector<RelayAddress> relays = m_directory.relays();
             for (const RelayAddress& it : relays) {
-                if (!it.isKeeper || it.dataCentre != m_dataCentre)
+                if (!it.isKeeper || it.dataCentre != m_settings.dataCentre)
                     continue;
                 if (m_directory.announceTo(it))
                     m_succession.answered(it.instance);
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -149,9 +149,9 @@
     use(std::move(relays));
 }
 
-const std::vector<RelayAddress>& RelayDirectory::relays() const
+std::vector<RelayAddress> RelayDirectory::relays() const
 {
-    return m_known ? *m_known : m_none;
+    return m_known.value_or(std::vector<RelayAddress>());
 }
 
 void RelayDirectory::retire()
@@ -169,8 +169,7 @@
     if (!isRemoved)
         return;
     noteRemoved(instance);
-    std::vector<RelayAddress> relays = this->relays();
-    for (const RelayAddress& it : relays)
+    for (const RelayAddress& it : relays())
         spawnFiber([this, it, instance] { tell(it, peerpaths::removed, instance); });
 }
 
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -34,7 +34,7 @@
     /// Whether the daemon answers; it then counts on this one as well.
     bool announceTo(const RelayAddress&);
 
-    const std::vector<RelayAddress>& relays() const;
+    std::vector<RelayAddress> relays() const;
 
     /// Notes in the list that this lifetime has told the others all that it knew.
     void leave();
@@ -61,7 +61,6 @@
     /// Whether this daemon stood in the list when it was last read.
     bool m_isListed = false;
     std::optional<std::vector<RelayAddress>> m_known;
-    std::vector<RelayAddress> m_none;
     /// Daemons that announced themselves; the list may lack them for a while.
     std::map<std::string, RelayAddress> m_announced;
     bool m_isAnnounced = false;
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -32,33 +32,6 @@
     return decodeSnapshot(answer).items.at(0);
 }
 
-std::vector<KeyValue> RelayedStore::list(const std::string& prefix)
-{
-    return snapshot(prefix, ReadMode::Current, defaultLimit).items;
-}
-
-std::optional<std::int64_t> RelayedStore::compareAndSwap(const std::string& key, std::int64_t expectedRevision, const std::string& value, std::int64_t lease)
-{
-    if (lease != 0)
-        throw KeyValueUnavailableError("leases are not relayed");
-    return commit({ { { key, expectedRevision } }, { { key, value } }, {} }, defaultLimit).revision;
-}
-
-void RelayedStore::watch(const std::string&, std::int64_t, const ChangeHandler&)
-{
-    throw KeyValueUnavailableError("watches are not relayed");
-}
-
-std::int64_t RelayedStore::grantLease(std::chrono::seconds)
-{
-    throw KeyValueUnavailableError("leases are not relayed");
-}
-
-bool RelayedStore::keepAlive(std::int64_t)
-{
-    throw KeyValueUnavailableError("leases are not relayed");
-}
-
 KeyTransactionResult RelayedStore::commit(const KeyTransaction& transaction, Milliseconds limit)
 {
     return decodeResult(call(peerpaths::commit, encodeTransaction(transaction), limit));
--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -4,6 +4,13 @@
 
 namespace basilpoint {
 
+std::vector<RelayAddress> relaysWith(const std::vector<RelayAddress>& relays, bool isKeeper)
+{
+    std::vector<RelayAddress> found;
+    std::copy_if(relays.begin(), relays.end(), std::back_inserter(found), [isKeeper](const RelayAddress& it) { return it.isKeeper == isKeeper; });
+    return found;
+}
+
 // A way that failed is left out this long, doubled with each failure in a row up to the longest.
 static constexpr Milliseconds firstSuspension { 250 };
 static constexpr Milliseconds longestSuspension { 8'000 };
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -75,8 +75,7 @@
 
 void TurnJournalClient::setRelays(const std::vector<RelayAddress>& relays)
 {
-    m_keepers.clear();
-    std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_keepers), [](const RelayAddress& it) { return it.isKeeper; });
+    m_keepers = relaysWith(relays, true);
 }
 
 std::vector<RelayAddress> TurnJournalClient::likelyKeepers() const
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -60,8 +60,8 @@
     , m_disk(settingsFor(folder))
 {
     m_disk.load([this](std::string_view bytes) { m_journal.apply(decodeOperation(std::string(bytes))); });
-    for (const JournalEntry& it : m_journal.all())
-        m_seen[{ it.daemon, it.step() }] = clock.now();
+    for (const auto& [name, entry] : m_journal.entries())
+        m_seen[name] = clock.now();
     m_log.write(LogLine("journal-loaded").field("entries", m_journal.size()).field("bytes", m_disk.bytes()).field("complete", m_journal.isSynchronized()).field("firstStart", isFirstStart));
     if (isFirstStart && !m_journal.isSynchronized()) {
         JournalOperation synchronized { JournalOperation::Kind::Synchronized };
@@ -72,14 +72,16 @@
     server.on(peerpaths::journalFind, [this](const std::string& body) { return find(body); });
     server.on(peerpaths::journalGrants, [this](const std::string& body) { return grants(body); });
     server.on(peerpaths::journalOutstanding, [this](const std::string&) { return outstanding(); });
-    server.on(peerpaths::journalDrop, [this](const std::string& body) { return drop(body); });
+    server.on(peerpaths::journalDrop, [this](const std::string& body) {
+        drop(decodeOperation(body).name);
+        return std::string("dropped");
+    });
     server.on(peerpaths::journalAll, [this](const std::string&) { return all(); });
 }
 
 void TurnJournalServer::setRelays(const std::vector<RelayAddress>& relays, unsigned excused)
 {
-    m_others.clear();
-    std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_others), [](const RelayAddress& it) { return it.isKeeper; });
+    m_others = relaysWith(relays, true);
     m_excused = excused;
     m_areOthersKnown = true;
 }
@@ -133,43 +135,45 @@
     }
 }
 
-std::string TurnJournalServer::grants(const std::string& body) const
+// A journal that has not read what the others have must not say that it lacks something.
+void TurnJournalServer::requireSynchronized() const
 {
     if (!m_journal.isSynchronized())
         throw JournalNotReadyError();
+}
+
+std::string TurnJournalServer::grants(const std::string& body) const
+{
+    requireSynchronized();
     return encodeEntries(m_journal.grantsOf(ProgramId(body)));
 }
 
 std::string TurnJournalServer::find(const std::string& body) const
 {
-    if (!m_journal.isSynchronized())
-        throw JournalNotReadyError();
+    requireSynchronized();
     return encodeEntries(m_journal.findTurn(CallId(body)));
 }
 
 std::string TurnJournalServer::outstanding() const
 {
-    if (!m_journal.isSynchronized())
-        throw JournalNotReadyError();
+    requireSynchronized();
     return encodePrograms(m_journal.outstandingPrograms());
 }
 
-std::string TurnJournalServer::drop(const std::string& body)
+void TurnJournalServer::drop(const EntryName& name)
 {
-    JournalOperation operation = decodeOperation(body);
-    if (!m_journal.has(operation.name))
-        return "dropped";
+    if (!m_journal.has(name))
+        return;
+    JournalOperation operation { JournalOperation::Kind::Drop, {}, name };
     m_journal.apply(operation);
-    m_seen.erase(operation.name);
+    m_seen.erase(name);
     // If the drop is lost with the power, the entry is found stored and dropped again.
-    m_disk.write(body, [](const std::exception_ptr&) {});
-    return "dropped";
+    m_disk.write(encodeOperation(operation), [](const std::exception_ptr&) {});
 }
 
 std::string TurnJournalServer::all() const
 {
-    if (!m_journal.isSynchronized())
-        throw JournalNotReadyError();
+    requireSynchronized();
     return encodeEntries(m_journal.all());
 }
 
@@ -261,7 +265,7 @@
             if (it.grant != 0 && it.step <= account.holds[entry.daemon].step)
                 keep({ grantStoredEntry(program, entry.daemon, it.grant, it.keepUntil) });
     for (const EntryName& it : done)
-        drop(encodeOperation({ JournalOperation::Kind::Drop, {}, it }));
+        drop(it);
 }
 
 // The daemon died while a turn ran under the grant: how much it handed out is not known. That takes the room for one
@@ -293,9 +297,9 @@
     if (m_store.health().failingSince())
         return;
     std::map<ProgramId, std::vector<JournalEntry>> old;
-    for (JournalEntry& it : m_journal.all())
-        if (!isGrant(it) && m_clock.now() - m_seen[{ it.daemon, it.step() }] >= uploadAfter)
-            old[it.program].push_back(std::move(it));
+    for (const auto& [name, entry] : m_journal.entries())
+        if (!isGrant(entry) && m_clock.now() - m_seen[name] >= uploadAfter)
+            old[entry.program].push_back(entry);
     std::size_t n = 0;
     for (const auto& [program, entries] : old) {
         upload(program, entries);
@@ -306,7 +310,7 @@
         if (it.changes.back().keepUntil < m_clock.wallNow())
             charge(it);
     for (const EntryName& it : m_journal.expiredGrants(m_clock.wallNow()))
-        drop(encodeOperation({ JournalOperation::Kind::Drop, {}, it }));
+        drop(it);
 }
 
 void TurnJournalServer::compactIfLarge()
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -33,12 +33,13 @@
     void run();
 
 private:
+    void requireSynchronized() const;
     std::string append(const std::string& body);
     void keep(const std::vector<JournalEntry>&);
     std::string find(const std::string& body) const;
     std::string grants(const std::string& body) const;
     std::string outstanding() const;
-    std::string drop(const std::string& body);
+    void drop(const EntryName&);
     std::string all() const;
     void makeLast(const std::vector<JournalOperation>&);
     std::size_t readFrom(const std::vector<RelayAddress>&);
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -29,24 +29,30 @@
 void TurnJournal::append(const JournalEntry& entry)
 {
     m_entries.emplace(nameOf(entry), entry);
+    m_byProgram[entry.program].insert(nameOf(entry));
     for (const AccountChange& it : entry.changes)
         if (it.record)
             m_byTurn[it.record->turn].insert(nameOf(entry));
 }
 
+template <typename Key>
+static void eraseName(std::map<Key, std::set<EntryName>>& index, const Key& key, const EntryName& name)
+{
+    auto names = index.find(key);
+    names->second.erase(name);
+    if (names->second.empty())
+        index.erase(names);
+}
+
 void TurnJournal::drop(const EntryName& name)
 {
     auto entry = m_entries.find(name);
     if (entry == m_entries.end())
         return;
-    for (const AccountChange& it : entry->second.changes) {
-        if (!it.record)
-            continue;
-        auto names = m_byTurn.find(it.record->turn);
-        names->second.erase(name);
-        if (names->second.empty())
-            m_byTurn.erase(names);
-    }
+    for (const AccountChange& it : entry->second.changes)
+        if (it.record)
+            eraseName(m_byTurn, it.record->turn, name);
+    eraseName(m_byProgram, entry->second.program, name);
     m_entries.erase(entry);
 }
 
@@ -66,14 +72,18 @@
 
 std::vector<JournalEntry> TurnJournal::findTurn(const CallId& turn) const
 {
-    std::vector<JournalEntry> found;
     auto names = m_byTurn.find(turn);
-    if (names == m_byTurn.end())
+    return names == m_byTurn.end() ? std::vector<JournalEntry>() : entriesOf(m_entries.at(*names->second.begin()).program);
+}
+
+std::vector<JournalEntry> TurnJournal::entriesOf(const ProgramId& program) const
+{
+    std::vector<JournalEntry> found;
+    auto names = m_byProgram.find(program);
+    if (names == m_byProgram.end())
         return found;
-    const ProgramId& program = m_entries.at(*names->second.begin()).program;
-    for (const auto& [name, entry] : m_entries)
-        if (entry.program == program)
-            found.push_back(entry);
+    for (const EntryName& it : names->second)
+        found.push_back(m_entries.at(it));
     return found;
 }
 
@@ -132,30 +142,21 @@
     return total;
 }
 
-std::vector<JournalEntry> TurnJournal::allGrants() const
-{
-    std::vector<JournalEntry> grants;
-    for (const auto& [name, entry] : m_entries)
-        if (isGrant(entry))
-            grants.push_back(entry);
-    return grants;
-}
-
 std::set<ProgramId> TurnJournal::outstandingPrograms() const
 {
-    std::map<ProgramId, std::vector<JournalEntry>> byProgram;
-    for (JournalEntry& it : allGrants())
-        byProgram[it.program].push_back(std::move(it));
     std::set<ProgramId> programs;
-    for (const auto& [program, grants] : byProgram)
-        if (outstandingTokens(grants) > 0)
+    for (const auto& [program, names] : m_byProgram)
+        if (outstandingTokens(grantsOf(program)) > 0)
             programs.insert(program);
     return programs;
 }
 
 std::vector<JournalEntry> TurnJournal::openGrants() const
 {
-    std::vector<JournalEntry> grants = allGrants();
+    std::vector<JournalEntry> grants;
+    for (const auto& [name, entry] : m_entries)
+        if (isGrant(entry))
+            grants.push_back(entry);
     std::vector<JournalEntry> open;
     for (const auto& [name, state] : statesOf(grants))
         if (state.entry && !state.used && !state.isStored)
@@ -165,10 +166,8 @@
 
 std::vector<JournalEntry> TurnJournal::grantsOf(const ProgramId& program) const
 {
-    std::vector<JournalEntry> grants;
-    for (const auto& [name, entry] : m_entries)
-        if (entry.program == program && isGrant(entry))
-            grants.push_back(entry);
+    std::vector<JournalEntry> grants = entriesOf(program);
+    std::erase_if(grants, [](const JournalEntry& it) { return !isGrant(it); });
     return grants;
 }
 
