Let AccountPeers do what daemons tell each other about accounts

The second is a class of its own now; when the store counts as failing is said by its client. No change of behaviour.

--- /dev/null
+++ b/lib/Gateway/AccountPeers.cpp
@@ -0,0 +1,179 @@
+#include "AccountPeers.h"
+
+#include "PeerCall.h"
+#include "StoreCodec.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+
+namespace basilpoint {
+
+// Records of programs are kept for less than this after their last turn.
+static constexpr std::chrono::minutes longestRetention { 2 };
+static constexpr Milliseconds peerLimit { 150 };
+// A hold is given back within a commit's usual time, or the turn is refused.
+static constexpr Milliseconds releaseLimit { 150 };
+static constexpr Milliseconds handoverLimit { 500 };
+
+AccountPeers::AccountPeers(StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, HttpClient& client, bool isFirstStart, const Clock& clock, JsonLog& log)
+    : m_store(store)
+    , m_ledger(ledger)
+    , m_writer(writer)
+    , m_journal(journal)
+    , m_client(client)
+    , m_hasCleanStart(isFirstStart)
+    , m_startedAt(clock.now())
+    , m_doubt(!isFirstStart, clock.now())
+    , m_clock(clock)
+    , m_log(log)
+{
+}
+
+void AccountPeers::setPeers(const std::vector<RelayAddress>& relays)
+{
+    m_peers = relaysWith(relays, false);
+}
+
+// A program's account lives in the daemons' memory as long as they do. One that runs for longer than records are
+// kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all
+// see the store fail.
+bool AccountPeers::hasSeenAll() const
+{
+    return m_hasCleanStart || m_clock.now() - m_startedAt > longestRetention;
+}
+
+// A word that is given while the store still answers, or by a daemon that may have missed changes, is not complete.
+std::string AccountPeers::giveWord(const std::string& program)
+{
+    return encodeWord(ownWord(ProgramId(program)));
+}
+
+// Suspends until all have answered or failed. \returns how many answered.
+std::size_t AccountPeers::ask(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer)
+{
+    struct Round {
+        std::size_t open = 0;
+        std::size_t answered = 0;
+        FiberSignal changed;
+    } round;
+    std::vector<RelayAddress> peers = m_peers;
+    round.open = peers.size();
+    for (const RelayAddress& peer : peers) {
+        spawnFiber([&, peer] {
+            try {
+                onAnswer(peer, callPeer(m_client, peer.endpoint, path, body, limit));
+                ++round.answered;
+            } catch (const Error& error) {
+                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("call", path).field("reason", error.what()));
+            }
+            --round.open;
+            round.changed.notifyAll();
+        });
+    }
+    while (round.open > 0)
+        round.changed.wait();
+    return round.answered;
+}
+
+// The daemon that served a program before has its chain in memory. What is found is certain.
+AccountPeers::Knowledge AccountPeers::read(const ProgramId& program)
+{
+    Knowledge known;
+    std::size_t asked = m_peers.size();
+    std::size_t complete = 0;
+    ask(peerpaths::programRecords, program.text(), peerLimit, [&](const RelayAddress& peer, const std::string& answer) {
+        AccountWord word = decodeWord(answer);
+        bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
+        complete += word.isComplete || isCovered ? 1 : 0;
+        known.claimed += word.claimed;
+        known.anyFound = known.anyFound || !word.records.empty();
+        if (!word.records.empty())
+            m_ledger.programRead(program, word.records);
+    });
+    AccountWord own = ownWord(program);
+    known.claimed += own.claimed;
+    known.isComplete = complete == asked && own.isComplete && asked > 0;
+    return known;
+}
+
+void AccountPeers::entered(bool hasCleanStart)
+{
+    m_hasEntered = true;
+    m_hasCleanStart = m_hasCleanStart || hasCleanStart;
+    m_log.write(LogLine("entered").field("cleanStart", hasCleanStart));
+}
+
+bool AccountPeers::handOver(const std::string& instance)
+{
+    Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()) };
+    std::size_t asked = m_peers.size();
+    std::size_t taken = ask(peerpaths::handOver, encodeHandover(handover), handoverLimit, [](const RelayAddress&, const std::string&) {});
+    m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", taken).field("asked", asked).field("seenAll", hasSeenAll()));
+    return hasSeenAll() && taken == asked;
+}
+
+std::string AccountPeers::noteHandover(const std::string& body)
+{
+    Handover handover = decodeHandover(body);
+    for (const KnownAccount& it : handover.accounts)
+        m_ledger.programRead(it.program, { it.record });
+    m_handovers.noted(handover.daemon, m_clock.now());
+    return "taken";
+}
+
+std::string AccountPeers::releaseHold(const std::string& program)
+{
+    auto change = m_ledger.releaseHold(ProgramId(program));
+    bool isReleased = false;
+    if (change) {
+        m_writer.expect(*change);
+        m_writer.kick();
+        isReleased = m_writer.await(*change, m_clock.now() + releaseLimit, [] { return false; }) == ChangeOutcome::Stored;
+        m_writer.forget(*change);
+    }
+    m_log.write(LogLine("hold-release").field("program", program).field("held", change.has_value()).field("released", isReleased));
+    return encodeRelease({ m_ledger.self(), isReleased });
+}
+
+// A dead daemon's hold stays charged for good. The room for one turn beyond the budget, which grants of an outage
+// have in common, makes up for it; a living daemon gives back what it does not need.
+AccountPeers::HoldersAnswer AccountPeers::askHolders(const ProgramId& program, std::map<DaemonLifetime, TokenCount> holders)
+{
+    HoldersAnswer result;
+    std::size_t answers = ask(peerpaths::releaseHold, program.text(), 2 * releaseLimit, [&](const RelayAddress&, const std::string& answer) {
+        HoldRelease release = decodeRelease(answer);
+        result.anyReleased = result.anyReleased || release.isReleased;
+        holders.erase(release.daemon);
+    });
+    for (const auto& [daemon, tokens] : holders)
+        result.deadTokens += tokens;
+    m_log.write(LogLine("holders-asked").field("program", program.text()).field("answers", answers).field("released", result.anyReleased).field("deadTokens", result.deadTokens));
+    return result;
+}
+
+void AccountPeers::refreshDoubt()
+{
+    if (m_store.isFailing() || m_isAskingForNames || !m_doubt.needsNames(m_clock.now()))
+        return;
+    m_isAskingForNames = true;
+    spawnFiber([this] {
+        TimePoint askedAt = m_clock.now();
+        auto programs = m_journal.outstandingPrograms(askedAt + peerLimit);
+        m_isAskingForNames = false;
+        m_log.write(LogLine("grants-named").field("known", programs.has_value()).field("programs", programs ? programs->size() : 0));
+        if (programs)
+            m_doubt.programsNamed(std::move(*programs), askedAt);
+    });
+}
+
+// A binding word lets others grant what this daemon then must leave untouched.
+AccountWord AccountPeers::ownWord(const ProgramId& program)
+{
+    bool isBinding = hasSeenAll() && m_store.isFailing();
+    if (isBinding)
+        m_doubt.wordGiven(m_clock.now());
+    AccountWord word = m_ledger.giveWord(program, isBinding);
+    word.isFresh = !m_hasEntered;
+    return word;
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/AccountPeers.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "LedgerWriter.h"
+#include "StoreClient.h"
+#include "TurnJournalClient.h"
+
+#include "basilpoint/Turns/GrantDoubt.h"
+#include "basilpoint/Turns/Handovers.h"
+
+namespace basilpoint {
+
+/// What the daemons that serve callers tell each other about programs' accounts, beside the store.
+class AccountPeers {
+public:
+    /// \param isFirstStart this daemon was there from the deployment's start.
+    AccountPeers(StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, HttpClient&, bool isFirstStart, const Clock&, JsonLog&);
+
+    /// Takes from the list the other daemons that serve callers.
+    void setPeers(const std::vector<RelayAddress>&);
+
+    /// This daemon stands in the list of daemons, so that it may change accounts.
+    void entered(bool hasCleanStart);
+    bool hasEntered() const { return m_hasEntered; }
+
+    /// Another daemon has started and may change accounts.
+    void peerStarted(const std::string& instance) { m_handovers.succeeded(instance); }
+
+    /// What the other daemons know of a program.
+    struct Knowledge {
+        bool anyFound = false;
+        /// All daemons that may have changed the program's account have answered.
+        bool isComplete = false;
+        /// Tokens that changes of unknown fate may have taken from the account.
+        TokenCount claimed = 0;
+    };
+
+    /// Asks the others for what they know of a program, while the store is out of reach; the ledger takes it.
+    Knowledge read(const ProgramId&);
+
+    /// Answers such a question.
+    std::string giveWord(const std::string& program);
+
+    /// What the daemons that hold parts of a budget answered.
+    struct HoldersAnswer {
+        bool anyReleased = false;
+        /// Held by daemons that did not answer.
+        TokenCount deadTokens = 0;
+    };
+
+    /// Asks those who hold parts of a budget to give back what they do not need.
+    HoldersAnswer askHolders(const ProgramId&, std::map<DaemonLifetime, TokenCount> holders);
+
+    /// Gives back what this daemon holds of a program's budget and does not need, for another that lacks it.
+    std::string releaseHold(const std::string& program);
+
+    /// Tells the other daemons all that this one knows of accounts. \returns whether that is all there is, and all know it.
+    bool handOver(const std::string& instance);
+
+    /// Takes what another daemon hands over.
+    std::string noteHandover(const std::string& body);
+
+    /// Asks, if need be, which programs' accounts may lack granted tokens.
+    void refreshDoubt();
+
+    /// Whether the program's account may lack granted tokens.
+    bool doubts(const ProgramId& program) const { return m_doubt.covers(program); }
+
+private:
+    std::size_t ask(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer);
+    AccountWord ownWord(const ProgramId&);
+    bool hasSeenAll() const;
+
+    StoreClient& m_store;
+    TurnLedger& m_ledger;
+    LedgerWriter& m_writer;
+    TurnJournalClient& m_journal;
+    HttpClient& m_client;
+    std::vector<RelayAddress> m_peers;
+    bool m_hasEntered = false;
+    bool m_hasCleanStart;
+    Handovers m_handovers;
+    TimePoint m_startedAt;
+    GrantDoubt m_doubt;
+    bool m_isAskingForNames = false;
+    const Clock& m_clock;
+    JsonLog& m_log;
+};
+
+} // namespace basilpoint
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -70,6 +70,7 @@
         TurnLedger m_ledger;
         LedgerWriter m_writer;
         Forwarder m_forwarder;
+        AccountPeers m_accounts;
         TurnController m_turns;
         CallController m_calls;
         HttpServer m_callers;
@@ -92,13 +93,14 @@
     , m_peers(io, settings.peers)
     , m_relays(m_store, m_peers, client, { settings.instance, settings.dataCentre, settings.peers, false }, m_log, [this](const std::vector<RelayAddress>& relays, bool) { 
         m_journal.setRelays(relays);
-        m_turns.setPeers(relays); })
+        m_accounts.setPeers(relays); })
     , m_relay(m_peers, store, clock, m_log, m_metrics)
     , m_selector(m_random())
     , m_ledger(DaemonLifetime(randomHex(m_random, 12)), LedgerSettings {})
     , m_writer(m_store, m_ledger, clock, m_log)
     , m_forwarder(client, m_directory, m_selector, m_format, clock, m_log, m_metrics)
-    , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
+    , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
+    , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
     , m_callers(io, settings.callers, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
     , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
@@ -243,7 +245,7 @@
     for (const Registration& it : m_directory.sweep(now))
         dropTarget(it);
     m_writer.kick();
-    m_turns.refreshDoubt();
+    m_accounts.refreshDoubt();
     noteReadiness();
     m_log.flush();
 }
@@ -254,12 +256,12 @@
     spawnFiber([this] { watchConfiguration(); });
     spawnFiber([this] { watchTargets(); });
     spawnFiber([this] { probeStore(); });
-    m_relays.onEnter([this](bool hasCleanStart) { m_turns.entered(hasCleanStart); });
-    m_relays.onAnnounce([this](const std::string& instance) { m_turns.peerStarted(instance); });
+    m_relays.onEnter([this](bool hasCleanStart) { m_accounts.entered(hasCleanStart); });
+    m_relays.onAnnounce([this](const std::string& instance) { m_accounts.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
-    m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_turns.giveWord(program); });
-    m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_turns.releaseHold(program); });
-    m_peers.on(peerpaths::handOver, [this](const std::string& body) { return m_turns.noteHandover(body); });
+    m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.giveWord(program); });
+    m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_accounts.releaseHold(program); });
+    m_peers.on(peerpaths::handOver, [this](const std::string& body) { return m_accounts.noteHandover(body); });
     m_peers.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
@@ -285,7 +287,7 @@
     m_callers.stop();
     while (m_clock.now() < end && (m_callers.activeRequests() > 0 || m_ledger.hasWork()))
         sleepFiber(stopPollInterval);
-    if (m_callers.activeRequests() == 0 && !m_ledger.hasWork() && m_turns.handOver(m_settings.instance))
+    if (m_callers.activeRequests() == 0 && !m_ledger.hasWork() && m_accounts.handOver(m_settings.instance))
         m_relays.leave();
     m_log.write(LogLine("stop").field("active", m_callers.activeRequests()).field("unwritten", m_ledger.hasWork()));
     m_log.flush();
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -7,6 +7,8 @@
 
 // A watch that was cut shows nothing but silence; this much beyond its wait is taken for a cut.
 static constexpr Milliseconds shortestWatchLimit { 400 };
+// Once the store fails for this long it is not asked again.
+static constexpr Milliseconds failingLimit { 250 };
 
 StoreClient::StoreClient(TransactionalStore& direct, HttpClient* peers, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_direct(direct)
@@ -71,6 +73,11 @@
     }
 }
 
+bool StoreClient::isFailing() const
+{
+    return m_health.isFailingFor(failingLimit, m_clock.now());
+}
+
 KeyTransactionResult StoreClient::commit(const KeyTransaction& transaction)
 {
     return measure("commit", StorePaths::Purpose::Commit, [&](TransactionalStore& store) { return store.commit(transaction, m_health.answerLimit()); });
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -30,6 +30,9 @@
 
     const StoreHealth& health() const { return m_health; }
 
+    /// Whether calls have failed for so long that keepers and other daemons take the store's place.
+    bool isFailing() const;
+
 private:
     template <typename Call>
     auto tryPaths(const char* kind, StorePaths::Purpose, Call);
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -1,6 +1,5 @@
 #include "TurnController.h"
 
-#include "PeerCall.h"
 #include "StoreCodec.h"
 
 #include "basilpoint/Net/Errors.h"
@@ -14,20 +13,14 @@
 
 // Records outlive their retention by this, for clocks that differ.
 static constexpr Milliseconds retentionMargin { 10'000 };
-// Once the store fails for this long it is not asked again: keepers and other daemons take its place.
-static constexpr Milliseconds failingLimit { 250 };
 // A turn that the store has not confirmed by then goes to the keepers' disks as well.
 static constexpr Milliseconds journalAfter { 160 };
 // With a longer limit than this the store answers so slowly that the keepers are asked at once.
 static constexpr Milliseconds usualLimit { 600 };
 // A grant of less than this part of a turn's most tokens would mostly break the turn off.
 static constexpr TokenCount leastGrantDivisor = 3;
-// Records of programs are kept for less than this after their last turn.
-static constexpr std::chrono::minutes longestRetention { 2 };
-static constexpr Milliseconds peerLimit { 150 };
-// A hold is given back within a commit's usual time, or the turn is refused.
-static constexpr Milliseconds releaseLimit { 150 };
-static constexpr Milliseconds handoverLimit { 500 };
+// Open grants of one program are asked for before each of its turns while they are in doubt.
+static constexpr Milliseconds grantsLimit { 150 };
 static constexpr Milliseconds journalLimit { 400 };
 // Entries of a longer outage are brought to the store by the keepers.
 static constexpr std::chrono::minutes longestOutage { 10 };
@@ -54,16 +47,13 @@
     TokenCount granted = 0;
 };
 
-TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, HttpClient& client, bool isFirstStart, const Clock& clock, JsonLog& log)
+TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, AccountPeers& accounts, const Clock& clock, JsonLog& log)
     : m_forwarder(forwarder)
     , m_store(store)
     , m_ledger(ledger)
     , m_writer(writer)
     , m_journal(journal)
-    , m_client(client)
-    , m_hasCleanStart(isFirstStart)
-    , m_startedAt(clock.now())
-    , m_doubt(!isFirstStart, clock.now())
+    , m_accounts(accounts)
     , m_clock(clock)
     , m_log(log)
 {
@@ -97,134 +87,6 @@
     return found ? std::optional(ProgramId(found->value)) : std::nullopt;
 }
 
-void TurnController::setPeers(const std::vector<RelayAddress>& relays)
-{
-    m_peers.clear();
-    std::copy_if(relays.begin(), relays.end(), std::back_inserter(m_peers), [](const RelayAddress& it) { return !it.isKeeper; });
-}
-
-// A program's account lives in the daemons' memory as long as they do. One that runs for longer than records are
-// kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all
-// see the store fail.
-bool TurnController::hasSeenAll() const
-{
-    return m_hasCleanStart || m_clock.now() - m_startedAt > longestRetention;
-}
-
-// A word that is given while the store still answers, or by a daemon that may have missed changes, is not complete.
-std::string TurnController::giveWord(const std::string& program)
-{
-    return encodeWord(ownWord(ProgramId(program)));
-}
-
-// Suspends until all have answered or failed. \returns how many answered.
-std::size_t TurnController::askPeers(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer)
-{
-    struct Round {
-        std::size_t open = 0;
-        std::size_t answered = 0;
-        FiberSignal changed;
-    } round;
-    std::vector<RelayAddress> peers = m_peers;
-    round.open = peers.size();
-    for (const RelayAddress& peer : peers) {
-        spawnFiber([&, peer] {
-            try {
-                onAnswer(peer, callPeer(m_client, peer.endpoint, path, body, limit));
-                ++round.answered;
-            } catch (const Error& error) {
-                m_log.write(LogLine("peer-failed").field("peer", peer.instance).field("call", path).field("reason", error.what()));
-            }
-            --round.open;
-            round.changed.notifyAll();
-        });
-    }
-    while (round.open > 0)
-        round.changed.wait();
-    return round.answered;
-}
-
-// The daemon that served a program before has its chain in memory. What is found is certain.
-TurnController::PeerKnowledge TurnController::readFromPeers(const ProgramId& program)
-{
-    PeerKnowledge known;
-    std::size_t asked = m_peers.size();
-    std::size_t complete = 0;
-    askPeers(peerpaths::programRecords, program.text(), peerLimit, [&](const RelayAddress& peer, const std::string& answer) {
-        AccountWord word = decodeWord(answer);
-        bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
-        complete += word.isComplete || isCovered ? 1 : 0;
-        known.claimed += word.claimed;
-        known.anyFound = known.anyFound || !word.records.empty();
-        if (!word.records.empty())
-            m_ledger.programRead(program, word.records);
-    });
-    AccountWord own = ownWord(program);
-    known.claimed += own.claimed;
-    known.isComplete = complete == asked && own.isComplete && asked > 0;
-    return known;
-}
-
-void TurnController::entered(bool hasCleanStart)
-{
-    m_hasEntered = true;
-    m_hasCleanStart = m_hasCleanStart || hasCleanStart;
-    m_log.write(LogLine("entered").field("cleanStart", hasCleanStart));
-}
-
-bool TurnController::handOver(const std::string& instance)
-{
-    Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()) };
-    std::size_t asked = m_peers.size();
-    std::size_t taken = askPeers(peerpaths::handOver, encodeHandover(handover), handoverLimit, [](const RelayAddress&, const std::string&) {});
-    m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", taken).field("asked", asked).field("seenAll", hasSeenAll()));
-    return hasSeenAll() && taken == asked;
-}
-
-std::string TurnController::noteHandover(const std::string& body)
-{
-    Handover handover = decodeHandover(body);
-    for (const KnownAccount& it : handover.accounts)
-        m_ledger.programRead(it.program, { it.record });
-    m_handovers.noted(handover.daemon, m_clock.now());
-    return "taken";
-}
-
-std::string TurnController::releaseHold(const std::string& program)
-{
-    auto change = m_ledger.releaseHold(ProgramId(program));
-    bool isReleased = false;
-    if (change) {
-        m_writer.expect(*change);
-        m_writer.kick();
-        isReleased = m_writer.await(*change, m_clock.now() + releaseLimit, [] { return false; }) == ChangeOutcome::Stored;
-        m_writer.forget(*change);
-    }
-    m_log.write(LogLine("hold-release").field("program", program).field("held", change.has_value()).field("released", isReleased));
-    return encodeRelease({ m_ledger.self(), isReleased });
-}
-
-// A dead daemon's hold stays charged for good. The room for one turn beyond the budget, which grants of an outage
-// have in common, makes up for it; a living daemon gives back what it does not need.
-TurnController::HoldersAnswer TurnController::askHolders(const ProgramId& program, std::map<DaemonLifetime, TokenCount> holders)
-{
-    HoldersAnswer result;
-    std::size_t answers = askPeers(peerpaths::releaseHold, program.text(), 2 * releaseLimit, [&](const RelayAddress&, const std::string& answer) {
-        HoldRelease release = decodeRelease(answer);
-        result.anyReleased = result.anyReleased || release.isReleased;
-        holders.erase(release.daemon);
-    });
-    for (const auto& [daemon, tokens] : holders)
-        result.deadTokens += tokens;
-    m_log.write(LogLine("holders-asked").field("program", program.text()).field("answers", answers).field("released", result.anyReleased).field("deadTokens", result.deadTokens));
-    return result;
-}
-
-bool TurnController::isStoreFailing() const
-{
-    return m_store.health().isFailingFor(failingLimit, m_clock.now());
-}
-
 // The keepers drop a turn once it is stored, which may have been between the two questions; so the store has the
 // last word. A turn that exists has its whole chain somewhere, though it may not be found right now.
 std::optional<TurnController::Refusal> TurnController::findStoredMeanwhile(const CallId& missing, bool isPrevious, TurnKnowledge& knowledge)
@@ -284,9 +146,9 @@
 {
     const TurnRequest& request = admission.turn.request;
     Refusal refusal = refusalOf(spent, request.mostTokens);
-    if (spent.holders.empty() || isStoreFailing())
+    if (spent.holders.empty() || m_store.isFailing())
         return refusal;
-    HoldersAnswer answer = askHolders(request.program, spent.holders);
+    AccountPeers::HoldersAnswer answer = m_accounts.askHolders(request.program, spent.holders);
     if (answer.anyReleased)
         read(request.program, ReadMode::Current);
     else if (answer.deadTokens < spent.lacking)
@@ -318,8 +180,8 @@
 {
     TurnKnowledge& knowledge = admission.knowledge;
     bool isOrigin = needed.program != admission.turn.request.program;
-    if (isStoreFailing()) {
-        if (knowledge.isProgramRead || !readFromPeers(needed.program).anyFound)
+    if (m_store.isFailing()) {
+        if (knowledge.isProgramRead || !m_accounts.read(needed.program).anyFound)
             return Refusal { 503, "store out of reach" };
         knowledge.isProgramRead = true;
         return std::nullopt;
@@ -339,7 +201,7 @@
 
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsOrigin& needed)
 {
-    if (isStoreFailing())
+    if (m_store.isFailing())
         return Refusal { 503, "store out of reach" };
     admission.knowledge.origin = readOrigin(needed.previous);
     admission.knowledge.isOriginKnown = true;
@@ -348,14 +210,14 @@
 
 std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, Turn& turn)
 {
-    if (!m_hasEntered)
+    if (!m_accounts.hasEntered())
         return Refusal { 503, "not in the list of daemons yet" };
     Admission admission { call, turn };
     try {
         for (;;) {
             // Either may have changed while the last answer was awaited.
-            admission.knowledge.mayReserve = !isStoreFailing() && !turn.heldBack;
-            if (m_doubt.covers(turn.request.program) && !admission.areGrantsKnown)
+            admission.knowledge.mayReserve = !m_store.isFailing() && !turn.heldBack;
+            if (m_accounts.doubts(turn.request.program) && !admission.areGrantsKnown)
                 admission.knowledge.outstanding.reset();
             TurnVerdict verdict = m_ledger.begin(turn.request, admission.knowledge, m_clock.now());
             if (auto* admitted = std::get_if<TurnAdmitted>(&verdict))
@@ -389,58 +251,32 @@
         return !turn.admitted.needsGrant || takeGrant(call, turn);
     ChangeId id = *turn.admitted.reservation;
     TimePoint now = m_clock.now();
-    TimePoint patience = isStoreFailing() ? now : std::min(call.deadline, now + journalAfter);
+    TimePoint patience = m_store.isFailing() ? now : std::min(call.deadline, now + journalAfter);
     auto isGone = [&call] { return call.isCallerGone; };
     auto outcome = m_writer.await(id, patience, isGone);
     // In doubt, a denial may only mean that the account's changes were held back for the sake of grants.
-    bool mayHaveGrant = !outcome || (outcome == ChangeOutcome::Denied && m_doubt.covers(turn.request.program));
+    bool mayHaveGrant = !outcome || (outcome == ChangeOutcome::Denied && m_accounts.doubts(turn.request.program));
     if (mayHaveGrant && !call.isCallerGone && takeGrant(call, turn))
         return true;
     if (!outcome)
-        outcome = m_writer.await(id, call.deadline, [&] { return call.isCallerGone || isStoreFailing(); });
+        outcome = m_writer.await(id, call.deadline, [&] { return call.isCallerGone || m_store.isFailing(); });
     turn.isDenied = outcome == ChangeOutcome::Denied;
     return outcome == ChangeOutcome::Stored;
 }
 
-void TurnController::refreshDoubt()
-{
-    if (isStoreFailing() || m_isAskingForNames || !m_doubt.needsNames(m_clock.now()))
-        return;
-    m_isAskingForNames = true;
-    spawnFiber([this] {
-        TimePoint askedAt = m_clock.now();
-        auto programs = m_journal.outstandingPrograms(askedAt + peerLimit);
-        m_isAskingForNames = false;
-        m_log.write(LogLine("grants-named").field("known", programs.has_value()).field("programs", programs ? programs->size() : 0));
-        if (programs)
-            m_doubt.programsNamed(std::move(*programs), askedAt);
-    });
-}
-
-// A binding word lets others grant what this daemon then must leave untouched.
-AccountWord TurnController::ownWord(const ProgramId& program)
-{
-    bool isBinding = hasSeenAll() && isStoreFailing();
-    if (isBinding)
-        m_doubt.wordGiven(m_clock.now());
-    AccountWord word = m_ledger.giveWord(program, isBinding);
-    word.isFresh = !m_hasEntered;
-    return word;
-}
-
 TurnEnd TurnController::endOf(const Turn& turn) const
 {
     TurnEnd end;
     end.reservation = turn.admitted.reservation;
     end.grant = turn.grant ? turn.grant->step : 0;
-    end.mayMissGrants = m_doubt.covers(turn.request.program);
+    end.mayMissGrants = m_accounts.doubts(turn.request.program);
     end.neededGrant = turn.admitted.needsGrant;
     return end;
 }
 
 std::optional<TokenCount> TurnController::outstandingOf(const ForwardedCall& call, const TurnRequest& request)
 {
-    auto outstanding = m_journal.outstanding(request.program, std::min(call.deadline, m_clock.now() + peerLimit));
+    auto outstanding = m_journal.outstanding(request.program, std::min(call.deadline, m_clock.now() + grantsLimit));
     m_log.write(LogLine("grants-outstanding").field("request", call.attributes.call.text()).field("program", request.program.text()).field("known", outstanding.has_value()).field("tokens", outstanding.value_or(0)));
     return outstanding;
 }
@@ -451,7 +287,7 @@
 {
     const TurnRequest& asked = turn.request;
     // One that may break off the stream is for outages only.
-    TokenCount leastGrant = isStoreFailing() ? asked.mostTokens / leastGrantDivisor : asked.mostTokens;
+    TokenCount leastGrant = m_store.isFailing() ? asked.mostTokens / leastGrantDivisor : asked.mostTokens;
     TurnJournalClient::GrantRequest request { asked.program, m_ledger.self(), m_ledger.takeGrantSteps(), asked.mostTokens, leastGrant, asked.keepUntil };
     TokenCount allowance = 0;
     auto tokens = m_journal.grant(request, std::min(call.deadline, m_clock.now() + journalLimit), [&] { return allowance = allowanceOf(asked); });
@@ -466,9 +302,9 @@
 TokenCount TurnController::allowanceOf(const TurnRequest& asked)
 {
     // Nobody gives a binding word while accounts can be changed.
-    if (!isStoreFailing())
+    if (!m_store.isFailing())
         return asked.mostTokens;
-    PeerKnowledge known = readFromPeers(asked.program);
+    AccountPeers::Knowledge known = m_accounts.read(asked.program);
     if (!known.isComplete)
         return asked.mostTokens;
     TokenCount remaining = m_ledger.remainingOf(asked.program, asked.budget);
@@ -565,17 +401,17 @@
     if (auto* refusal = std::get_if<Refusal>(&verdict))
         return *refusal;
     turn.admitted = std::move(std::get<TurnAdmitted>(verdict));
-    m_log.write(LogLine("turn-admitted").field("request", turn.request.turn.text()).field("program", program.text()).field("previous", turn.request.previous.text()).field("budget", turn.request.budget).field("most", turn.request.mostTokens).field("reserving", turn.admitted.reservation.has_value()).field("historyBytes", turn.admitted.history.size()).field("lastTarget", turn.admitted.lastTarget.text()).field("storeFailing", isStoreFailing()));
+    m_log.write(LogLine("turn-admitted").field("request", turn.request.turn.text()).field("program", program.text()).field("previous", turn.request.previous.text()).field("budget", turn.request.budget).field("most", turn.request.mostTokens).field("reserving", turn.admitted.reservation.has_value()).field("historyBytes", turn.admitted.history.size()).field("lastTarget", turn.admitted.lastTarget.text()).field("storeFailing", m_store.isFailing()));
     std::optional<Refusal> refusal;
     if (turn.admitted.reservation) {
         m_writer.expect(*turn.admitted.reservation);
         m_writer.kick();
     }
     // With the store failing, only a grant lets the turn run, and it is asked for before an engine works in vain.
-    bool mustWait = !turn.admitted.mayRunAhead || turn.admitted.needsGrant || isStoreFailing();
+    bool mustWait = !turn.admitted.mayRunAhead || turn.admitted.needsGrant || m_store.isFailing();
     if (mustWait && !isReserved(call, turn))
-        refusal = turn.heldBack ? *turn.heldBack : turn.isDenied && !m_doubt.covers(program) ? Refusal { 402, "budget spent" }
-                                                                                             : Refusal { 503, "reservation not recorded" };
+        refusal = turn.heldBack ? *turn.heldBack : turn.isDenied && !m_accounts.doubts(program) ? Refusal { 402, "budget spent" }
+                                                                                                : Refusal { 503, "reservation not recorded" };
     if (!refusal) {
         call.body = std::move(turn.admitted.history);
         call.body->append(call.request.body);
