Confirm a reservation that the settlement before it covers

Ruled out: first turns (351 ms); admission (148 ms in the mean). Test: turnWhoseTokensTheSettlementHoldsWaitsForNoWriteOfItsOwn and heldTokensCoverOneWaitingTurnOnly fail without the call.

--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -227,6 +227,8 @@
 
     /// Prefix of all records of \p program.
     static std::string programPrefix(const ProgramId&);
+    /// Prefix of the program whose record \p key holds; empty if it is none of a program's.
+    static std::string programPrefixOf(const std::string& key);
     /// Key of one turn's record.
     static std::string turnKey(const ProgramId&, const CallId& turn);
     /// Key of a program's account.
@@ -291,6 +293,7 @@
     static std::vector<StoredRecord> recordsOf(const ProgramId&, const Program&);
     bool isCovered(const Program&) const;
     static void weakenVoid(Program&);
+    void confirmCovered(Program&);
     void dropDenied(Program&);
     bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
     /// \returns whether all imported chains fit into the batch with \p used entries.
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -18,6 +18,7 @@
 static constexpr std::size_t programOverheadBytes = 400;
 static constexpr std::size_t turnOverheadBytes = 200;
 static constexpr std::size_t longestIdInKey = 64;
+static constexpr std::string_view programsPrefix = "programs/";
 
 // Ids are the callers' text; only harmless ones stand in keys as they are.
 static std::string keyPart(const std::string& id)
@@ -38,7 +39,15 @@
 
 std::string TurnLedger::programPrefix(const ProgramId& program)
 {
-    return "programs/" + keyPart(program.text()) + "/";
+    return std::string(programsPrefix) + keyPart(program.text()) + "/";
+}
+
+std::string TurnLedger::programPrefixOf(const std::string& key)
+{
+    if (!key.starts_with(programsPrefix))
+        return {};
+    auto end = key.find('/', programsPrefix.size());
+    return end == std::string::npos ? std::string() : key.substr(0, end + 1);
 }
 
 std::string TurnLedger::turnKey(const ProgramId& program, const CallId& turn)
@@ -357,6 +366,26 @@
     batch.puts.emplace_back(turnKey(program, record.turn), encodeTurn(record));
 }
 
+// A turn that began while the settlement of the last one was on its way finds its tokens held once that is stored,
+// and need not wait for a write of its own. What was sent before may take effect and stays.
+void TurnLedger::confirmCovered(Program& program)
+{
+    auto hold = program.account.holds.find(m_self);
+    TokenCount tokens = hold == program.account.holds.end() ? 0 : hold->second.tokens;
+    TokenCount used = program.running + program.unsettled;
+    for (const Change& it : program.changes)
+        if (it.change.kind == AccountChange::Kind::Reserve && !it.isCancelled)
+            used -= std::min(used, it.change.most);
+    std::erase_if(program.changes, [&](const Change& it) {
+        bool isUnsent = it.change.kind == AccountChange::Kind::Reserve && it.claimed == 0 && !it.isCancelled;
+        if (!isUnsent || used + it.change.most > tokens)
+            return false;
+        used += it.change.most;
+        m_outcomes.emplace_back(it.id, ChangeOutcome::Stored);
+        return true;
+    });
+}
+
 void TurnLedger::weakenVoid(Program& program)
 {
     for (Change& it : program.changes)
@@ -518,6 +547,7 @@
         program.holdAfterBatch.reset();
         onPart(part, program);
         std::erase_if(program.changes, [](const Change& it) { return it.isCancelled; });
+        confirmCovered(program);
         queue(part.program, program);
     }
 }
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -72,6 +72,46 @@
     BOOST_TEST(admitted.lastTarget.text() == "t");
 }
 
+// Load: a slow store, where the next turn begins before the settlement of the last one is stored.
+BOOST_AUTO_TEST_CASE(turnWhoseTokensTheSettlementHoldsWaitsForNoWriteOfItsOwn)
+{
+    run(a, request("1"));
+    admit(a, request("2", "1"));
+    a.end(request("2", "1"), 30, TurnRecord { CallId("2"), CallId("1"), "in 2;", "out 2;", {} });
+    auto settlement = a.nextBatch();
+    BOOST_REQUIRE(settlement.has_value());
+    TurnAdmitted next = admit(a, request("3", "2"));
+    BOOST_REQUIRE(next.reservation.has_value());
+    a.batchStored(settlement->number, store.commit(*settlement));
+    std::map<ChangeId, ChangeOutcome> outcomes;
+    for (auto [id, outcome] : a.takeOutcomes())
+        outcomes[id] = outcome;
+    BOOST_REQUIRE(outcomes.contains(*next.reservation));
+    BOOST_TEST((outcomes.at(*next.reservation) == ChangeOutcome::Stored));
+    BOOST_TEST(!a.nextBatch().has_value());
+    BOOST_TEST(account().held() == most);
+}
+
+// Two turns that wait share what is held in the order of their beginning; the other one reserves.
+BOOST_AUTO_TEST_CASE(heldTokensCoverOneWaitingTurnOnly)
+{
+    run(a, request("1"));
+    admit(a, request("2", "1"));
+    a.end(request("2", "1"), 30, TurnRecord { CallId("2"), CallId("1"), "in 2;", "out 2;", {} });
+    auto settlement = a.nextBatch();
+    BOOST_REQUIRE(settlement.has_value());
+    TurnAdmitted first = admit(a, request("3", "2"));
+    TurnAdmitted second = admit(a, request("4", "2"));
+    BOOST_REQUIRE((first.reservation && second.reservation));
+    a.batchStored(settlement->number, store.commit(*settlement));
+    auto outcomes = a.takeOutcomes();
+    auto has = [&](ChangeId id) { return std::any_of(outcomes.begin(), outcomes.end(), [&](const auto& it) { return it.first == id; }); };
+    BOOST_TEST(has(*first.reservation));
+    BOOST_TEST(!has(*second.reservation));
+    flush(a, store);
+    BOOST_TEST(account().held() == 2 * most);
+}
+
 // One current read instead of a look-up of the origin and a current read: what old records lack is mostly the
 // program's own latest turn.
 BOOST_AUTO_TEST_CASE(turnThatOldRecordsLackIsReadAnewBeforeItsOriginIsLookedUp)
