Deal commits out to keepers, and let them remember what they committed

Cause: on the grown sites one keeper commits for 72 gateways and stands at its share of a core from the burst on; every gateway asks all others when a budget is nearly spent (8,283 such questions at 12 gateways) and at its stop; a program's next turn reaches a gateway that does not know it and reads it twice. Change: beyond 20 gateways commits and watches go by the keeper of the own data centre; keepers remember the records that they commit (RecordCache), and are asked before the store where they are near or the store is slow or fails. Holders of a budget are asked by the instance that their lifetime names. Beyond 20 peers nobody asks all: no words, no handover. A slow store's reservations ask for a grant at once.

--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -33,8 +33,8 @@
 
 /// Chooses by which way to call the store.
 ///
-/// Commits and waits for changes go by the keeper that all daemons agree on, where they share calls; reads
-/// go directly.
+/// Commits and waits for changes go by a keeper, where daemons share calls; reads go directly. Few daemons share one
+/// keeper, for the fewest calls. Many are dealt out to the keepers of their data centres, of which none could carry all.
 /// Whatever fails is left out for a time, so a daemon that is cut from the store goes by one that is not.
 class StorePaths {
 public:
@@ -54,6 +54,12 @@
     /// Ways to try, the best first; never empty.
     std::vector<StorePath> order(Purpose, TimePoint now) const;
 
+    /// Keepers that may remember what they committed, the likeliest first.
+    std::vector<StorePath> memories(TimePoint now) const;
+
+    /// Whether there are too many daemons for one keeper.
+    bool areMany() const;
+
     void failed(const StorePath&, TimePoint now);
     void answered(const StorePath& path) { m_failures.erase(path); }
 
@@ -61,6 +67,9 @@
 
     /// Ways that one call tries.
     static constexpr std::size_t maxTries = 3;
+    /// Daemons that serve callers for which one keeper commits. At 72 the keeper of kjp-basil-grown stood at its 0.3 of
+    /// a core; of 7 at twice the requests each it took 0.025.
+    static constexpr std::size_t daemonsPerKeeper = 20;
 
 private:
     struct Failure {
@@ -68,6 +77,8 @@
         unsigned count = 0;
     };
 
+    std::vector<StorePath> keepers() const;
+    void preferUsable(std::vector<StorePath>&, TimePoint now) const;
     bool isSuspended(const StorePath&, TimePoint now) const;
 
     DataCentreId m_own;
--- a/lib/Gateway/AccountPeers.cpp
+++ b/lib/Gateway/AccountPeers.cpp
@@ -13,6 +13,8 @@
 // A hold is given back within a commit's usual time, or the turn is refused.
 static constexpr Milliseconds releaseLimit { 150 };
 static constexpr Milliseconds handoverLimit { 500 };
+// Stands in no instance's name.
+static constexpr char lifetimeSeparator = '~';
 
 AccountPeers::AccountPeers(StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, HttpClient& client, bool isFirstStart, const Clock& clock, JsonLog& log)
     : m_store(store)
@@ -33,6 +35,29 @@
     m_peers = relaysWith(relays, false);
 }
 
+DaemonLifetime lifetimeOf(const std::string& instance, const std::string& unique)
+{
+    return DaemonLifetime(instance + lifetimeSeparator + unique);
+}
+
+std::vector<RelayAddress> peersOf(const std::map<DaemonLifetime, TokenCount>& holders, const std::vector<RelayAddress>& peers)
+{
+    std::vector<RelayAddress> found;
+    for (const RelayAddress& peer : peers) {
+        auto it = holders.lower_bound(lifetimeOf(peer.instance, {}));
+        if (it != holders.end() && it->first.text().starts_with(peer.instance + lifetimeSeparator))
+            found.push_back(peer);
+    }
+    return found;
+}
+
+// A question to all costs each of many daemons as much as all of its own callers do; grants then stay within one
+// turn's most, and keepers remember what was committed.
+bool AccountPeers::areMany() const
+{
+    return m_peers.size() > StorePaths::daemonsPerKeeper;
+}
+
 // A program's account lives in the daemons' memory as long as they do. One that runs for longer than records are
 // kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all
 // see the store fail.
@@ -48,14 +73,15 @@
 }
 
 // Suspends until all have answered or failed. \returns how many answered.
-std::size_t AccountPeers::ask(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer)
+std::size_t AccountPeers::ask(const std::vector<RelayAddress>& asked, const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer)
 {
     struct Round {
         std::size_t open = 0;
         std::size_t answered = 0;
         FiberSignal changed;
     } round;
-    std::vector<RelayAddress> peers = m_peers;
+    // Copied, since the list may be replaced meanwhile.
+    std::vector<RelayAddress> peers = asked;
     round.open = peers.size();
     for (const RelayAddress& peer : peers) {
         spawnFiber([&, peer] {
@@ -78,9 +104,11 @@
 AccountPeers::Knowledge AccountPeers::read(const ProgramId& program)
 {
     Knowledge known;
+    if (areMany())
+        return known;
     std::size_t asked = m_peers.size();
     std::size_t complete = 0;
-    ask(peerpaths::programRecords, program.text(), peerLimit, [&](const RelayAddress& peer, const std::string& answer) {
+    ask(m_peers, peerpaths::programRecords, program.text(), peerLimit, [&](const RelayAddress& peer, const std::string& answer) {
         AccountWord word = decodeWord(answer);
         bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
         complete += word.isComplete || isCovered ? 1 : 0;
@@ -104,9 +132,11 @@
 
 bool AccountPeers::handOver(const std::string& instance)
 {
+    if (areMany())
+        return false;
     Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()) };
     std::size_t asked = m_peers.size();
-    std::size_t taken = ask(peerpaths::handOver, encodeHandover(handover), handoverLimit, [](const RelayAddress&, const std::string&) {});
+    std::size_t taken = ask(m_peers, peerpaths::handOver, encodeHandover(handover), handoverLimit, [](const RelayAddress&, const std::string&) {});
     m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", taken).field("asked", asked).field("seenAll", hasSeenAll()));
     return hasSeenAll() && taken == asked;
 }
@@ -139,7 +169,7 @@
 AccountPeers::HoldersAnswer AccountPeers::askHolders(const ProgramId& program, std::map<DaemonLifetime, TokenCount> holders)
 {
     HoldersAnswer result;
-    std::size_t answers = ask(peerpaths::releaseHold, program.text(), 2 * releaseLimit, [&](const RelayAddress&, const std::string& answer) {
+    std::size_t answers = ask(peersOf(holders, m_peers), peerpaths::releaseHold, program.text(), 2 * releaseLimit, [&](const RelayAddress&, const std::string& answer) {
         HoldRelease release = decodeRelease(answer);
         result.anyReleased = result.anyReleased || release.isReleased;
         holders.erase(release.daemon);
--- a/lib/Gateway/AccountPeers.h
+++ b/lib/Gateway/AccountPeers.h
@@ -9,6 +9,12 @@
 
 namespace basilpoint {
 
+/// Name of one life of a daemon: that of its instance, and what no other life has.
+DaemonLifetime lifetimeOf(const std::string& instance, const std::string& unique);
+
+/// Those of \p peers on whose instances daemons run, or ran, that are among \p holders.
+std::vector<RelayAddress> peersOf(const std::map<DaemonLifetime, TokenCount>& holders, const std::vector<RelayAddress>& peers);
+
 /// What the daemons that serve callers tell each other about programs' accounts, beside the store.
 class AccountPeers {
 public:
@@ -66,9 +72,10 @@
     bool doubts(const ProgramId& program) const { return m_doubt.covers(program); }
 
 private:
-    std::size_t ask(const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer);
+    std::size_t ask(const std::vector<RelayAddress>& peers, const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer);
     AccountWord ownWord(const ProgramId&);
     bool hasSeenAll() const;
+    bool areMany() const;
 
     StoreClient& m_store;
     TurnLedger& m_ledger;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -96,7 +96,7 @@
         m_accounts.setPeers(relays); })
     , m_relay(m_peers, store, clock, m_log, m_metrics)
     , m_selector(m_random())
-    , m_ledger(DaemonLifetime(randomHex(m_random, 12)), LedgerSettings {})
+    , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), LedgerSettings {})
     , m_writer(m_store, m_ledger, clock, m_log)
     , m_forwarder(client, m_directory, m_selector, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -8,6 +8,8 @@
 static constexpr Milliseconds defaultLimit { 500 };
 // A relay waits for company before it commits, and for its own call to the store.
 static constexpr Milliseconds relayTime { 60 };
+// An answer from memory; a keeper that takes longer is down or overloaded.
+static constexpr Milliseconds recallLimit { 40 };
 
 RelayedStore::RelayedStore(HttpClient& client, Endpoint relay)
     : m_client(client)
@@ -50,4 +52,10 @@
     return decodeSnapshot(call(peerpaths::snapshot, encodeQuery({ prefix, mode == ReadMode::Stale }), limit));
 }
 
+std::vector<KeyValue> RelayedStore::recall(const std::string& prefix)
+{
+    std::string answer = call(peerpaths::recall, encodeQuery({ prefix }), recallLimit);
+    return answer.empty() ? std::vector<KeyValue>() : decodeSnapshot(answer).items;
+}
+
 } // namespace basilpoint
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -9,6 +9,8 @@
 static constexpr Milliseconds shortestWatchLimit { 400 };
 // Once the store fails for this long it is not asked again.
 static constexpr Milliseconds failingLimit { 250 };
+// With a longer limit than this the store answers so slowly that other daemons are asked first.
+static constexpr Milliseconds usualLimit { 600 };
 
 StoreClient::StoreClient(TransactionalStore& direct, HttpClient* peers, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_direct(direct)
@@ -73,6 +75,11 @@
     }
 }
 
+bool StoreClient::isSlow() const
+{
+    return m_health.failingSince() || m_health.answerLimit() > usualLimit;
+}
+
 bool StoreClient::isFailing() const
 {
     return m_health.isFailingFor(failingLimit, m_clock.now());
@@ -88,6 +95,27 @@
     return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
 }
 
+std::vector<KeyValue> StoreClient::recall(const std::string& prefix)
+{
+    for (const StorePath& path : m_paths.memories(m_clock.now())) {
+        auto relay = m_relays.find(path.relay);
+        if (relay == m_relays.end())
+            continue;
+        std::shared_ptr<RelayedStore> held = relay->second;
+        try {
+            std::vector<KeyValue> found = held->recall(prefix);
+            m_metrics.count(found.empty() ? "recalls_total{found=\"no\"}" : "recalls_total{found=\"yes\"}");
+            m_paths.answered(path);
+            if (!found.empty())
+                return found;
+        } catch (const KeyValueUnavailableError& error) {
+            m_paths.failed(path, m_clock.now());
+            m_log.write(LogLine("store-path-failed").field("call", "recall").field("relay", path.relay).field("reason", error.what()));
+        }
+    }
+    return {};
+}
+
 std::optional<KeyValue> StoreClient::get(const std::string& key)
 {
     return measure("get", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.get(key); });
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -28,8 +28,18 @@
     /// Waits up to \p wait for changes after revision \p after. \returns the revision to go on from.
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler&);
 
+    /// Records below \p prefix that keepers remember from what they committed; what is found is certain, newer
+    /// records may exist. Empty if there are none or no keeper answers.
+    std::vector<KeyValue> recall(const std::string& prefix);
+
+    /// Whether keepers should be asked before the store: it is slow or fails, or they are the nearest by far.
+    bool prefersRecall() const { return isSlow() || m_paths.areMany(); }
+
     const StoreHealth& health() const { return m_health; }
 
+    /// Whether keepers are quicker to ask than the store.
+    bool isSlow() const;
+
     /// Whether calls have failed for so long that keepers and other daemons take the store's place.
     bool isFailing() const;
 
--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -29,27 +29,54 @@
     return it != m_failures.end() && now < it->second.until;
 }
 
+bool StorePaths::areMany() const
+{
+    auto n = std::count_if(m_relays.begin(), m_relays.end(), [](const auto& it) { return !it.second.isKeeper; });
+    return static_cast<std::size_t>(n) > daemonsPerKeeper;
+}
+
+std::vector<StorePath> StorePaths::keepers() const
+{
+    std::vector<StorePath> paths;
+    for (const auto& [name, relay] : m_relays)
+        if (relay.isKeeper)
+            paths.push_back({ name });
+    if (areMany())
+        std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == m_own; });
+    return paths;
+}
+
+void StorePaths::preferUsable(std::vector<StorePath>& paths, TimePoint now) const
+{
+    std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return !isSuspended(it, now); });
+}
+
+std::vector<StorePath> StorePaths::memories(TimePoint now) const
+{
+    std::vector<StorePath> paths = keepers();
+    preferUsable(paths, now);
+    return paths;
+}
+
 std::vector<StorePath> StorePaths::order(Purpose purpose, TimePoint now) const
 {
-    std::vector<StorePath> keepers;
     std::vector<StorePath> others;
     for (const auto& [name, relay] : m_relays)
-        (relay.isKeeper ? keepers : others).push_back({ name });
+        if (!relay.isKeeper)
+            others.push_back({ name });
     std::stable_partition(others.begin(), others.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == m_own; });
-    std::vector<StorePath> paths;
+    std::vector<StorePath> paths = keepers();
     switch (purpose) {
     case Purpose::Commit:
     case Purpose::Wait:
-        paths = keepers;
         paths.push_back({});
         break;
     case Purpose::Read:
-        paths.push_back({});
-        paths.insert(paths.end(), keepers.begin(), keepers.end());
+        paths.insert(paths.begin(), StorePath {});
         break;
     }
     paths.insert(paths.end(), others.begin(), others.end());
-    std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return !isSuspended(it, now); });
+    preferUsable(paths, now);
     if (paths.size() > maxTries)
         paths.resize(maxTries);
     return paths;
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -11,13 +11,18 @@
 namespace basilpoint {
 
 static constexpr Milliseconds shortestTimer { 1 };
+// Programs of half a minute at the rate of one data centre of the grown sites, 0.5 MB/s.
+static constexpr std::size_t maxCachedBytes = 16 * 1024 * 1024;
+
 StoreRelay::StoreRelay(PeerServer& server, TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_clock(clock)
     , m_store(store, nullptr, {}, clock, log, metrics)
     , m_group(CommitGroupSettings {})
+    , m_cache(maxCachedBytes)
 {
     server.on(peerpaths::commit, [this](const std::string& body) { return commit(body); });
     server.on(peerpaths::snapshot, [this](const std::string& body) { return snapshot(body); });
+    server.on(peerpaths::recall, [this](const std::string& body) { return recall(body); });
     server.on(peerpaths::get, [this](const std::string& body) { return get(body); });
     server.on(peerpaths::changes, [this](const std::string& body) { return changes(body); });
 }
@@ -28,6 +33,19 @@
     return encodeSnapshot(m_store.snapshot(query.key, query.mayBeStale ? ReadMode::Stale : ReadMode::Current));
 }
 
+std::string StoreRelay::recall(const std::string& body)
+{
+    std::vector<KeyValue> known = m_cache.find(decodeQuery(body).key);
+    return known.empty() ? std::string() : encodeSnapshot({ std::move(known), 0 });
+}
+
+void StoreRelay::remember(const KeyValue& record)
+{
+    std::string program = TurnLedger::programPrefixOf(record.key);
+    if (!program.empty())
+        m_cache.put(program, record);
+}
+
 std::string StoreRelay::get(const std::string& body)
 {
     auto item = m_store.get(decodeQuery(body).key);
@@ -102,6 +120,11 @@
 {
     try {
         KeyTransactionResult result = m_store.commit(call.transaction);
+        if (result.revision)
+            for (const KeyWrite& it : call.transaction.puts)
+                remember({ it.key, it.value, *result.revision });
+        for (const KeyValue& it : result.current)
+            remember(it);
         for (auto& [ticket, settled] : m_group.answered(call.number, result))
             m_waiting[ticket] = std::optional(std::move(settled));
     } catch (const KeyValueUnavailableError&) {
--- a/lib/Gateway/StoreRelay.h
+++ b/lib/Gateway/StoreRelay.h
@@ -5,13 +5,15 @@
 #include "StoreCodec.h"
 
 #include "basilpoint/Gateway/CommitGroup.h"
+#include "basilpoint/Gateway/RecordCache.h"
 #include "basilpoint/Net/FiberSignal.h"
 
 #include <map>
 
 namespace basilpoint {
 
-/// Makes calls to the store for other daemons, and groups their commits.
+/// Makes calls to the store for other daemons, groups their commits, and remembers for them what it has
+/// committed.
 class StoreRelay {
 public:
     /// \param store the service itself, not by way of another relay.
@@ -29,18 +31,21 @@
 
     std::string commit(const std::string& body);
     std::string snapshot(const std::string& body);
+    std::string recall(const std::string& body);
     std::string get(const std::string& body);
     std::string changes(const std::string& body);
     std::string awaitShared(const StoreQuery&);
     void pump();
     void run(const CommitGroup::Call&);
+    void remember(const KeyValue&);
 
     const Clock& m_clock;
     StoreClient m_store;
     CommitGroup m_group;
-    /// Fate of the commits that callers wait for: not set while unknown, set and empty if it stays so.
+    RecordCache m_cache;
     /// Waits on their way, by what they wait for; daemons that ask the same share one.
     std::map<std::pair<std::string, std::int64_t>, std::shared_ptr<SharedWait>> m_waits;
+    /// Fate of the commits that callers wait for: not set while unknown, set and empty if it stays so.
     std::map<CommitGroup::Ticket, std::optional<std::optional<KeyTransactionResult>>> m_waiting;
     FiberSignal m_settled;
     bool m_isTimerSet = false;
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -15,8 +15,6 @@
 static constexpr Milliseconds retentionMargin { 10'000 };
 // A turn that the store has not confirmed by then goes to the keepers' disks as well.
 static constexpr Milliseconds journalAfter { 160 };
-// With a longer limit than this the store answers so slowly that the keepers are asked at once.
-static constexpr Milliseconds usualLimit { 600 };
 // A grant of less than this part of a turn's most tokens would mostly break the turn off.
 static constexpr TokenCount leastGrantDivisor = 3;
 // Open grants of one program are asked for before each of its turns while they are in doubt.
@@ -73,9 +71,19 @@
     }
 }
 
+bool TurnController::recall(const ProgramId& program)
+{
+    std::vector<KeyValue> found = m_store.recall(TurnLedger::programPrefix(program));
+    if (!found.empty())
+        m_ledger.programRead(program, recordsFrom(found));
+    return !found.empty();
+}
+
 void TurnController::read(const ProgramId& program, ReadMode mode)
 {
     m_reads.run({ program, mode }, [&] {
+        if (mode == ReadMode::Stale && m_store.prefersRecall() && recall(program))
+            return;
         KeySnapshot snapshot = readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), mode); });
         m_ledger.programRead(program, recordsFrom(snapshot.items));
     });
@@ -111,6 +119,16 @@
     return needed.mayBeStale ? ReadMode::Stale : ReadMode::Current;
 }
 
+void TurnController::adopt(const std::vector<JournalEntry>& entries)
+{
+    std::vector<TurnRecord> turns;
+    for (const JournalEntry& entry : entries)
+        for (const AccountChange& it : entry.changes)
+            if (it.record)
+                turns.push_back(*it.record);
+    m_ledger.adopt(entries.front().program, turns);
+}
+
 // The store does not have the turn; the keepers may, until what they keep is stored.
 std::optional<TurnController::Refusal> TurnController::findKept(const ForwardedCall& call, const CallId& missing, TurnKnowledge& knowledge)
 {
@@ -120,12 +138,7 @@
     bool isPrevious = missing == call.attributes.previousTurn;
     if (entries->empty())
         return findStoredMeanwhile(missing, isPrevious, knowledge);
-    std::vector<TurnRecord> turns;
-    for (const JournalEntry& entry : *entries)
-        for (const AccountChange& it : entry.changes)
-            if (it.record)
-                turns.push_back(*it.record);
-    m_ledger.adopt(entries->front().program, turns);
+    adopt(*entries);
     if (isPrevious)
         knowledge.origin = entries->front().program;
     return std::nullopt;
@@ -180,12 +193,8 @@
 {
     TurnKnowledge& knowledge = admission.knowledge;
     bool isOrigin = needed.program != admission.turn.request.program;
-    if (m_store.isFailing()) {
-        if (knowledge.isProgramRead || !m_accounts.read(needed.program).anyFound)
-            return Refusal { 503, "store out of reach" };
-        knowledge.isProgramRead = true;
-        return std::nullopt;
-    }
+    if (m_store.isFailing())
+        return learnWithoutStore(admission, needed.program);
     if (!admission.hasJoined && m_reads.join({ needed.program, modeOf(needed) })) {
         // What that read has found is certain; if it began too early to find all, an own one follows.
         admission.hasJoined = !needed.mayBeStale;
@@ -199,6 +208,24 @@
     return std::nullopt;
 }
 
+// What the keepers committed, what the other daemons have in memory, and then what was kept since.
+std::optional<TurnController::Refusal> TurnController::learnWithoutStore(Admission& admission, const ProgramId& program)
+{
+    TurnKnowledge& knowledge = admission.knowledge;
+    if (!std::exchange(knowledge.isProgramRead, true)) {
+        bool isRecalled = recall(program);
+        if (m_accounts.read(program).anyFound || isRecalled)
+            return std::nullopt;
+    }
+    const CallId& previous = admission.call.attributes.previousTurn;
+    bool isSearched = previous.empty() || ++admission.searches > 1;
+    auto entries = isSearched ? std::nullopt : m_journal.find(previous, std::min(admission.call.deadline, m_clock.now() + journalLimit));
+    if (!entries || entries->empty())
+        return Refusal { 503, "store out of reach" };
+    adopt(*entries);
+    return std::nullopt;
+}
+
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsOrigin& needed)
 {
     if (m_store.isFailing())
@@ -251,7 +278,7 @@
         return !turn.admitted.needsGrant || takeGrant(call, turn);
     ChangeId id = *turn.admitted.reservation;
     TimePoint now = m_clock.now();
-    TimePoint patience = m_store.isFailing() ? now : std::min(call.deadline, now + journalAfter);
+    TimePoint patience = m_store.isSlow() ? now : std::min(call.deadline, now + journalAfter);
     auto isGone = [&call] { return call.isCallerGone; };
     auto outcome = m_writer.await(id, patience, isGone);
     // In doubt, a denial may only mean that the account's changes were held back for the sake of grants.
@@ -327,8 +354,7 @@
     m_writer.expect(change);
     m_writer.kick();
     TimePoint now = m_clock.now();
-    bool isSlow = m_store.health().failingSince() || m_store.health().answerLimit() > usualLimit;
-    auto outcome = m_writer.await(change, std::min(call.deadline, isSlow ? now : now + journalAfter), [&] { return call.isCallerGone; });
+    auto outcome = m_writer.await(change, std::min(call.deadline, m_store.isSlow() ? now : now + journalAfter), [&] { return call.isCallerGone; });
     if (outcome || call.isCallerGone) {
         m_writer.forget(change);
         return outcome == ChangeOutcome::Stored;
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -39,7 +39,12 @@
     std::optional<Refusal> learn(Admission&, const TurnNotFound&);
     std::optional<Refusal> learn(Admission&, const TurnNeedsProgram&);
     std::optional<Refusal> learn(Admission&, const TurnNeedsOrigin&);
+    std::optional<Refusal> learnWithoutStore(Admission&, const ProgramId&);
+    /// Asks the keepers for what they committed of a program. \returns whether anything was found.
+    bool recall(const ProgramId&);
     void read(const ProgramId&, ReadMode);
+    /// Takes turns, all of one program, that the keepers have kept.
+    void adopt(const std::vector<JournalEntry>&);
     std::optional<ProgramId> readOrigin(const CallId& previous);
     std::optional<Refusal> findKept(const ForwardedCall&, const CallId& missing, TurnKnowledge&);
     std::optional<Refusal> findStoredMeanwhile(const CallId& missing, bool isPrevious, TurnKnowledge&);
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -30,6 +30,36 @@
     BOOST_TEST(first(StorePaths::Purpose::Read) == "");
 }
 
+// Load: 72 daemons in three data centres, too many for one keeper.
+BOOST_AUTO_TEST_CASE(manyDaemonsAreDealtOutToTheKeepersOfTheirDataCentres)
+{
+    std::vector<RelayAddress> relays;
+    for (const char* dataCentre : { "a", "b", "c" }) {
+        relays.push_back({ std::string("keeper-") + dataCentre, DataCentreId(dataCentre), {}, true });
+        for (int n = 0; n < 24; ++n)
+            relays.push_back({ std::string("gateway-") + dataCentre + std::to_string(n), DataCentreId(dataCentre), {}, false });
+    }
+    for (const char* dataCentre : { "a", "b", "c" }) {
+        StorePaths own { DataCentreId(dataCentre) };
+        own.setRelays(relays);
+        for (auto purpose : { StorePaths::Purpose::Commit, StorePaths::Purpose::Wait })
+            BOOST_TEST(own.order(purpose, now).front().relay == std::string("keeper-") + dataCentre);
+        BOOST_TEST(own.areMany());
+        BOOST_TEST(own.memories(now).front().relay == std::string("keeper-") + dataCentre);
+        BOOST_TEST(own.memories(now).size() == 3U);
+        own.failed({ std::string("keeper-") + dataCentre }, now);
+        BOOST_TEST(own.order(StorePaths::Purpose::Commit, now).front().relay.starts_with("keeper-"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fewDaemonsRememberByTheKeeperThatTheyShare)
+{
+    BOOST_TEST(!paths.areMany());
+    BOOST_TEST(paths.memories(now).front().relay == first(StorePaths::Purpose::Commit));
+    paths.failed({ "keeper-1" }, now);
+    BOOST_TEST(paths.memories(now).front().relay == "keeper-2");
+}
+
 BOOST_AUTO_TEST_CASE(failedWayIsLeftOutForATime)
 {
     paths.failed({ "keeper-1" }, now);
