Hold tokens ahead at a slow store, and refuse overtaken writes at the keeper

Ruled out: first turns (233 ms) and turns with tokens of their own (348 ms). Tests: the new cases of TurnLedgerTest, CommitGroupTest (five daemons that write one account: no refused call, one call a write) and the fuzz test with tokens held ahead.

--- a/include/basilpoint/Gateway/CommitGroup.h
+++ b/include/basilpoint/Gateway/CommitGroup.h
@@ -3,7 +3,9 @@
 #include "basilpoint/Net/TransactionalStore.h"
 
 #include <deque>
+#include <functional>
 #include <map>
+#include <set>
 
 namespace basilpoint {
 
@@ -14,8 +16,8 @@
     std::size_t maxBytes = 512 * 1024;
     /// Least time between two calls that are not full; each call is paid, each wait delays the end of a turn.
     Milliseconds interval { 50 };
-    /// Calls on their way at once.
-    std::size_t maxCalls = 4;
+    /// Calls on their way at once: those of one interval after the other at a store that takes 0.8 s to answer.
+    std::size_t maxCalls = 16;
 };
 
 /// Merges the transactions of several daemons into few calls to the store.
@@ -23,6 +25,8 @@
 /// Answers to a steady load of small writes: at the interval's pace a call carries all that came
 /// meanwhile, and a full call goes out at once. A merged call happens wholly or not at all; where a
 /// condition does not hold, just the transactions that stated it are refused, and the others go again.
+/// Answers as well to many daemons that write one key: one write of a key is on its way at a time, and those that
+/// were overtaken are refused without a call.
 class CommitGroup {
 public:
     using Ticket = std::uint64_t;
@@ -43,6 +47,13 @@
     /// When next() may have a call although nothing else happens; empty if nothing waits.
     std::optional<TimePoint> nextAt() const;
 
+    /// What is known of a key from elsewhere; empty if nothing is.
+    using Known = std::function<std::optional<KeyValue>(const std::string& key)>;
+
+    /// Refuses waiting transactions that the store would refuse, since a key of theirs is known at a newer revision
+    /// than they state. Those with a key of which nothing is known stay.
+    std::vector<std::pair<Ticket, KeyTransactionResult>> refuseOutdated(const Known&);
+
     /// The call was answered. \returns what became of the transactions whose fate it settles.
     std::vector<std::pair<Ticket, KeyTransactionResult>> answered(std::uint64_t number, const KeyTransactionResult&);
 
@@ -58,12 +69,19 @@
         std::size_t bytes = 0;
     };
 
+    /// Waiting transactions that make up the next call.
+    struct Selection {
+        std::vector<std::size_t> positions;
+        bool isFull = false;
+    };
+
     std::vector<Member> take(std::uint64_t number);
-    bool isFull() const;
+    Selection select() const;
 
     CommitGroupSettings m_settings;
     std::deque<Member> m_waiting;
-    std::size_t m_waitingEntries = 0;
+    /// Keys of calls on their way.
+    std::set<std::string> m_busyKeys;
     std::map<std::uint64_t, std::vector<Member>> m_calls;
     TimePoint m_lastCallAt = TimePoint::min();
     std::uint64_t m_nextNumber = 1;
--- a/include/basilpoint/Gateway/RecordCache.h
+++ b/include/basilpoint/Gateway/RecordCache.h
@@ -4,6 +4,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,12 @@
     /// The records of \p group; empty if none are known.
     std::vector<KeyValue> find(const std::string& group);
 
+    /// One record of \p group; empty if it is not known.
+    std::optional<KeyValue> find(const std::string& group, const std::string& key) const;
+
+    /// Drops a group that turned out to exist no more.
+    void forget(const std::string& group);
+
     std::size_t bytes() const { return m_bytes; }
     std::size_t groups() const { return m_groups.size(); }
 
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -97,6 +97,8 @@
     std::optional<TokenCount> outstanding = 0;
     /// Whether accounts can be changed now; if not, a turn beyond this daemon's hold needs a grant.
     bool mayReserve = true;
+    /// Whether changes take long, so that tokens for the turn after this one should be held as well.
+    bool holdsAhead = false;
 };
 
 /// What else is known as a turn ends.
@@ -109,6 +111,8 @@
     bool neededGrant = false;
     /// Whether the account may lack tokens that were granted elsewhere, so that no more may be held than is needed.
     bool mayMissGrants = false;
+    /// Whether changes take long, so that tokens for two turns should be held.
+    bool holdsAhead = false;
 };
 
 /// One stored record as the store has it.
@@ -136,7 +140,7 @@
     StoredRecord record;
 };
 
-/// Writes of one or more programs that happen together.
+/// Writes of one program that happen together.
 struct LedgerBatch {
     std::uint64_t number = 0;
     std::vector<std::pair<std::string, std::int64_t>> conditions;
@@ -156,8 +160,8 @@
 struct LedgerSettings {
     /// Conditions and writes in one batch.
     std::size_t maxBatchEntries = 32;
-    /// Batches on their way at once.
-    std::size_t maxBatches = 4;
+    /// Batches on their way at once; each is of one program, so that no other one's fails with it.
+    std::size_t maxBatches = 32;
     /// Bytes of turns and accounts that are kept in memory.
     std::size_t maxCachedBytes = 12 * 1024 * 1024;
 };
@@ -247,6 +251,8 @@
         bool isVoid = false;
         /// Tokens that it may take from the account if a batch that it was sent in takes effect.
         TokenCount claimed = 0;
+        /// Of a reservation: what its own turn needs; the rest is for the next one.
+        TokenCount needed = 0;
     };
 
     struct Program {
@@ -279,10 +285,6 @@
         std::uint64_t step = 0;
         std::vector<CallId> imported;
     };
-    struct Batch {
-        std::vector<Part> parts;
-    };
-
     Program& touch(const ProgramId&);
     TokenCount freeHold(const Program&) const;
     /// \param missing set to the turn that the program lacks, if the history is not whole.
@@ -295,9 +297,10 @@
     static void weakenVoid(Program&);
     void confirmCovered(Program&);
     void dropDenied(Program&);
-    bool addPart(LedgerBatch&, Batch&, const ProgramId&, Program&);
-    /// \returns whether all imported chains fit into the batch with \p used entries.
-    bool addImports(std::size_t used, LedgerBatch& part, Part&, const Program&) const;
+    /// What goes into one batch of the program's changes; nothing if none is left.
+    std::optional<std::pair<LedgerBatch, Part>> makeBatch(const ProgramId&, Program&);
+    /// \returns whether all imported chains fit into the batch.
+    bool addImports(LedgerBatch&, Part&, const Program&) const;
     void putTurn(LedgerBatch&, const ProgramId&, const TurnRecord&) const;
     void cancel(Program&, ChangeId);
     std::map<DaemonLifetime, TokenCount> holdersToAsk(Program&, const TurnRequest&, TimePoint now) const;
@@ -315,7 +318,7 @@
     /// Least recently used first.
     std::list<ProgramId> m_recent;
     std::deque<ProgramId> m_waiting;
-    std::map<std::uint64_t, Batch> m_batches;
+    std::map<std::uint64_t, Part> m_batches;
     std::vector<std::pair<ChangeId, ChangeOutcome>> m_outcomes;
     std::uint64_t m_nextBatch = 1;
     std::uint64_t m_nextChange = 1;
--- a/lib/Gateway/CommitGroup.cpp
+++ b/lib/Gateway/CommitGroup.cpp
@@ -23,26 +23,11 @@
 {
     Ticket ticket = m_nextTicket++;
     std::size_t bytes = bytesOf(transaction);
-    m_waitingEntries += transaction.entries();
     m_waiting.push_back({ ticket, std::move(transaction), bytes });
     return ticket;
 }
 
-bool CommitGroup::isFull() const
-{
-    return m_waitingEntries >= m_settings.maxEntries;
-}
-
-std::optional<TimePoint> CommitGroup::nextAt() const
-{
-    if (m_waiting.empty() || m_calls.size() >= m_settings.maxCalls)
-        return std::nullopt;
-    if (isFull() || m_lastCallAt == TimePoint::min())
-        return TimePoint::min();
-    return m_lastCallAt + m_settings.interval;
-}
-
-// Two writes of one key may not share a call; the later one waits.
+// Two writes of one key may not share a call, nor be on their way at once; the later one waits.
 static bool overlaps(const std::set<std::string>& keys, const KeyTransaction& transaction)
 {
     auto has = [&](const std::string& key) { return keys.contains(key); };
@@ -67,6 +52,43 @@
     whole.deletes.insert(whole.deletes.end(), part.deletes.begin(), part.deletes.end());
 }
 
+CommitGroup::Selection CommitGroup::select() const
+{
+    Selection selection;
+    std::set<std::string> keys = m_busyKeys;
+    std::size_t entries = 0;
+    std::size_t bytes = 0;
+    for (std::size_t n = 0; n < m_waiting.size(); ++n) {
+        const Member& member = m_waiting[n];
+        bool isApart = !overlaps(keys, member.transaction);
+        // Keys of one that waits block those behind it as well, so that order is kept.
+        addKeys(keys, member.transaction);
+        if (!isApart)
+            continue;
+        bool isFirst = selection.positions.empty();
+        entries += member.transaction.entries();
+        bytes += member.bytes;
+        selection.isFull = entries >= m_settings.maxEntries || bytes >= m_settings.maxBytes;
+        if (isFirst || (entries <= m_settings.maxEntries && bytes <= m_settings.maxBytes))
+            selection.positions.push_back(n);
+        if (selection.isFull)
+            break;
+    }
+    return selection;
+}
+
+std::optional<TimePoint> CommitGroup::nextAt() const
+{
+    if (m_waiting.empty() || m_calls.size() >= m_settings.maxCalls)
+        return std::nullopt;
+    Selection selection = select();
+    if (selection.positions.empty())
+        return std::nullopt;
+    if (selection.isFull || m_lastCallAt == TimePoint::min())
+        return TimePoint::min();
+    return m_lastCallAt + m_settings.interval;
+}
+
 std::optional<CommitGroup::Call> CommitGroup::next(TimePoint now)
 {
     auto at = nextAt();
@@ -74,25 +96,14 @@
         return std::nullopt;
     Call call { m_nextNumber++, {} };
     std::vector<Member> members;
-    std::set<std::string> keys;
-    std::size_t bytes = 0;
-    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        bool fits = members.empty() || (call.transaction.entries() + it->transaction.entries() <= m_settings.maxEntries && bytes + it->bytes <= m_settings.maxBytes);
-        if (!fits)
-            break;
-        bool isApart = !overlaps(keys, it->transaction);
-        // Keys of one that waits block those behind it as well, so that order is kept.
-        addKeys(keys, it->transaction);
-        if (!isApart) {
-            ++it;
-            continue;
-        }
-        append(call.transaction, it->transaction);
-        bytes += it->bytes;
-        m_waitingEntries -= it->transaction.entries();
-        members.push_back(std::move(*it));
-        it = m_waiting.erase(it);
+    Selection selection = select();
+    for (std::size_t n : selection.positions) {
+        append(call.transaction, m_waiting[n].transaction);
+        addKeys(m_busyKeys, m_waiting[n].transaction);
+        members.push_back(std::move(m_waiting[n]));
     }
+    for (auto it = selection.positions.rbegin(); it != selection.positions.rend(); ++it)
+        m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(*it));
     m_lastCallAt = now;
     m_calls.emplace(call.number, std::move(members));
     return call;
@@ -104,6 +115,11 @@
     assert(it != m_calls.end() && "a call ends once");
     std::vector<Member> members = std::move(it->second);
     m_calls.erase(it);
+    std::set<std::string> keys;
+    for (const Member& member : members)
+        addKeys(keys, member.transaction);
+    for (const std::string& key : keys)
+        m_busyKeys.erase(key);
     return members;
 }
 
@@ -124,6 +140,32 @@
     return result;
 }
 
+static std::optional<KeyTransactionResult> refusalBy(const CommitGroup::Known& known, const KeyTransaction& transaction)
+{
+    KeyTransactionResult result;
+    bool isOutdated = false;
+    for (const KeyCondition& it : transaction.conditions) {
+        auto current = known(it.key);
+        if (!current)
+            return std::nullopt;
+        isOutdated = isOutdated || current->modRevision > it.revision;
+        result.current.push_back(std::move(*current));
+    }
+    return isOutdated ? std::optional(std::move(result)) : std::nullopt;
+}
+
+std::vector<std::pair<CommitGroup::Ticket, KeyTransactionResult>> CommitGroup::refuseOutdated(const Known& known)
+{
+    std::vector<std::pair<Ticket, KeyTransactionResult>> refused;
+    std::erase_if(m_waiting, [&](const Member& it) {
+        auto refusal = refusalBy(known, it.transaction);
+        if (refusal)
+            refused.emplace_back(it.ticket, std::move(*refusal));
+        return refusal.has_value();
+    });
+    return refused;
+}
+
 std::vector<std::pair<CommitGroup::Ticket, KeyTransactionResult>> CommitGroup::answered(std::uint64_t number, const KeyTransactionResult& result)
 {
     std::vector<Member> members = take(number);
@@ -137,10 +179,8 @@
             settled.emplace_back(it->ticket, result);
         else if (!anyRefused || !holds(it->transaction, revisions))
             settled.emplace_back(it->ticket, refusalOf(it->transaction, result.current));
-        else {
-            m_waitingEntries += it->transaction.entries();
+        else
             m_waiting.push_front(std::move(*it));
-        }
     }
     return settled;
 }
--- a/lib/Gateway/RecordCache.cpp
+++ b/lib/Gateway/RecordCache.cpp
@@ -44,14 +44,29 @@
     return records;
 }
 
+std::optional<KeyValue> RecordCache::find(const std::string& name, const std::string& key) const
+{
+    auto group = m_groups.find(name);
+    if (group == m_groups.end())
+        return std::nullopt;
+    auto it = group->second.records.find(key);
+    return it == group->second.records.end() ? std::nullopt : std::optional(it->second);
+}
+
+void RecordCache::forget(const std::string& name)
+{
+    auto it = m_groups.find(name);
+    if (it == m_groups.end())
+        return;
+    m_bytes -= it->second.bytes;
+    m_recent.erase(it->second.recent);
+    m_groups.erase(it);
+}
+
 void RecordCache::evict()
 {
-    while (m_bytes > m_maxBytes && m_recent.size() > 1) {
-        auto it = m_groups.find(m_recent.front());
-        m_bytes -= it->second.bytes;
-        m_groups.erase(it);
-        m_recent.pop_front();
-    }
+    while (m_bytes > m_maxBytes && m_recent.size() > 1)
+        forget(std::string(m_recent.front()));
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -18,6 +18,7 @@
     : m_clock(clock)
     , m_store(store, nullptr, {}, clock, log, metrics)
     , m_group(CommitGroupSettings {})
+    , m_metrics(metrics)
     , m_cache(maxCachedBytes)
 {
     server.on(peerpaths::commit, [this](const std::string& body) { return commit(body); });
@@ -100,8 +101,38 @@
     return encodeResult(*result);
 }
 
+// The store would refuse them all the same, and with them each call that they share.
+void StoreRelay::refuseOutdated()
+{
+    auto refused = m_group.refuseOutdated([this](const std::string& key) { return m_cache.find(TurnLedger::programPrefixOf(key), key); });
+    for (auto& [ticket, result] : refused)
+        m_waiting[ticket] = std::optional(std::move(result));
+    if (refused.empty())
+        return;
+    m_metrics.count("commits_refused_by_memory_total", refused.size());
+    m_settled.notifyAll();
+}
+
+void StoreRelay::noteResult(const KeyTransaction& transaction, const KeyTransactionResult& result)
+{
+    if (result.revision)
+        for (const KeyWrite& it : transaction.puts)
+            remember({ it.key, it.value, *result.revision });
+    for (const KeyValue& it : result.current)
+        remember(it);
+    if (result.revision)
+        return;
+    m_metrics.count("commits_refused_by_store_total");
+    for (const KeyCondition& it : transaction.conditions) {
+        bool exists = std::any_of(result.current.begin(), result.current.end(), [&](const KeyValue& item) { return item.key == it.key; });
+        if (!exists)
+            m_cache.forget(TurnLedger::programPrefixOf(it.key));
+    }
+}
+
 void StoreRelay::pump()
 {
+    refuseOutdated();
     while (auto call = m_group.next(m_clock.now()))
         spawnFiber([this, call = std::move(*call)] { run(call); });
     auto at = m_group.nextAt();
@@ -120,11 +151,7 @@
 {
     try {
         KeyTransactionResult result = m_store.commit(call.transaction);
-        if (result.revision)
-            for (const KeyWrite& it : call.transaction.puts)
-                remember({ it.key, it.value, *result.revision });
-        for (const KeyValue& it : result.current)
-            remember(it);
+        noteResult(call.transaction, result);
         for (auto& [ticket, settled] : m_group.answered(call.number, result))
             m_waiting[ticket] = std::optional(std::move(settled));
     } catch (const KeyValueUnavailableError&) {
--- a/lib/Gateway/StoreRelay.h
+++ b/lib/Gateway/StoreRelay.h
@@ -37,11 +37,14 @@
     std::string awaitShared(const StoreQuery&);
     void pump();
     void run(const CommitGroup::Call&);
+    void refuseOutdated();
+    void noteResult(const KeyTransaction&, const KeyTransactionResult&);
     void remember(const KeyValue&);
 
     const Clock& m_clock;
     StoreClient m_store;
     CommitGroup m_group;
+    Metrics& m_metrics;
     RecordCache m_cache;
     /// Waits on their way, by what they wait for; daemons that ask the same share one.
     std::map<std::pair<std::string, std::int64_t>, std::shared_ptr<SharedWait>> m_waits;
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -153,6 +153,7 @@
     int unansweredGrants = 0;
     bool hasJoined = false;
     int searches = 0;
+    bool isKeptSearched = false;
 };
 
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnBudgetSpent& spent)
@@ -195,6 +196,9 @@
     bool isOrigin = needed.program != admission.turn.request.program;
     if (m_store.isFailing())
         return learnWithoutStore(admission, needed.program);
+    // Of a slow store's current answer, most is the turn that was kept a moment ago.
+    if (m_store.isSlow() && !needed.mayBeStale && !isOrigin && adoptKept(admission))
+        return std::nullopt;
     if (!admission.hasJoined && m_reads.join({ needed.program, modeOf(needed) })) {
         // What that read has found is certain; if it began too early to find all, an own one follows.
         admission.hasJoined = !needed.mayBeStale;
@@ -217,13 +221,22 @@
         if (m_accounts.read(program).anyFound || isRecalled)
             return std::nullopt;
     }
+    if (adoptKept(admission))
+        return std::nullopt;
+    return Refusal { 503, "store out of reach" };
+}
+
+// A turn that the store has not confirmed yet is kept by the keepers meanwhile.
+bool TurnController::adoptKept(Admission& admission)
+{
     const CallId& previous = admission.call.attributes.previousTurn;
-    bool isSearched = previous.empty() || ++admission.searches > 1;
-    auto entries = isSearched ? std::nullopt : m_journal.find(previous, std::min(admission.call.deadline, m_clock.now() + journalLimit));
+    if (previous.empty() || std::exchange(admission.isKeptSearched, true))
+        return false;
+    auto entries = m_journal.find(previous, std::min(admission.call.deadline, m_clock.now() + journalLimit));
     if (!entries || entries->empty())
-        return Refusal { 503, "store out of reach" };
+        return false;
     adopt(*entries);
-    return std::nullopt;
+    return true;
 }
 
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsOrigin& needed)
@@ -244,6 +257,7 @@
         for (;;) {
             // Either may have changed while the last answer was awaited.
             admission.knowledge.mayReserve = !m_store.isFailing() && !turn.heldBack;
+            admission.knowledge.holdsAhead = m_store.isSlow();
             if (m_accounts.doubts(turn.request.program) && !admission.areGrantsKnown)
                 admission.knowledge.outstanding.reset();
             TurnVerdict verdict = m_ledger.begin(turn.request, admission.knowledge, m_clock.now());
@@ -298,6 +312,7 @@
     end.grant = turn.grant ? turn.grant->step : 0;
     end.mayMissGrants = m_accounts.doubts(turn.request.program);
     end.neededGrant = turn.admitted.needsGrant;
+    end.holdsAhead = m_store.isSlow();
     return end;
 }
 
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -43,6 +43,7 @@
     /// Asks the keepers for what they committed of a program. \returns whether anything was found.
     bool recall(const ProgramId&);
     void read(const ProgramId&, ReadMode);
+    bool adoptKept(Admission&);
     /// Takes turns, all of one program, that the keepers have kept.
     void adopt(const std::vector<JournalEntry>&);
     std::optional<ProgramId> readOrigin(const CallId& previous);
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -11,6 +11,8 @@
 static constexpr TokenCount turnsLeftToKeep = 1;
 // With this many turns' worth left, a reservation is as good as certain.
 static constexpr TokenCount turnsToRunAhead = 4;
+// While changes take long and a reservation is as good as certain, this many turns' worth is held.
+static constexpr TokenCount turnsToHoldAhead = 2;
 // Looping programs come back at once after a refusal; what the store said holds for them that long.
 static constexpr Milliseconds spentLifetime { 1'000 };
 // A forgotten account matters as long as its program may come again: longer than any retention.
@@ -193,9 +195,10 @@
         return TurnBudgetSpent { remaining < request.mostTokens, account.budget, account.spent, account.held(), request.mostTokens + reserved - remaining, holdersToAsk(program, request, now) };
     }
     program.running += request.mostTokens;
-    ChangeId id = addChange(request.program, program, { AccountChange::Kind::Reserve, m_nextStep++, request.mostTokens, 0, reserved, request.budget, request.keepUntil });
-    admitted.reservation = id;
     admitted.mayRunAhead = remaining >= turnsToRunAhead * request.mostTokens;
+    TokenCount taken = knowledge.holdsAhead && admitted.mayRunAhead ? turnsToHoldAhead * request.mostTokens : request.mostTokens;
+    admitted.reservation = addChange(request.program, program, { AccountChange::Kind::Reserve, m_nextStep++, taken, 0, reserved, request.budget, request.keepUntil });
+    program.changes.back().needed = request.mostTokens;
     return admitted;
 }
 
@@ -239,7 +242,10 @@
     // Tokens under a grant are none of the hold.
     if (end.grant == 0)
         program.unsettled += handedOut;
-    ChangeId id = addChange(request.program, program, { AccountChange::Kind::Settle, m_nextStep++, end.mayMissGrants ? 0 : request.mostTokens, handedOut, 0, request.budget, request.keepUntil, std::move(record), end.grant });
+    bool isAmple = program.account.remaining() >= turnsToRunAhead * request.mostTokens;
+    TokenCount kept = end.mayMissGrants ? 0 : end.holdsAhead && isAmple ? turnsToHoldAhead * request.mostTokens
+                                                                        : request.mostTokens;
+    ChangeId id = addChange(request.program, program, { AccountChange::Kind::Settle, m_nextStep++, kept, handedOut, 0, request.budget, request.keepUntil, std::move(record), end.grant });
     evict();
     return mustStore ? std::optional(id) : std::nullopt;
 }
@@ -375,12 +381,12 @@
     TokenCount used = program.running + program.unsettled;
     for (const Change& it : program.changes)
         if (it.change.kind == AccountChange::Kind::Reserve && !it.isCancelled)
-            used -= std::min(used, it.change.most);
+            used -= std::min(used, it.needed);
     std::erase_if(program.changes, [&](const Change& it) {
         bool isUnsent = it.change.kind == AccountChange::Kind::Reserve && it.claimed == 0 && !it.isCancelled;
-        if (!isUnsent || used + it.change.most > tokens)
+        if (!isUnsent || used + it.needed > tokens)
             return false;
-        used += it.change.most;
+        used += it.needed;
         m_outcomes.emplace_back(it.id, ChangeOutcome::Stored);
         return true;
     });
@@ -399,8 +405,14 @@
 {
     weakenVoid(program);
     ProgramAccount account = program.account;
-    std::erase_if(program.changes, [&](const Change& it) {
-        bool isVoidReservation = it.isVoid && it.change.kind == AccountChange::Kind::Reserve;
+    std::erase_if(program.changes, [&](Change& it) {
+        bool isReservation = it.change.kind == AccountChange::Kind::Reserve;
+        bool isVoidReservation = it.isVoid && isReservation;
+        if (!isVoidReservation && applyChange(account, m_self, it.change))
+            return false;
+        // What would be for the next turn is left out.
+        if (isReservation)
+            it.change.most = std::min(it.change.most, it.needed);
         if (!isVoidReservation && applyChange(account, m_self, it.change))
             return false;
         m_outcomes.emplace_back(it.id, ChangeOutcome::Denied);
@@ -408,11 +420,11 @@
     });
 }
 
-bool TurnLedger::addImports(std::size_t used, LedgerBatch& part, Part& kept, const Program& program) const
+bool TurnLedger::addImports(LedgerBatch& part, Part& kept, const Program& program) const
 {
     for (const CallId& it : program.imported) {
         // One entry stays for the account.
-        if (used + part.entries() + 2 > m_settings.maxBatchEntries)
+        if (part.entries() + 2 > m_settings.maxBatchEntries)
             return false;
         putTurn(part, kept.program, *program.turns.at(it));
         kept.imported.push_back(it);
@@ -420,14 +432,14 @@
     return true;
 }
 
-bool TurnLedger::addPart(LedgerBatch& batch, Batch& record, const ProgramId& id, Program& program)
+std::optional<std::pair<LedgerBatch, TurnLedger::Part>> TurnLedger::makeBatch(const ProgramId& id, Program& program)
 {
     LedgerBatch part;
     Part kept { id, program.account, 0, {} };
     std::string key = accountKey(id);
     part.conditions.emplace_back(key, program.revision);
     // A turn that goes on from an imported chain must not be stored before it.
-    bool areImportsIn = addImports(batch.entries(), part, kept, program);
+    bool areImportsIn = addImports(part, kept, program);
     bool isWhole = true;
     bool hasReserve = false;
     TokenCount most = 0;
@@ -435,7 +447,7 @@
         const AccountChange& change = it.change;
         // Two entries for a turn, and one for the account.
         std::size_t needed = (change.record ? 2 : 0) + 1;
-        if (!areImportsIn || batch.entries() + part.entries() + needed > m_settings.maxBatchEntries) {
+        if (!areImportsIn || part.entries() + needed > m_settings.maxBatchEntries) {
             isWhole = false;
             break;
         }
@@ -451,8 +463,8 @@
         putTurn(part, id, *change.record);
         part.puts.emplace_back(originKey(change.record->turn), id.text());
     }
-    if ((kept.step == 0 && kept.imported.empty()) || batch.entries() + part.entries() + 1 > m_settings.maxBatchEntries)
-        return false;
+    if (kept.step == 0 && kept.imported.empty())
+        return std::nullopt;
     DaemonHold& hold = kept.account.holds[m_self];
     // Of what running turns do not need, one turn's worth stays for the next; none if other daemons may need it.
     if (isWhole && !hasReserve) {
@@ -461,35 +473,27 @@
     }
     program.holdAfterBatch = hold.tokens;
     part.puts.emplace_back(key, encodeAccount(kept.account));
-    std::move(part.conditions.begin(), part.conditions.end(), std::back_inserter(batch.conditions));
-    std::move(part.puts.begin(), part.puts.end(), std::back_inserter(batch.puts));
-    record.parts.push_back(std::move(kept));
-    return true;
+    return std::pair(std::move(part), std::move(kept));
 }
 
 std::optional<LedgerBatch> TurnLedger::nextBatch()
 {
-    if (m_batches.size() >= m_settings.maxBatches)
-        return std::nullopt;
-    LedgerBatch batch;
-    Batch record;
-    while (!m_waiting.empty()) {
+    while (!m_waiting.empty() && m_batches.size() < m_settings.maxBatches) {
         ProgramId id = m_waiting.front();
+        m_waiting.pop_front();
         Program& program = m_programs.at(id);
-        dropDenied(program);
-        if (!program.changes.empty()) {
-            if (!addPart(batch, record, id, program))
-                break;
-            program.isInBatch = true;
-        }
         program.isQueued = false;
-        m_waiting.pop_front();
+        dropDenied(program);
+        auto made = program.changes.empty() ? std::nullopt : makeBatch(id, program);
+        if (!made)
+            continue;
+        program.isInBatch = true;
+        auto& [batch, part] = *made;
+        batch.number = m_nextBatch++;
+        m_batches.emplace(batch.number, std::move(part));
+        return std::move(batch);
     }
-    if (record.parts.empty())
-        return std::nullopt;
-    batch.number = m_nextBatch++;
-    m_batches.emplace(batch.number, std::move(record));
-    return batch;
+    return std::nullopt;
 }
 
 // Whether the hold is enough for all turns that run on it, but those whose reservations are still to come. It is
@@ -500,7 +504,7 @@
     TokenCount tokens = hold == program.account.holds.end() ? 0 : hold->second.tokens;
     for (const Change& it : program.changes)
         if (it.change.kind == AccountChange::Kind::Reserve && !it.isCancelled)
-            tokens += it.change.most;
+            tokens += it.needed;
     return tokens >= program.running + program.unsettled;
 }
 
@@ -539,17 +543,15 @@
 {
     auto it = m_batches.find(number);
     assert(it != m_batches.end() && "a batch ends once");
-    Batch batch = std::move(it->second);
+    Part part = std::move(it->second);
     m_batches.erase(it);
-    for (const Part& part : batch.parts) {
-        Program& program = m_programs.at(part.program);
-        program.isInBatch = false;
-        program.holdAfterBatch.reset();
-        onPart(part, program);
-        std::erase_if(program.changes, [](const Change& it) { return it.isCancelled; });
-        confirmCovered(program);
-        queue(part.program, program);
-    }
+    Program& program = m_programs.at(part.program);
+    program.isInBatch = false;
+    program.holdAfterBatch.reset();
+    onPart(part, program);
+    std::erase_if(program.changes, [](const Change& it) { return it.isCancelled; });
+    confirmCovered(program);
+    queue(part.program, program);
 }
 
 void TurnLedger::batchStored(std::uint64_t number, std::int64_t revision)
--- a/unittests/Gateway/CommitGroupTest.cpp
+++ b/unittests/Gateway/CommitGroupTest.cpp
@@ -102,6 +102,82 @@
     BOOST_TEST(group.waiting() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(oneWriteOfAKeyIsOnItsWayAtATime)
+{
+    group.submit(write("a", 0));
+    auto call = group.next(now);
+    group.submit(write("a", 0));
+    BOOST_TEST(!group.next(now + settings.interval));
+    BOOST_TEST(!group.nextAt());
+    group.submit(write("b", 0));
+    BOOST_TEST(group.next(now + settings.interval)->transaction.puts.front().key == "b");
+    group.answered(call->number, { 9, {} });
+    BOOST_TEST(group.next(now + 2 * settings.interval).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(overtakenWritesAreRefusedWithoutACall)
+{
+    auto outdated = group.submit(write("a", 3));
+    group.submit(write("b", 3));
+    group.submit(write("unknown", 3));
+    group.submit({ { { "a", 3 }, { "unknown", 3 } }, {}, {} });
+    auto refused = group.refuseOutdated([](const std::string& key) { return key == "unknown" ? std::nullopt : std::optional(KeyValue { key, "value", key == "a" ? 5 : 3 }); });
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST(refused.front().first == outdated);
+    BOOST_TEST(!refused.front().second.revision.has_value());
+    BOOST_TEST(refused.front().second.current.front().modRevision == 5);
+    BOOST_TEST(group.waiting() == 3U);
+}
+
+// Plays the load of sub-agents of one program on five daemons at a slow store: each turn writes the program's account
+// on what its daemon last knew. Each write needs one call, and none of the calls is refused.
+BOOST_AUTO_TEST_CASE(contendedAccountNeedsOneCallAWrite)
+{
+    constexpr int daemons = 5;
+    constexpr int writesEach = 4;
+    constexpr Milliseconds storeTime { 268 };
+    Store store;
+    KeyValue latest { "a", "value", 0 };
+    std::vector<int> left(daemons, writesEach);
+    std::vector<std::int64_t> revisions(daemons, 0);
+    std::map<CommitGroup::Ticket, int> writers;
+    std::multimap<TimePoint, CommitGroup::Call> onTheirWay;
+    int calls = 0;
+    int refusedCalls = 0;
+    auto submit = [&](int daemon) { writers[group.submit(write("a", revisions[daemon]))] = daemon; };
+    auto settle = [&](const auto& settled) {
+        for (const auto& [ticket, result] : settled) {
+            int daemon = writers.at(ticket);
+            revisions[daemon] = result.revision ? *result.revision : result.current.front().modRevision;
+            left[daemon] -= result.revision ? 1 : 0;
+            if (left[daemon] > 0)
+                submit(daemon);
+        }
+    };
+    for (int n = 0; n < daemons; ++n)
+        submit(n);
+    TimePoint end = now + std::chrono::seconds(20);
+    TimePoint at = now;
+    for (; at < end && std::any_of(left.begin(), left.end(), [](int n) { return n > 0; }); at += Milliseconds(1)) {
+        while (!onTheirWay.empty() && onTheirWay.begin()->first <= at) {
+            CommitGroup::Call call = onTheirWay.extract(onTheirWay.begin()).mapped();
+            KeyTransactionResult result = store.commit(call.transaction);
+            refusedCalls += result.revision ? 0 : 1;
+            if (result.revision)
+                latest.modRevision = *result.revision;
+            settle(group.answered(call.number, result));
+        }
+        settle(group.refuseOutdated([&](const std::string&) { return latest.modRevision > 0 ? std::optional(latest) : std::nullopt; }));
+        if (auto call = group.next(at)) {
+            onTheirWay.emplace(at + storeTime, *call);
+            ++calls;
+        }
+    }
+    BOOST_TEST(refusedCalls == 0);
+    BOOST_TEST(calls == daemons * writesEach);
+    BOOST_TEST((at - now <= (storeTime + Milliseconds(2)) * daemons * writesEach));
+}
+
 BOOST_AUTO_TEST_CASE(lostCallLeavesTheFateOfItsMembersUnknown)
 {
     auto ticket = group.submit(write("a", 0));
--- a/unittests/Gateway/RecordCacheTest.cpp
+++ b/unittests/Gateway/RecordCacheTest.cpp
@@ -23,6 +23,19 @@
     BOOST_TEST(cache.find("unknown").empty());
 }
 
+BOOST_AUTO_TEST_CASE(findsOneRecordAndForgetsAGroup)
+{
+    RecordCache cache(100'000);
+    cache.put("p", { "p/account", "value", 3 });
+    BOOST_TEST(cache.find("p", "p/account")->modRevision == 3);
+    BOOST_TEST(!cache.find("p", "p/turn/1").has_value());
+    BOOST_TEST(!cache.find("q", "p/account").has_value());
+    cache.forget("p");
+    cache.forget("q");
+    BOOST_TEST(!cache.find("p", "p/account").has_value());
+    BOOST_TEST(cache.bytes() == 0U);
+}
+
 // Load: more programs than fit; those that were asked for last stay, and none stays in part.
 BOOST_AUTO_TEST_CASE(forgetsWholeGroupsLeastRecentlyUsedFirst)
 {
--- a/unittests/Turns/BudgetFuzzTest.cpp
+++ b/unittests/Turns/BudgetFuzzTest.cpp
@@ -50,6 +50,7 @@
         TurnRequest request { ProgramId("p"), CallId("t" + std::to_string(m_nextTurn++)), m_last, budget, most, {} };
         TurnKnowledge knowledge;
         knowledge.mayReserve = !m_isStoreDown;
+        knowledge.holdsAhead = m_nextTurn % 3 == 0;
         knowledge.outstanding = outstandingTokens(m_grants);
         TurnVerdict verdict = ledger.begin(request, knowledge, m_now);
         if (std::holds_alternative<TurnNeedsProgram>(verdict)) {
@@ -134,7 +135,7 @@
         // In an outage a turn whose reservation is not stored runs under a grant.
         if (!turn.isReserved && m_isStoreDown && turn.grant == 0)
             takeGrant(n, turn);
-        TurnEnd end { turn.reservation, turn.grant, m_hadOutage, turn.needsGrant };
+        TurnEnd end { turn.reservation, turn.grant, m_hadOutage, turn.needsGrant, m_nextTurn % 2 == 0 };
         if (!turn.isReserved && turn.grant == 0) {
             m_ledgers[n]->end(turn.request, 0, std::nullopt, end);
             return;
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -92,6 +92,62 @@
     BOOST_TEST(account().held() == most);
 }
 
+// Load: a slow store and an ample budget. The next turn starts on what is held, with no write between them.
+BOOST_AUTO_TEST_CASE(whileChangesTakeLongTheNextTurnNeedsNoReservation)
+{
+    auto first = request("1", "", "p", 2'000);
+    auto second = request("2", "1", "p", 2'000);
+    TurnKnowledge slow;
+    slow.holdsAhead = true;
+    auto verdict = a.begin(first, slow, now);
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(verdict));
+    flush(a, store);
+    TurnEnd end;
+    end.holdsAhead = true;
+    a.end(first, 90, TurnRecord { CallId("1"), {}, "in 1;", "out 1;", {} }, end);
+    auto settlement = a.nextBatch();
+    BOOST_REQUIRE(settlement.has_value());
+    auto next = a.begin(second, slow, now);
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(next));
+    BOOST_TEST(!std::get<TurnAdmitted>(next).reservation.has_value());
+    a.batchStored(settlement->number, store.commit(*settlement));
+    BOOST_TEST(account().held() == 2 * most);
+    // Once changes are quick again, one turn's worth stays.
+    a.end(second, 90, TurnRecord { CallId("2"), CallId("1"), "in 2;", "out 2;", {} });
+    flush(a, store);
+    BOOST_TEST(account().held() == most);
+}
+
+BOOST_AUTO_TEST_CASE(tokensForTheNextTurnAreLeftOutWhereAnotherTookThem)
+{
+    auto mine = request("1", "", "p", 400);
+    TurnKnowledge slow;
+    slow.holdsAhead = true;
+    slow.isProgramRead = slow.isProgramFresh = true;
+    auto verdict = a.begin(mine, slow, now);
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(verdict));
+    ChangeId reservation = *std::get<TurnAdmitted>(verdict).reservation;
+    // Another daemon holds three of the four turns by then.
+    for (const char* turn : { "x", "y", "z" })
+        admit(b, request(turn, "", "p", 400));
+    flush(b, store);
+    auto outcomes = flush(a, store);
+    BOOST_TEST((outcomes.at(reservation) == ChangeOutcome::Stored));
+    BOOST_TEST(account().holds.at(DaemonLifetime("a")).tokens == most);
+}
+
+// One that fails must not take others with it.
+BOOST_AUTO_TEST_CASE(eachBatchIsOfOneProgram)
+{
+    admit(a, request("1", "", "p"));
+    admit(a, request("2", "", "q"));
+    auto first = a.nextBatch();
+    auto second = a.nextBatch();
+    BOOST_REQUIRE((first && second));
+    BOOST_TEST(first->conditions.size() == 1U);
+    BOOST_TEST(second->conditions.size() == 1U);
+}
+
 // Two turns that wait share what is held in the order of their beginning; the other one reserves.
 BOOST_AUTO_TEST_CASE(heldTokensCoverOneWaitingTurnOnly)
 {
