Ask the keepers for what is newer before a current read

Change: after a read that was not enough the keepers are asked for records newer than all that the ledger knows (TurnLedger::completeUpTo), one keeper after the other; the store only if they have none.

--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -179,9 +179,15 @@
     /// Decides on a turn. An admitted turn must be ended by end().
     TurnVerdict begin(const TurnRequest&, const TurnKnowledge&, TimePoint now);
 
-    /// The program's records as read from the store just now.
+    /// Some of the program's records, as the store has or had them.
     void programRead(const ProgramId&, const std::vector<StoredRecord>&);
 
+    /// All of the program's records, as the store had them at one time.
+    void wholeProgramRead(const ProgramId&, const std::vector<StoredRecord>&);
+
+    /// Revision of the program's account up to which all its records are known here; 0 if that is not known.
+    std::int64_t completeUpTo(const ProgramId&) const;
+
     /// An admitted turn ended. \p record is set if it was answered whole.
     /// \returns the change that must be stored before the caller may see the end; empty if none must.
     std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& = {});
@@ -258,6 +264,8 @@
     struct Program {
         ProgramAccount account;
         std::int64_t revision = 0;
+        /// All turns that were stored up to this revision are known here.
+        std::int64_t completeUpTo = 0;
         bool isKnown = false;
         std::map<CallId, std::shared_ptr<const TurnRecord>> turns;
         /// Chains that were begun under another program and are not stored under this one yet.
@@ -281,6 +289,8 @@
     struct Part {
         ProgramId program;
         ProgramAccount account;
+        /// Revision of the account that the changes were applied to.
+        std::int64_t revision = 0;
         /// Last change that the account holds.
         std::uint64_t step = 0;
         std::vector<CallId> imported;
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -52,9 +52,9 @@
     return decodeSnapshot(call(peerpaths::snapshot, encodeQuery({ prefix, mode == ReadMode::Stale }), limit));
 }
 
-std::vector<KeyValue> RelayedStore::recall(const std::string& prefix)
+std::vector<KeyValue> RelayedStore::recall(const std::string& prefix, std::int64_t after)
 {
-    std::string answer = call(peerpaths::recall, encodeQuery({ prefix }), recallLimit);
+    std::string answer = call(peerpaths::recall, encodeQuery({ prefix, true, after }), recallLimit);
     return answer.empty() ? std::vector<KeyValue>() : decodeSnapshot(answer).items;
 }
 
--- a/lib/Gateway/RelayedStore.h
+++ b/lib/Gateway/RelayedStore.h
@@ -14,8 +14,8 @@
     KeyTransactionResult commit(const KeyTransaction&, Milliseconds limit) override;
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler&) override;
     KeySnapshot snapshot(const std::string& prefix, ReadMode, Milliseconds limit) override;
-    /// What the relay remembers below \p prefix.
-    std::vector<KeyValue> recall(const std::string& prefix);
+    /// What the relay remembers below \p prefix that is newer than \p after.
+    std::vector<KeyValue> recall(const std::string& prefix, std::int64_t after);
 
 private:
     std::string call(const char* path, std::string body, Milliseconds limit);
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -95,7 +95,7 @@
     return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
 }
 
-std::vector<KeyValue> StoreClient::recall(const std::string& prefix)
+std::vector<KeyValue> StoreClient::recall(const std::string& prefix, std::int64_t after)
 {
     for (const StorePath& path : m_paths.memories(m_clock.now())) {
         auto relay = m_relays.find(path.relay);
@@ -103,7 +103,7 @@
             continue;
         std::shared_ptr<RelayedStore> held = relay->second;
         try {
-            std::vector<KeyValue> found = held->recall(prefix);
+            std::vector<KeyValue> found = held->recall(prefix, after);
             m_metrics.count(found.empty() ? "recalls_total{found=\"no\"}" : "recalls_total{found=\"yes\"}");
             m_paths.answered(path);
             if (!found.empty())
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -28,9 +28,9 @@
     /// Waits up to \p wait for changes after revision \p after. \returns the revision to go on from.
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler&);
 
-    /// Records below \p prefix that keepers remember from what they committed; what is found is certain, newer
-    /// records may exist. Empty if there are none or no keeper answers.
-    std::vector<KeyValue> recall(const std::string& prefix);
+    /// Records below \p prefix, newer than revision \p after, that a keeper remembers from what it committed; what is
+    /// found is certain, more may exist. Empty if no keeper has any or answers.
+    std::vector<KeyValue> recall(const std::string& prefix, std::int64_t after);
 
     /// Whether keepers should be asked before the store: it is slow or fails, or they are the nearest by far.
     bool prefersRecall() const { return isSlow() || m_paths.areMany(); }
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -36,7 +36,9 @@
 
 std::string StoreRelay::recall(const std::string& body)
 {
-    std::vector<KeyValue> known = m_cache.find(decodeQuery(body).key);
+    StoreQuery query = decodeQuery(body);
+    std::vector<KeyValue> known = m_cache.find(query.key);
+    std::erase_if(known, [&](const KeyValue& it) { return it.modRevision <= query.after; });
     return known.empty() ? std::string() : encodeSnapshot({ std::move(known), 0 });
 }
 
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -28,6 +28,8 @@
 static constexpr int maxGrantQuestions = 2;
 // Searches on the keepers for one turn; each finds all that they keep of a program.
 static constexpr int maxSearches = 3;
+// Questions to the keepers for what they committed; the second one finds what another than the nearest committed.
+static constexpr int maxRecalls = 2;
 static constexpr Milliseconds pauseBetweenReads { 30 };
 
 /// A turn from its admission to its end.
@@ -71,21 +73,22 @@
     }
 }
 
-bool TurnController::recall(const ProgramId& program)
+// Newer records than \p after. \returns the revision up to which records were found; \p after if there are none.
+std::int64_t TurnController::recall(const ProgramId& program, std::int64_t after)
 {
-    std::vector<KeyValue> found = m_store.recall(TurnLedger::programPrefix(program));
+    std::vector<KeyValue> found = m_store.recall(TurnLedger::programPrefix(program), after);
     if (!found.empty())
         m_ledger.programRead(program, recordsFrom(found));
-    return !found.empty();
+    for (const KeyValue& it : found)
+        after = std::max(after, it.modRevision);
+    return after;
 }
 
 void TurnController::read(const ProgramId& program, ReadMode mode)
 {
     m_reads.run({ program, mode }, [&] {
-        if (mode == ReadMode::Stale && m_store.prefersRecall() && recall(program))
-            return;
         KeySnapshot snapshot = readWithRetries([&] { return m_store.snapshot(TurnLedger::programPrefix(program), mode); });
-        m_ledger.programRead(program, recordsFrom(snapshot.items));
+        m_ledger.wholeProgramRead(program, recordsFrom(snapshot.items));
     });
 }
 
@@ -154,6 +157,9 @@
     bool hasJoined = false;
     int searches = 0;
     bool isKeptSearched = false;
+    int recalls = 0;
+    /// Newest record that the keepers told.
+    std::int64_t recalledUpTo = 0;
 };
 
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnBudgetSpent& spent)
@@ -196,8 +202,7 @@
     bool isOrigin = needed.program != admission.turn.request.program;
     if (m_store.isFailing())
         return learnWithoutStore(admission, needed.program);
-    // Of a slow store's current answer, most is the turn that was kept a moment ago.
-    if (m_store.isSlow() && !needed.mayBeStale && !isOrigin && adoptKept(admission))
+    if (!isOrigin && learnFromKeepers(admission, needed))
         return std::nullopt;
     if (!admission.hasJoined && m_reads.join({ needed.program, modeOf(needed) })) {
         // What that read has found is certain; if it began too early to find all, an own one follows.
@@ -212,12 +217,27 @@
     return std::nullopt;
 }
 
+// Before the store, where that is quicker or saves a current read: what is missing was mostly committed a moment ago, or
+// is kept until a slow store confirms it. \returns whether the ledger may know enough now.
+bool TurnController::learnFromKeepers(Admission& admission, const TurnNeedsProgram& needed)
+{
+    bool isFirst = admission.recalls == 0;
+    if ((needed.mayBeStale && !m_store.prefersRecall()) || admission.recalls == maxRecalls)
+        return false;
+    ++admission.recalls;
+    std::int64_t before = std::max(admission.recalledUpTo, m_ledger.completeUpTo(needed.program));
+    admission.recalledUpTo = recall(needed.program, before);
+    bool isFound = admission.recalledUpTo > before;
+    admission.knowledge.isProgramRead = admission.knowledge.isProgramRead || (isFirst && isFound);
+    return isFound || (m_store.isSlow() && adoptKept(admission));
+}
+
 // What the keepers committed, what the other daemons have in memory, and then what was kept since.
 std::optional<TurnController::Refusal> TurnController::learnWithoutStore(Admission& admission, const ProgramId& program)
 {
     TurnKnowledge& knowledge = admission.knowledge;
     if (!std::exchange(knowledge.isProgramRead, true)) {
-        bool isRecalled = recall(program);
+        bool isRecalled = recall(program, m_ledger.completeUpTo(program)) > m_ledger.completeUpTo(program);
         if (m_accounts.read(program).anyFound || isRecalled)
             return std::nullopt;
     }
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -40,8 +40,8 @@
     std::optional<Refusal> learn(Admission&, const TurnNeedsProgram&);
     std::optional<Refusal> learn(Admission&, const TurnNeedsOrigin&);
     std::optional<Refusal> learnWithoutStore(Admission&, const ProgramId&);
-    /// Asks the keepers for what they committed of a program. \returns whether anything was found.
-    bool recall(const ProgramId&);
+    bool learnFromKeepers(Admission&, const TurnNeedsProgram&);
+    std::int64_t recall(const ProgramId&, std::int64_t after);
     void read(const ProgramId&, ReadMode);
     bool adoptKept(Admission&);
     /// Takes turns, all of one program, that the keepers have kept.
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -220,6 +220,22 @@
     evict();
 }
 
+void TurnLedger::wholeProgramRead(const ProgramId& id, const std::vector<StoredRecord>& records)
+{
+    programRead(id, records);
+    std::string account = accountKey(id);
+    auto it = std::find_if(records.begin(), records.end(), [&](const StoredRecord& record) { return record.key == account; });
+    auto program = m_programs.find(id);
+    if (it != records.end() && program != m_programs.end())
+        program->second.completeUpTo = std::max(program->second.completeUpTo, it->revision);
+}
+
+std::int64_t TurnLedger::completeUpTo(const ProgramId& id) const
+{
+    auto it = m_programs.find(id);
+    return it == m_programs.end() ? 0 : it->second.completeUpTo;
+}
+
 std::optional<ChangeId> TurnLedger::end(const TurnRequest& request, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& end)
 {
     Program& program = touch(request.program);
@@ -435,7 +451,7 @@
 std::optional<std::pair<LedgerBatch, TurnLedger::Part>> TurnLedger::makeBatch(const ProgramId& id, Program& program)
 {
     LedgerBatch part;
-    Part kept { id, program.account, 0, {} };
+    Part kept { id, program.account, program.revision, 0, {} };
     std::string key = accountKey(id);
     part.conditions.emplace_back(key, program.revision);
     // A turn that goes on from an imported chain must not be stored before it.
@@ -557,6 +573,9 @@
 void TurnLedger::batchStored(std::uint64_t number, std::int64_t revision)
 {
     endBatch(number, [&](const Part& part, Program& program) {
+        // Nothing was stored between the account that the batch was made on and the batch.
+        if (program.completeUpTo == part.revision)
+            program.completeUpTo = revision;
         rebase(program, part.account, revision);
         dropStored(program, part.step);
         for (const CallId& it : part.imported)
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -186,6 +186,25 @@
     BOOST_TEST(std::holds_alternative<TurnAdmitted>(b.begin(request("3", "2"), knowledge, now)));
 }
 
+// Load: programs that come back to a daemon that served them before; only what is new to it has to be sent.
+BOOST_AUTO_TEST_CASE(ledgerTellsUpToWhichRevisionItKnowsAllTurns)
+{
+    ProgramId program("p");
+    auto revision = [&] { return store.below(TurnLedger::accountKey(program)).front().revision; };
+    BOOST_TEST(a.completeUpTo(program) == 0);
+    run(a, request("1"));
+    BOOST_TEST(a.completeUpTo(program) == revision());
+    std::int64_t known = a.completeUpTo(program);
+    run(b, request("2", "1"));
+    a.programRead(program, { store.below(TurnLedger::accountKey(program)).front() });
+    BOOST_TEST(a.completeUpTo(program) == known);
+    // What it stores itself after another one leaves a gap.
+    run(a, request("3", "1"));
+    BOOST_TEST(a.completeUpTo(program) == known);
+    a.wholeProgramRead(program, store.below(TurnLedger::programPrefix(program)));
+    BOOST_TEST(a.completeUpTo(program) == revision());
+}
+
 BOOST_AUTO_TEST_CASE(anotherDaemonFindsTheChainInTheStore)
 {
     run(a, request("1"));
