Let keepers testify to what dead daemons did, for whole grants in an outage

Ruled out: targets, queueing (the busiest target had 1.13 of the mean); reading histories (35 refusals 'store out of reach'). Change: every change of a program goes by a keeper, or carries a mark of the daemon that went past them (DaemonEntry). A keeper remembers what it committed and which fates it does not know (CommitWitness). Daemons that have bound themselves but cannot speak for their earlier lifetimes are completed by the keepers, if all of them have been there for as long as it matters.

--- a/include/basilpoint/Gateway/RecordCache.h
+++ b/include/basilpoint/Gateway/RecordCache.h
@@ -2,6 +2,7 @@
 
 #include "basilpoint/Net/KeyValueStore.h"
 
+#include <cstdint>
 #include <list>
 #include <map>
 #include <optional>
@@ -34,6 +35,8 @@
     void forget(const std::string& group);
 
     std::size_t bytes() const { return m_bytes; }
+    /// Groups that were dropped for lack of room so far.
+    std::uint64_t evictions() const { return m_evictions; }
     std::size_t groups() const { return m_groups.size(); }
 
 private:
@@ -48,6 +51,7 @@
 
     std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
+    std::uint64_t m_evictions = 0;
     std::map<std::string, Group> m_groups;
     /// Least recently used first.
     std::list<std::string> m_recent;
--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -57,6 +57,9 @@
     /// Keepers that may remember what they committed, the likeliest first.
     std::vector<StorePath> memories(TimePoint now) const;
 
+    /// Whether the way leads by a keeper.
+    bool isKeeper(const StorePath&) const;
+
     /// Whether there are too many daemons for one keeper.
     bool areMany() const;
 
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -132,6 +132,8 @@
     bool isComplete = false;
     /// Whether this lifetime of the daemon has changed no account; an earlier one may have.
     bool isFresh = false;
+    /// Whether the word is complete but for what earlier lifetimes have changed with the keepers' knowledge.
+    bool isBound = false;
 };
 
 /// A program's account as the store has it.
@@ -158,8 +160,8 @@
 
 /// Limits of a ledger.
 struct LedgerSettings {
-    /// Conditions and writes in one batch.
-    std::size_t maxBatchEntries = 32;
+    /// Conditions and writes in one batch: as many as one call to the store takes, less one that its sender may add.
+    std::size_t maxBatchEntries = 31;
     /// Batches on their way at once; each is of one program, so that no other one's fails with it.
     std::size_t maxBatches = 32;
     /// Bytes of turns and accounts that are kept in memory.
--- a/lib/Gateway/AccountPeers.cpp
+++ b/lib/Gateway/AccountPeers.cpp
@@ -30,9 +30,10 @@
 {
 }
 
-void AccountPeers::setPeers(const std::vector<RelayAddress>& relays)
+void AccountPeers::setRelays(const std::vector<RelayAddress>& relays)
 {
     m_peers = relaysWith(relays, false);
+    m_keepers = relaysWith(relays, true);
 }
 
 DaemonLifetime lifetimeOf(const std::string& instance, const std::string& unique)
@@ -108,26 +109,51 @@
         return known;
     std::size_t asked = m_peers.size();
     std::size_t complete = 0;
+    std::size_t vouchable = 0;
+    auto count = [&](const AccountWord& word, bool isCovered) {
+        known.claimed += word.claimed;
+        if (word.isComplete || isCovered)
+            ++complete;
+        else
+            vouchable += word.isBound ? 1 : 0;
+    };
     ask(m_peers, peerpaths::programRecords, program.text(), peerLimit, [&](const RelayAddress& peer, const std::string& answer) {
         AccountWord word = decodeWord(answer);
-        bool isCovered = word.isFresh && m_handovers.covers(peer.instance, m_clock.now());
-        complete += word.isComplete || isCovered ? 1 : 0;
-        known.claimed += word.claimed;
+        count(word, word.isFresh && m_handovers.covers(peer.instance, m_clock.now()));
         known.anyFound = known.anyFound || !word.records.empty();
         if (!word.records.empty())
             m_ledger.programRead(program, word.records);
     });
-    AccountWord own = ownWord(program);
-    known.claimed += own.claimed;
-    known.isComplete = complete == asked && own.isComplete && asked > 0;
+    count(ownWord(program), false);
+    known.isComplete = asked > 0 && complete == asked + 1;
+    if (vouchable > 0 && complete + vouchable == asked + 1)
+        known.isComplete = askKeepers(program, known);
     return known;
 }
 
-void AccountPeers::entered(bool hasCleanStart)
+// Daemons that have bound themselves, but may have changed in an earlier lifetime what nobody else knows, did so by
+// the keepers or have marked it.
+bool AccountPeers::askKeepers(const ProgramId& program, Knowledge& known)
+{
+    std::size_t asked = m_keepers.size();
+    std::size_t complete = 0;
+    ask(m_keepers, peerpaths::testimony, program.text(), peerLimit, [&](const RelayAddress&, const std::string& answer) {
+        AccountWord word = decodeWord(answer);
+        complete += word.isComplete ? 1 : 0;
+        known.claimed += word.claimed;
+        if (!word.records.empty())
+            m_ledger.programRead(program, word.records);
+    });
+    m_log.write(LogLine("keepers-testify").field("program", program.text()).field("asked", asked).field("complete", complete).field("claimed", known.claimed));
+    return asked > 0 && complete == asked;
+}
+
+void AccountPeers::entered(const RelayDirectory::Start& start)
 {
     m_hasEntered = true;
-    m_hasCleanStart = m_hasCleanStart || hasCleanStart;
-    m_log.write(LogLine("entered").field("cleanStart", hasCleanStart));
+    m_hasCleanStart = m_hasCleanStart || start.isClean;
+    m_hasBypassed = start.hasBypassed;
+    m_log.write(LogLine("entered").field("cleanStart", start.isClean).field("bypassed", start.hasBypassed));
 }
 
 bool AccountPeers::handOver(const std::string& instance)
@@ -198,10 +224,12 @@
 // A binding word lets others grant what this daemon then must leave untouched.
 AccountWord AccountPeers::ownWord(const ProgramId& program)
 {
-    bool isBinding = hasSeenAll() && m_store.isFailing();
+    bool isBinding = m_hasEntered && m_store.isFailing();
     if (isBinding)
         m_doubt.wordGiven(m_clock.now());
     AccountWord word = m_ledger.giveWord(program, isBinding);
+    word.isBound = word.isComplete && !m_hasBypassed;
+    word.isComplete = word.isComplete && hasSeenAll();
     word.isFresh = !m_hasEntered;
     return word;
 }
--- a/lib/Gateway/AccountPeers.h
+++ b/lib/Gateway/AccountPeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LedgerWriter.h"
+#include "RelayDirectory.h"
 #include "StoreClient.h"
 #include "TurnJournalClient.h"
 
@@ -21,11 +22,11 @@
     /// \param isFirstStart this daemon was there from the deployment's start.
     AccountPeers(StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, HttpClient&, bool isFirstStart, const Clock&, JsonLog&);
 
-    /// Takes from the list the other daemons that serve callers.
-    void setPeers(const std::vector<RelayAddress>&);
+    /// Takes the list of the other daemons.
+    void setRelays(const std::vector<RelayAddress>&);
 
     /// This daemon stands in the list of daemons, so that it may change accounts.
-    void entered(bool hasCleanStart);
+    void entered(const RelayDirectory::Start&);
     bool hasEntered() const { return m_hasEntered; }
 
     /// Another daemon has started and may change accounts.
@@ -74,6 +75,7 @@
 private:
     std::size_t ask(const std::vector<RelayAddress>& peers, const char* path, const std::string& body, Milliseconds limit, const std::function<void(const RelayAddress&, const std::string&)>& onAnswer);
     AccountWord ownWord(const ProgramId&);
+    bool askKeepers(const ProgramId&, Knowledge&);
     bool hasSeenAll() const;
     bool areMany() const;
 
@@ -82,9 +84,12 @@
     LedgerWriter& m_writer;
     TurnJournalClient& m_journal;
     HttpClient& m_client;
+    /// The other daemons that serve callers.
     std::vector<RelayAddress> m_peers;
+    std::vector<RelayAddress> m_keepers;
     bool m_hasEntered = false;
     bool m_hasCleanStart;
+    bool m_hasBypassed = false;
     Handovers m_handovers;
     TimePoint m_startedAt;
     GrantDoubt m_doubt;
--- a/lib/Gateway/CommitGroup.cpp
+++ b/lib/Gateway/CommitGroup.cpp
@@ -185,6 +185,19 @@
     return settled;
 }
 
+std::vector<KeyTransaction> CommitGroup::open(const std::string& key) const
+{
+    std::vector<KeyTransaction> found;
+    auto add = [&](const Member& it) {
+        if (std::any_of(it.transaction.puts.begin(), it.transaction.puts.end(), [&](const KeyWrite& write) { return write.key == key; }))
+            found.push_back(it.transaction);
+    };
+    std::for_each(m_waiting.begin(), m_waiting.end(), add);
+    for (const auto& [number, members] : m_calls)
+        std::for_each(members.begin(), members.end(), add);
+    return found;
+}
+
 std::vector<CommitGroup::Ticket> CommitGroup::lost(std::uint64_t number)
 {
     std::vector<Ticket> tickets;
--- /dev/null
+++ b/lib/Gateway/CommitWitness.cpp
@@ -0,0 +1,126 @@
+#include "basilpoint/Gateway/CommitWitness.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+// Accounts with lost transactions; more are forgotten, and then nothing is vouched for.
+static constexpr std::size_t maxLost = 5'000;
+
+CommitWitness::CommitWitness(std::size_t maxBytes, bool hasSeenAll, TimePoint now)
+    : m_cache(maxBytes)
+    , m_incompleteUntil(hasSeenAll ? TimePoint::min() : now + longestRetention)
+{
+}
+
+static std::int64_t conditionOn(const KeyTransaction& transaction, const std::string& key)
+{
+    auto it = std::find_if(transaction.conditions.begin(), transaction.conditions.end(), [&](const KeyCondition& condition) { return condition.key == key; });
+    return it == transaction.conditions.end() ? -1 : it->revision;
+}
+
+void CommitWitness::remember(const KeyValue& record, TimePoint now)
+{
+    std::string program = TurnLedger::programPrefixOf(record.key);
+    if (program.empty())
+        return;
+    std::uint64_t forgotten = m_cache.evictions();
+    m_cache.put(program, record);
+    if (m_cache.evictions() != forgotten)
+        missSomething(now);
+    // What was made on an older account took effect before this one, or never will.
+    auto lost = m_lost.find(record.key);
+    if (lost == m_lost.end())
+        return;
+    std::erase_if(lost->second, [&](const KeyTransaction& it) { return conditionOn(it, record.key) < record.modRevision; });
+    if (lost->second.empty())
+        m_lost.erase(lost);
+}
+
+void CommitWitness::stored(const KeyTransaction& transaction, std::int64_t revision, TimePoint now)
+{
+    for (const KeyWrite& it : transaction.puts)
+        remember({ it.key, it.value, revision }, now);
+}
+
+void CommitWitness::refused(const KeyTransaction& transaction, const std::vector<KeyValue>& current, TimePoint now)
+{
+    for (const KeyValue& it : current)
+        remember(it, now);
+    for (const KeyCondition& it : transaction.conditions) {
+        bool exists = std::any_of(current.begin(), current.end(), [&](const KeyValue& item) { return item.key == it.key; });
+        if (!exists)
+            m_cache.forget(TurnLedger::programPrefixOf(it.key));
+    }
+}
+
+void CommitWitness::lost(const KeyTransaction& transaction, TimePoint now)
+{
+    for (const KeyCondition& it : transaction.conditions)
+        if (!TurnLedger::programPrefixOf(it.key).empty())
+            m_lost[it.key].push_back(transaction);
+    if (m_lost.size() <= maxLost)
+        return;
+    m_lost.clear();
+    missSomething(now);
+}
+
+void CommitWitness::hasNoPredecessor()
+{
+    m_incompleteUntil = TimePoint::min();
+}
+
+void CommitWitness::keeperLeft(TimePoint now)
+{
+    missSomething(now);
+}
+
+std::vector<KeyValue> CommitWitness::recall(const std::string& prefix, std::int64_t after)
+{
+    std::vector<KeyValue> known = m_cache.find(prefix);
+    std::erase_if(known, [after](const KeyValue& it) { return it.modRevision <= after; });
+    return known;
+}
+
+std::optional<KeyValue> CommitWitness::latest(const std::string& key) const
+{
+    return m_cache.find(TurnLedger::programPrefixOf(key), key);
+}
+
+// Of those that were made on the account as it is known one at most takes effect.
+void CommitWitness::addClaim(TokenCount& claimed, const ProgramAccount& known, std::int64_t revision, const std::string& key, const KeyTransaction& transaction) const
+{
+    if (conditionOn(transaction, key) < revision)
+        return;
+    TokenCount taken = known.spent + known.held();
+    for (const KeyWrite& it : transaction.puts) {
+        if (it.key != key)
+            continue;
+        ProgramAccount after = decodeAccount(it.value);
+        TokenCount total = after.spent + after.held();
+        claimed = std::max(claimed, total - std::min(total, taken));
+    }
+}
+
+AccountWord CommitWitness::testify(const ProgramId& program, const std::vector<KeyTransaction>& open, TimePoint now)
+{
+    AccountWord word;
+    word.isComplete = now >= m_incompleteUntil;
+    std::string key = TurnLedger::accountKey(program);
+    ProgramAccount known;
+    std::int64_t revision = 0;
+    if (auto account = latest(key)) {
+        known = decodeAccount(account->value);
+        revision = account->modRevision;
+        word.records.push_back({ account->key, account->value, account->modRevision });
+    }
+    auto lost = m_lost.find(key);
+    if (lost != m_lost.end())
+        for (const KeyTransaction& it : lost->second)
+            addClaim(word.claimed, known, revision, key, it);
+    for (const KeyTransaction& it : open)
+        addClaim(word.claimed, known, revision, key, it);
+    return word;
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
+#include <utility>
 
 namespace basilpoint {
 
@@ -38,6 +40,7 @@
         void logSummary();
         void watchEmptying();
         void succeedSiblings();
+        void noteKeepers(const std::vector<RelayAddress>&, bool wasKnown);
 
         KeeperSettings m_settings;
         WireFormat m_format;
@@ -51,6 +54,8 @@
         std::unique_ptr<TurnJournalServer> m_journal;
         RelayDirectory m_directory;
         KeeperSuccession m_succession;
+        std::set<std::string> m_keepers;
+        bool m_isListRead = false;
         const Clock& m_clock;
     };
 
@@ -63,10 +68,11 @@
     , m_log(clock, settings.logDescriptor, settings.instance)
     , m_store(store, &peers, settings.dataCentre, clock, m_log, m_metrics)
     , m_peers(io, settings.peers)
-    , m_relay(m_peers, store, clock, m_log, m_metrics)
-    , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, clock, m_log))
-    , m_directory(m_store, m_peers, peers, { settings.instance, settings.dataCentre, settings.peers, true }, m_log,
+    , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
+    , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, m_relay, clock, m_log))
+    , m_directory(m_store, m_peers, peers, { settings.instance, settings.dataCentre, settings.peers, true }, clock, m_log,
           [this](const std::vector<RelayAddress>& relays, bool wasKnown) {
+              noteKeepers(relays, wasKnown);
               // A keeper that was in the list and has lost its disk is itself one of the losses that are tolerated.
               if (m_journal)
                   m_journal->setRelays(relays, wasKnown && m_settings.tolerated > 0 ? m_settings.tolerated - 1 : m_settings.tolerated);
@@ -75,6 +81,19 @@
 {
 }
 
+// What a keeper has seen of commits goes with it. One whose name is new in the list has seen none before.
+void Keeper::noteKeepers(const std::vector<RelayAddress>& relays, bool wasKnown)
+{
+    if (!std::exchange(m_isListRead, true) && !wasKnown)
+        m_relay.witness().hasNoPredecessor();
+    std::set<std::string> keepers;
+    for (const RelayAddress& it : relaysWith(relays, true))
+        keepers.insert(it.instance);
+    if (!std::includes(keepers.begin(), keepers.end(), m_keepers.begin(), m_keepers.end()))
+        m_relay.witness().keeperLeft(m_clock.now());
+    m_keepers = std::move(keepers);
+}
+
 // A keeper that is to go gives what it keeps to all others first, so that each entry still lies on one more disk than
 // may be lost, and is then counted no more. Other instances keep nothing.
 bool Keeper::isDiskFree(const std::string& instance)
--- a/lib/Gateway/RecordCache.cpp
+++ b/lib/Gateway/RecordCache.cpp
@@ -65,7 +65,7 @@
 
 void RecordCache::evict()
 {
-    while (m_bytes > m_maxBytes && m_recent.size() > 1)
+    for (; m_bytes > m_maxBytes && m_recent.size() > 1; ++m_evictions)
         forget(std::string(m_recent.front()));
 }
 
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -1,5 +1,6 @@
 #include "RelayDirectory.h"
 
+#include "DaemonEntry.h"
 #include "PeerCall.h"
 #include "StoreCodec.h"
 
@@ -7,13 +8,9 @@
 #include "basilpoint/Net/FiberSignal.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace basilpoint {
 
-using Json = nlohmann::json;
-
-static constexpr const char* relaysPrefix = "daemons/";
 static constexpr Milliseconds pauseUntilEntered { 300 };
 // Daemons start within a third of a second of each other; the first lists are read more often.
 static constexpr Milliseconds firstRefresh { 1'000 };
@@ -22,13 +19,15 @@
 
 static constexpr Milliseconds announceLimit { 300 };
 
-RelayDirectory::RelayDirectory(StoreClient& store, PeerServer& server, HttpClient& peers, RelayAddress self, JsonLog& log, ChangeHook onChange)
+RelayDirectory::RelayDirectory(StoreClient& store, PeerServer& server, HttpClient& peers, RelayAddress self, const Clock& clock, JsonLog& log, ChangeHook onChange)
     : m_store(store)
     , m_peers(peers)
     , m_self(std::move(self))
+    , m_clock(clock)
     , m_log(log)
     , m_onChange(std::move(onChange))
 {
+    store.onBypass([this] { return KeyWrite { DaemonEntry::keyOf(m_self.instance), encodeEntry({ m_self, false, m_clock.wallNow() }) }; });
     server.on(peerpaths::announce, [this](const std::string& body) {
         noteAnnounced(body);
         return std::string("noted");
@@ -39,39 +38,18 @@
     });
 }
 
-static std::string encode(const RelayAddress& relay, bool hasLeft)
-{
-    return Json { { "address", relay.endpoint.text() }, { "dataCentre", relay.dataCentre.text() }, { "keeper", relay.isKeeper }, { "left", hasLeft } }.dump();
-}
-
-static bool hasLeft(const KeyValue& item)
-{
-    Json json = Json::parse(item.value, nullptr, false);
-    return json.is_object() && json.value("left", Json(false)) == Json(true);
-}
-
-static std::optional<RelayAddress> decode(const KeyValue& item)
-{
-    try {
-        Json json = Json::parse(item.value);
-        return RelayAddress { item.key.substr(std::string(relaysPrefix).size()), DataCentreId(json.at("dataCentre").get<std::string>()), parseEndpoint("address", json.at("address").get<std::string>()), json.at("keeper").get<bool>() };
-    } catch (const Json::exception&) {
-        // An entry of another shape names no relay; the list's log line counts those it does name.
-        return std::nullopt;
-    } catch (const InvalidInputError&) {
-        return std::nullopt;
-    }
-}
-
 bool RelayDirectory::enter()
 {
-    std::string key = relaysPrefix + m_self.instance;
-    std::string value = encode(m_self, false);
+    std::string key = DaemonEntry::keyOf(m_self.instance);
     auto current = m_store.get(key);
+    auto before = current ? decodeDaemonEntry(*current) : std::nullopt;
+    bool isReadable = !current || before;
+    DaemonEntry entry = successorOf(before, isReadable, m_self, m_clock.wallNow());
     if (!m_wasKnown) {
         m_wasKnown = current.has_value();
-        m_hasCleanStart = !current || hasLeft(*current);
+        m_start = { !current || (before && before->hasLeft), hasBypassed(entry, m_clock.wallNow()) };
     }
+    std::string value = encodeEntry(entry);
     if (current && current->value == value)
         return true;
     return m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, value } }, {} }).revision.has_value();
@@ -81,12 +59,12 @@
 {
     std::vector<RelayAddress> relays;
     m_isListed = false;
-    for (const KeyValue& it : m_store.snapshot(relaysPrefix, m_known ? ReadMode::Stale : ReadMode::Current).items) {
-        auto relay = decode(it);
-        if (relay && relay->instance == m_self.instance)
+    for (const KeyValue& it : m_store.snapshot(DaemonEntry::prefix, m_known ? ReadMode::Stale : ReadMode::Current).items) {
+        auto entry = decodeDaemonEntry(it);
+        if (entry && entry->address.instance == m_self.instance)
             m_isListed = true;
-        else if (relay)
-            relays.push_back(std::move(*relay));
+        else if (entry)
+            relays.push_back(std::move(entry->address));
     }
     mergeAnnounced(relays);
     use(std::move(relays));
@@ -124,7 +102,7 @@
 
 bool RelayDirectory::announceTo(const RelayAddress& relay)
 {
-    return tell(relay, peerpaths::announce, encodeSnapshot({ { { relaysPrefix + m_self.instance, encode(m_self, false), 0 } }, 0 }));
+    return tell(relay, peerpaths::announce, encodeSnapshot({ { { DaemonEntry::keyOf(m_self.instance), encodeEntry({ m_self }), 0 } }, 0 }));
 }
 
 // One that is not told finds it in the list.
@@ -162,7 +140,7 @@
 
 void RelayDirectory::remove(const std::string& instance)
 {
-    std::string key = relaysPrefix + instance;
+    std::string key = DaemonEntry::keyOf(instance);
     auto current = m_store.get(key);
     bool isRemoved = !current || m_store.commit({ { { key, current->modRevision } }, {}, { key } }).revision.has_value();
     m_log.write(LogLine("daemon-removed").field("daemon", instance).field("removed", isRemoved));
@@ -176,11 +154,11 @@
 void RelayDirectory::noteAnnounced(const std::string& body)
 {
     for (const KeyValue& item : decodeSnapshot(body).items) {
-        auto relay = decode(item);
-        if (!relay || relay->instance == m_self.instance)
+        auto entry = decodeDaemonEntry(item);
+        if (!entry || entry->address.instance == m_self.instance)
             continue;
-        std::string instance = relay->instance;
-        m_announced.insert_or_assign(instance, std::move(*relay));
+        std::string instance = entry->address.instance;
+        m_announced.insert_or_assign(instance, std::move(entry->address));
         if (m_onAnnounce)
             m_onAnnounce(instance);
         // Before its own first list this daemon has nobody to count on.
@@ -195,10 +173,13 @@
 void RelayDirectory::leave()
 {
     m_isLeaving = true;
-    std::string key = relaysPrefix + m_self.instance;
+    std::string key = DaemonEntry::keyOf(m_self.instance);
     try {
         auto current = m_store.get(key);
-        bool isNoted = m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, encode(m_self, true) } }, {} }).revision.has_value();
+        auto before = current ? decodeDaemonEntry(*current) : std::nullopt;
+        DaemonEntry entry = successorOf(before, !current || before, m_self, m_clock.wallNow());
+        entry.hasLeft = true;
+        bool isNoted = m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, encodeEntry(entry) } }, {} }).revision.has_value();
         m_log.write(LogLine("left").field("noted", isNoted));
     } catch (const KeyValueUnavailableError& error) {
         // The next lifetime takes this one for one that may have changed what others do not know.
@@ -215,7 +196,7 @@
             if (!isEntered && enter()) {
                 isEntered = true;
                 if (m_onEnter)
-                    m_onEnter(*m_hasCleanStart);
+                    m_onEnter(m_start);
             }
             refresh();
             // Another may have taken this daemon out while it was cut off.
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -11,13 +11,19 @@
     /// Called with each new list of the other daemons. \p wasKnown: this daemon's name stood in the list before it started.
     using ChangeHook = std::function<void(const std::vector<RelayAddress>&, bool wasKnown)>;
 
-    /// Called once this daemon stands in the list. \p hasCleanStart: no earlier lifetime of it has changed what the
-    /// others do not know.
-    using EnterHook = std::function<void(bool hasCleanStart)>;
+    /// What the list says of this daemon's earlier lifetimes.
+    struct Start {
+        /// None of them has changed what the others do not know.
+        bool isClean = true;
+        /// One has lately changed what the keepers do not know.
+        bool hasBypassed = false;
+    };
+    /// Called once this daemon stands in the list.
+    using EnterHook = std::function<void(const Start&)>;
     /// Called when another daemon announces that it has started.
     using AnnounceHook = std::function<void(const std::string& instance)>;
 
-    RelayDirectory(StoreClient&, PeerServer&, HttpClient& peers, RelayAddress self, JsonLog&, ChangeHook);
+    RelayDirectory(StoreClient&, PeerServer&, HttpClient& peers, RelayAddress self, const Clock&, JsonLog&, ChangeHook);
 
     void onEnter(EnterHook hook) { m_onEnter = std::move(hook); }
     void onAnnounce(AnnounceHook hook) { m_onAnnounce = std::move(hook); }
@@ -52,11 +58,12 @@
     StoreClient& m_store;
     HttpClient& m_peers;
     RelayAddress m_self;
+    const Clock& m_clock;
     JsonLog& m_log;
     ChangeHook m_onChange;
     EnterHook m_onEnter;
     AnnounceHook m_onAnnounce;
-    std::optional<bool> m_hasCleanStart;
+    Start m_start;
     bool m_isLeaving = false;
     /// Whether this daemon stood in the list when it was last read.
     bool m_isListed = false;
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -1,5 +1,7 @@
 #include "StoreClient.h"
 
+#include "basilpoint/Turns/TurnLedger.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -43,7 +45,7 @@
         std::shared_ptr<RelayedStore> held = relay == m_relays.end() ? nullptr : relay->second;
         m_metrics.count(fmt::format("store_calls_total{{kind=\"{}\",by=\"{}\"}}", kind, held ? "relay" : "direct"));
         try {
-            auto result = call(held ? static_cast<TransactionalStore&>(*held) : m_direct);
+            auto result = call(held ? static_cast<TransactionalStore&>(*held) : m_direct, path);
             m_paths.answered(path);
             return result;
         } catch (const KeyValueUnavailableError& error) {
@@ -85,14 +87,26 @@
     return m_health.isFailingFor(failingLimit, m_clock.now());
 }
 
+static bool changesProgram(const KeyTransaction& transaction)
+{
+    return std::any_of(transaction.puts.begin(), transaction.puts.end(), [](const KeyWrite& it) { return !TurnLedger::programPrefixOf(it.key).empty(); });
+}
+
 KeyTransactionResult StoreClient::commit(const KeyTransaction& transaction)
 {
-    return measure("commit", StorePaths::Purpose::Commit, [&](TransactionalStore& store) { return store.commit(transaction, m_health.answerLimit()); });
+    return measure("commit", StorePaths::Purpose::Commit, [&](TransactionalStore& store, const StorePath& path) {
+        if (!m_bypassMark || m_paths.isKeeper(path) || !changesProgram(transaction))
+            return store.commit(transaction, m_health.answerLimit());
+        KeyTransaction marked = transaction;
+        marked.puts.push_back(m_bypassMark());
+        m_log.write(LogLine("keepers-bypassed").field("relay", path.relay));
+        return store.commit(marked, m_health.answerLimit());
+    });
 }
 
 KeySnapshot StoreClient::snapshot(const std::string& prefix, ReadMode mode)
 {
-    return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
+    return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store, const StorePath&) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
 }
 
 std::vector<KeyValue> StoreClient::recall(const std::string& prefix, std::int64_t after)
@@ -118,13 +132,13 @@
 
 std::optional<KeyValue> StoreClient::get(const std::string& key)
 {
-    return measure("get", StorePaths::Purpose::Read, [&](TransactionalStore& store) { return store.get(key); });
+    return measure("get", StorePaths::Purpose::Read, [&](TransactionalStore& store, const StorePath&) { return store.get(key); });
 }
 
 std::int64_t StoreClient::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler& onChange)
 {
     try {
-        return tryPaths("watch", StorePaths::Purpose::Wait, [&](TransactionalStore& store) {
+        return tryPaths("watch", StorePaths::Purpose::Wait, [&](TransactionalStore& store, const StorePath&) {
             return store.awaitChanges(prefix, after, wait, std::max(shortestWatchLimit, m_health.answerLimit()), onChange);
         });
     } catch (const KeyValueUnavailableError& error) {
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -7,6 +7,7 @@
 #include "basilpoint/Gateway/StorePaths.h"
 #include "basilpoint/Support/Metrics.h"
 
+#include <functional>
 #include <memory>
 
 namespace basilpoint {
@@ -21,6 +22,9 @@
     /// Daemons that may relay calls.
     void setRelays(const std::vector<RelayAddress>&);
 
+    /// \p mark is written with each change of a program that goes past the keepers, which then do not know of it.
+    void onBypass(std::function<KeyWrite()> mark) { m_bypassMark = std::move(mark); }
+
     /// \throws KeyValueUnavailableError, as all calls do if no way led to the service.
     KeyTransactionResult commit(const KeyTransaction&);
     KeySnapshot snapshot(const std::string& prefix, ReadMode);
@@ -56,6 +60,7 @@
     Metrics& m_metrics;
     StoreHealth m_health;
     StorePaths m_paths;
+    std::function<KeyWrite()> m_bypassMark;
     std::map<std::string, std::shared_ptr<RelayedStore>> m_relays;
 };
 
--- a/lib/Gateway/StoreCodec.cpp
+++ b/lib/Gateway/StoreCodec.cpp
@@ -149,13 +149,13 @@
     items.reserve(word.records.size());
     for (const StoredRecord& it : word.records)
         items.push_back({ it.key, it.value, it.revision });
-    return toCbor({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete }, { "f", word.isFresh } });
+    return toCbor({ { "i", itemsToJson(items) }, { "c", word.claimed }, { "w", word.isComplete }, { "f", word.isFresh }, { "b", word.isBound } });
 }
 
 AccountWord decodeWord(const std::string& bytes)
 {
     return decode(bytes, [](const Json& json) {
-        return AccountWord { recordsFrom(itemsFrom(json.at("i"))), json.at("c").get<TokenCount>(), json.at("w").get<bool>(), json.at("f").get<bool>() };
+        return AccountWord { recordsFrom(itemsFrom(json.at("i"))), json.at("c").get<TokenCount>(), json.at("w").get<bool>(), json.at("f").get<bool>(), json.at("b").get<bool>() };
     });
 }
 
--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -29,6 +29,12 @@
     return it != m_failures.end() && now < it->second.until;
 }
 
+bool StorePaths::isKeeper(const StorePath& path) const
+{
+    auto it = m_relays.find(path.relay);
+    return it != m_relays.end() && it->second.isKeeper;
+}
+
 bool StorePaths::areMany() const
 {
     auto n = std::count_if(m_relays.begin(), m_relays.end(), [](const auto& it) { return !it.second.isKeeper; });
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -14,15 +14,16 @@
 // Programs of half a minute at the rate of one data centre of the grown sites, 0.5 MB/s.
 static constexpr std::size_t maxCachedBytes = 16 * 1024 * 1024;
 
-StoreRelay::StoreRelay(PeerServer& server, TransactionalStore& store, const Clock& clock, JsonLog& log, Metrics& metrics)
+StoreRelay::StoreRelay(PeerServer& server, TransactionalStore& store, bool hasSeenAll, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_clock(clock)
     , m_store(store, nullptr, {}, clock, log, metrics)
     , m_group(CommitGroupSettings {})
     , m_metrics(metrics)
-    , m_cache(maxCachedBytes)
+    , m_witness(maxCachedBytes, hasSeenAll, clock.now())
 {
-    server.on(peerpaths::commit, [this](const std::string& body) { return commit(body); });
+    server.on(peerpaths::commit, [this](const std::string& body) { return encodeResult(commit(decodeTransaction(body))); });
     server.on(peerpaths::snapshot, [this](const std::string& body) { return snapshot(body); });
+    server.on(peerpaths::testimony, [this](const std::string& body) { return testify(body); });
     server.on(peerpaths::recall, [this](const std::string& body) { return recall(body); });
     server.on(peerpaths::get, [this](const std::string& body) { return get(body); });
     server.on(peerpaths::changes, [this](const std::string& body) { return changes(body); });
@@ -37,16 +38,15 @@
 std::string StoreRelay::recall(const std::string& body)
 {
     StoreQuery query = decodeQuery(body);
-    std::vector<KeyValue> known = m_cache.find(query.key);
-    std::erase_if(known, [&](const KeyValue& it) { return it.modRevision <= query.after; });
+    std::vector<KeyValue> known = m_witness.recall(query.key, query.after);
     return known.empty() ? std::string() : encodeSnapshot({ std::move(known), 0 });
 }
 
-void StoreRelay::remember(const KeyValue& record)
+// The last thing that is asked, after all living daemons have bound themselves: nothing of theirs comes any more.
+std::string StoreRelay::testify(const std::string& program)
 {
-    std::string program = TurnLedger::programPrefixOf(record.key);
-    if (!program.empty())
-        m_cache.put(program, record);
+    ProgramId id(program);
+    return encodeWord(m_witness.testify(id, m_group.open(TurnLedger::accountKey(id)), m_clock.now()));
 }
 
 std::string StoreRelay::get(const std::string& body)
@@ -89,24 +89,24 @@
     return wait->answer;
 }
 
-std::string StoreRelay::commit(const std::string& body)
+KeyTransactionResult StoreRelay::commit(const KeyTransaction& transaction)
 {
-    CommitGroup::Ticket ticket = m_group.submit(decodeTransaction(body));
+    CommitGroup::Ticket ticket = m_group.submit(transaction);
     auto& fate = m_waiting[ticket];
     pump();
     while (!fate)
         m_settled.wait();
-    std::optional<KeyTransactionResult> result = std::move(*fate);
-    m_waiting.erase(ticket);
+    auto node = m_waiting.extract(ticket);
+    std::optional<KeyTransactionResult>& result = *node.mapped();
     if (!result)
         throw KeyValueUnavailableError("commit by the relay of unknown fate");
-    return encodeResult(*result);
+    return std::move(*result);
 }
 
 // The store would refuse them all the same, and with them each call that they share.
 void StoreRelay::refuseOutdated()
 {
-    auto refused = m_group.refuseOutdated([this](const std::string& key) { return m_cache.find(TurnLedger::programPrefixOf(key), key); });
+    auto refused = m_group.refuseOutdated([this](const std::string& key) { return m_witness.latest(key); });
     for (auto& [ticket, result] : refused)
         m_waiting[ticket] = std::optional(std::move(result));
     if (refused.empty())
@@ -118,18 +118,9 @@
 void StoreRelay::noteResult(const KeyTransaction& transaction, const KeyTransactionResult& result)
 {
     if (result.revision)
-        for (const KeyWrite& it : transaction.puts)
-            remember({ it.key, it.value, *result.revision });
-    for (const KeyValue& it : result.current)
-        remember(it);
-    if (result.revision)
-        return;
+        return m_witness.stored(transaction, *result.revision, m_clock.now());
     m_metrics.count("commits_refused_by_store_total");
-    for (const KeyCondition& it : transaction.conditions) {
-        bool exists = std::any_of(result.current.begin(), result.current.end(), [&](const KeyValue& item) { return item.key == it.key; });
-        if (!exists)
-            m_cache.forget(TurnLedger::programPrefixOf(it.key));
-    }
+    m_witness.refused(transaction, result.current, m_clock.now());
 }
 
 void StoreRelay::pump()
@@ -157,6 +148,7 @@
         for (auto& [ticket, settled] : m_group.answered(call.number, result))
             m_waiting[ticket] = std::optional(std::move(settled));
     } catch (const KeyValueUnavailableError&) {
+        m_witness.lost(call.transaction, m_clock.now());
         // Each waiting daemon is told that the fate is unknown.
         for (CommitGroup::Ticket ticket : m_group.lost(call.number))
             m_waiting[ticket] = std::optional<KeyTransactionResult>();
--- a/lib/Gateway/StoreRelay.h
+++ b/lib/Gateway/StoreRelay.h
@@ -5,7 +5,7 @@
 #include "StoreCodec.h"
 
 #include "basilpoint/Gateway/CommitGroup.h"
-#include "basilpoint/Gateway/RecordCache.h"
+#include "basilpoint/Gateway/CommitWitness.h"
 #include "basilpoint/Net/FiberSignal.h"
 
 #include <map>
@@ -17,7 +17,13 @@
 class StoreRelay {
 public:
     /// \param store the service itself, not by way of another relay.
-    StoreRelay(PeerServer&, TransactionalStore& store, const Clock&, JsonLog&, Metrics&);
+    /// \param hasSeenAll this relay has been there since the first commit of the deployment.
+    StoreRelay(PeerServer&, TransactionalStore& store, bool hasSeenAll, const Clock&, JsonLog&, Metrics&);
+
+    /// Commits together with what others have to commit. \throws KeyValueUnavailableError
+    KeyTransactionResult commit(const KeyTransaction&);
+
+    CommitWitness& witness() { return m_witness; }
 
     const StoreHealth& health() const { return m_store.health(); }
 
@@ -29,9 +35,9 @@
         FiberSignal done;
     };
 
-    std::string commit(const std::string& body);
     std::string snapshot(const std::string& body);
     std::string recall(const std::string& body);
+    std::string testify(const std::string& program);
     std::string get(const std::string& body);
     std::string changes(const std::string& body);
     std::string awaitShared(const StoreQuery&);
@@ -39,13 +45,12 @@
     void run(const CommitGroup::Call&);
     void refuseOutdated();
     void noteResult(const KeyTransaction&, const KeyTransactionResult&);
-    void remember(const KeyValue&);
 
     const Clock& m_clock;
     StoreClient m_store;
     CommitGroup m_group;
     Metrics& m_metrics;
-    RecordCache m_cache;
+    CommitWitness m_witness;
     /// Waits on their way, by what they wait for; daemons that ask the same share one.
     std::map<std::pair<std::string, std::int64_t>, std::shared_ptr<SharedWait>> m_waits;
     /// Fate of the commits that callers wait for: not set while unknown, set and empty if it stays so.
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -51,10 +51,11 @@
     return settings;
 }
 
-TurnJournalServer::TurnJournalServer(boost::asio::io_context& io, PeerServer& server, HttpClient& client, const std::filesystem::path& folder, bool isFirstStart, StoreClient& store, const Clock& clock, JsonLog& log)
+TurnJournalServer::TurnJournalServer(boost::asio::io_context& io, PeerServer& server, HttpClient& client, const std::filesystem::path& folder, bool isFirstStart, StoreClient& store, StoreRelay& relay, const Clock& clock, JsonLog& log)
     : m_io(io)
     , m_client(client)
     , m_store(store)
+    , m_relay(relay)
     , m_clock(clock)
     , m_log(log)
     , m_disk(settingsFor(folder))
@@ -255,7 +256,7 @@
     if (!isStored) {
         transaction.conditions.push_back({ key, current ? current->modRevision : 0 });
         transaction.puts.push_back({ key, encodeAccount(account) });
-        isStored = m_store.commit(transaction).revision.has_value();
+        isStored = m_relay.commit(transaction).revision.has_value();
     }
     m_log.write(LogLine("journal-upload").field("program", program.text()).field("entries", done.size()).field("turns", transaction.puts.size() / 2).field("done", isStored));
     if (!isStored)
@@ -285,7 +286,7 @@
         charged.step = change.step;
         account.spent += change.most;
         account.keepUntil = std::max(account.keepUntil, change.keepUntil);
-        isStored = m_store.commit({ { { key, current ? current->modRevision : 0 } }, { { key, encodeAccount(account) } }, {} }).revision.has_value();
+        isStored = m_relay.commit({ { { key, current ? current->modRevision : 0 } }, { { key, encodeAccount(account) } }, {} }).revision.has_value();
     }
     m_log.write(LogLine("grant-charged").field("program", grant.program.text()).field("daemon", grant.daemon.text()).field("tokens", change.most).field("done", isStored));
     if (isStored)
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -2,6 +2,7 @@
 
 #include "PeerServer.h"
 #include "StoreClient.h"
+#include "StoreRelay.h"
 
 #include "basilpoint/Journal/RecordLog.h"
 #include "basilpoint/Net/FiberSignal.h"
@@ -16,7 +17,7 @@
 class TurnJournalServer {
 public:
     /// \param isFirstStart the deployment starts for the first time, so an empty disk has lost nothing.
-    TurnJournalServer(boost::asio::io_context&, PeerServer&, HttpClient&, const std::filesystem::path& folder, bool isFirstStart, StoreClient&, const Clock&, JsonLog&);
+    TurnJournalServer(boost::asio::io_context&, PeerServer&, HttpClient&, const std::filesystem::path& folder, bool isFirstStart, StoreClient&, StoreRelay&, const Clock&, JsonLog&);
 
     /// Other keepers, whose journals a lost one is rebuilt from.
     /// \param excused keepers that may be missing from the list of those who answer.
@@ -52,6 +53,8 @@
     boost::asio::io_context& m_io;
     HttpClient& m_client;
     StoreClient& m_store;
+    /// What this keeper commits itself it has to remember as well.
+    StoreRelay& m_relay;
     const Clock& m_clock;
     JsonLog& m_log;
     TurnJournal m_journal;
--- /dev/null
+++ b/unittests/Gateway/DaemonEntryTest.cpp
@@ -0,0 +1,54 @@
+#include "DaemonEntry.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+namespace {
+
+struct Fixture {
+    WallTimePoint now { std::chrono::hours(1'000) };
+    RelayAddress self { "gateway-1", DataCentreId("a"), parseEndpoint("address", "10.0.0.1:7000"), false };
+    KeyValue item(const std::string& value) { return { DaemonEntry::keyOf("gateway-1"), value, 3 }; }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DaemonEntryTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(entriesAreReadAsTheyWereWritten)
+{
+    DaemonEntry entry { self, true, now };
+    BOOST_TEST((decodeDaemonEntry(item(encodeEntry(entry))) == entry));
+    entry = { self, false, std::nullopt };
+    BOOST_TEST((decodeDaemonEntry(item(encodeEntry(entry))) == entry));
+}
+
+BOOST_AUTO_TEST_CASE(entriesOfAnotherShapeNameNoDaemon)
+{
+    for (const char* value : { "", "no json", "[]", "{}", R"({"address":7,"dataCentre":"a","keeper":false})", R"({"address":"nowhere","dataCentre":"a","keeper":false})" })
+        BOOST_TEST(!decodeDaemonEntry(item(value)).has_value());
+    BOOST_TEST(!decodeDaemonEntry({ "other/key", encodeEntry({ self }), 3 }).has_value());
+}
+
+// A daemon that changed a program past the keepers, died, and died again soon after.
+BOOST_AUTO_TEST_CASE(markOfAChangePastTheKeepersOutlastsLifetimes)
+{
+    DaemonEntry marked { self, false, now };
+    now += std::chrono::seconds(20);
+    DaemonEntry second = successorOf(marked, true, self, now);
+    BOOST_TEST(hasBypassed(second, now));
+    now += std::chrono::seconds(20);
+    BOOST_TEST(hasBypassed(successorOf(second, true, self, now), now));
+    now += std::chrono::minutes(5);
+    BOOST_TEST(!hasBypassed(second, now));
+    BOOST_TEST(!successorOf(second, true, self, now).bypassedAt.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(entryThatCannotBeReadMayHaveBorneAMark)
+{
+    BOOST_TEST(!hasBypassed(successorOf(std::nullopt, true, self, now), now));
+    BOOST_TEST(hasBypassed(successorOf(std::nullopt, false, self, now), now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Gateway/StoreCodecTest.cpp
+++ b/unittests/Gateway/StoreCodecTest.cpp
@@ -23,13 +23,14 @@
 
 BOOST_AUTO_TEST_CASE(wordsHandoversAndReleasesComeBackAsTheyWent)
 {
-    AccountWord word { { { "programs/p/account", std::string("\0a", 2), 7 } }, 40, true, true };
+    AccountWord word { { { "programs/p/account", std::string("\0a", 2), 7 } }, 40, true, true, true };
     AccountWord back = decodeWord(encodeWord(word));
     BOOST_TEST(back.records.at(0).value == word.records.at(0).value);
     BOOST_TEST(back.records.at(0).revision == 7);
     BOOST_TEST(back.claimed == 40U);
     BOOST_TEST(back.isComplete);
     BOOST_TEST(back.isFresh);
+    BOOST_TEST(back.isBound == word.isBound);
     Handover handover = decodeHandover(encodeHandover({ "d", { { ProgramId("p"), { "k", "v", 9 } } } }));
     BOOST_TEST(handover.daemon == "d");
     BOOST_TEST(handover.accounts.at(0).program.text() == "p");
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -28,6 +28,9 @@
     BOOST_TEST(first(StorePaths::Purpose::Commit) == "keeper-1");
     BOOST_TEST(first(StorePaths::Purpose::Wait) == "keeper-1");
     BOOST_TEST(first(StorePaths::Purpose::Read) == "");
+    BOOST_TEST(paths.isKeeper({ "keeper-1" }));
+    BOOST_TEST(!paths.isKeeper({ "gateway-1" }));
+    BOOST_TEST(!paths.isKeeper({}));
 }
 
 // Load: 72 daemons in three data centres, too many for one keeper.
