Keep what lost batches may have done until a newer account is known; one claim of all

Change: the ledger keeps the greatest claim and the least hold of all batches that were made on the account as it is known, until a newer one is; daemons' and keepers' claims are of one state of the account, so the greatest counts, not the sum. Test: BudgetFuzzTest moves to unittests/Gateway and has daemons that start again, for which a keeper testifies, and writes past the keeper. It passed a turn's fields to TurnEnd in the wrong order (outage for grant); now by name. Whole grants are so tried after restarts as well, which they were not before.

--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -257,8 +257,8 @@
         bool isCancelled = false;
         /// It was made before this daemon gave its word, and must not take effect any more.
         bool isVoid = false;
-        /// Tokens that it may take from the account if a batch that it was sent in takes effect.
-        TokenCount claimed = 0;
+        /// It was in a batch, which may have taken effect.
+        bool wasSent = false;
         /// Of a reservation: what its own turn needs; the rest is for the next one.
         TokenCount needed = 0;
     };
@@ -278,8 +278,12 @@
         TokenCount running = 0;
         /// Tokens of ended turns whose settlement is not stored yet.
         TokenCount unsettled = 0;
-        /// The hold after the batch that is on its way; no more than this may be used meanwhile.
+        /// Least hold that a batch leaves which was made on the account as it is known, and may have taken effect; no
+        /// more than this may be used until a newer account is known.
         std::optional<TokenCount> holdAfterBatch;
+        /// Most tokens that a batch which was made on the account as it is known may take from it, though its changes
+        /// may be dropped since. One such batch takes effect at most.
+        TokenCount claimed = 0;
         bool isQueued = false;
         /// When the store last showed that the budget is spent.
         TimePoint seenSpentAt = TimePoint::min();
@@ -298,6 +302,7 @@
         std::vector<CallId> imported;
     };
     Program& touch(const ProgramId&);
+    TokenCount usableHold(const Program&) const;
     TokenCount freeHold(const Program&) const;
     /// \param missing set to the turn that the program lacks, if the history is not whole.
     static std::optional<std::string> historyOf(const Program&, const CallId& turn, CallId& missing);
@@ -319,6 +324,8 @@
     ChangeId addChange(const ProgramId&, Program&, AccountChange);
     /// Drops all changes up to \p step, which the account holds.
     void dropStored(Program&, std::uint64_t step);
+    /// Whatever was sent on an older account took effect before the one that is known now, or never will.
+    static void forgetBatches(Program&);
     void rebase(Program&, const ProgramAccount&, std::int64_t revision);
     void endBatch(std::uint64_t number, const std::function<void(const Part&, Program&)>&);
     void addTurn(Program&, TurnRecord);
--- a/lib/Gateway/AccountPeers.cpp
+++ b/lib/Gateway/AccountPeers.cpp
@@ -111,7 +111,7 @@
     std::size_t complete = 0;
     std::size_t vouchable = 0;
     auto count = [&](const AccountWord& word, bool isCovered) {
-        known.claimed += word.claimed;
+        known.claim(word);
         if (word.isComplete || isCovered)
             ++complete;
         else
@@ -140,7 +140,7 @@
     ask(m_keepers, peerpaths::testimony, program.text(), peerLimit, [&](const RelayAddress&, const std::string& answer) {
         AccountWord word = decodeWord(answer);
         complete += word.isComplete ? 1 : 0;
-        known.claimed += word.claimed;
+        known.claim(word);
         if (!word.records.empty())
             m_ledger.programRead(program, word.records);
     });
--- a/lib/Gateway/AccountPeers.h
+++ b/lib/Gateway/AccountPeers.h
@@ -8,6 +8,8 @@
 #include "basilpoint/Turns/GrantDoubt.h"
 #include "basilpoint/Turns/Handovers.h"
 
+#include <algorithm>
+
 namespace basilpoint {
 
 /// Name of one life of a daemon: that of its instance, and what no other life has.
@@ -39,6 +41,9 @@
         bool isComplete = false;
         /// Tokens that changes of unknown fate may have taken from the account.
         TokenCount claimed = 0;
+
+        /// All such changes were made on one state of the account, so one of them takes effect at most.
+        void claim(const AccountWord& word) { claimed = std::max(claimed, word.claimed); }
     };
 
     /// Asks the others for what they know of a program, while the store is out of reach; the ledger takes it.
--- a/lib/Gateway/LedgerWriter.cpp
+++ b/lib/Gateway/LedgerWriter.cpp
@@ -24,8 +24,14 @@
 {
     if (m_isPaused)
         return;
-    while (auto batch = m_ledger.nextBatch())
+    // While the store fails one write shows as well as all whether it is back.
+    while (!m_store.isFailing() || m_running == 0) {
+        auto batch = m_ledger.nextBatch();
+        if (!batch)
+            break;
+        ++m_running;
         spawnFiber([this, batch = std::move(*batch)] { run(batch); });
+    }
     settle();
 }
 
@@ -75,6 +81,7 @@
         m_ledger.batchLost(batch.number);
         pause();
     }
+    --m_running;
     settle();
     kick();
 }
--- a/lib/Gateway/LedgerWriter.h
+++ b/lib/Gateway/LedgerWriter.h
@@ -41,6 +41,8 @@
     JsonLog& m_log;
     std::map<ChangeId, std::optional<ChangeOutcome>> m_expected;
     FiberSignal m_changed;
+    /// Writes on their way.
+    std::size_t m_running = 0;
     bool m_isPaused = false;
     Milliseconds m_pause { 0 };
 };
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -81,12 +81,16 @@
     return program;
 }
 
-TokenCount TurnLedger::freeHold(const Program& program) const
+TokenCount TurnLedger::usableHold(const Program& program) const
 {
     auto it = program.account.holds.find(m_self);
     TokenCount hold = it == program.account.holds.end() ? 0 : it->second.tokens;
-    if (program.holdAfterBatch)
-        hold = std::min(hold, *program.holdAfterBatch);
+    return program.holdAfterBatch ? std::min(hold, *program.holdAfterBatch) : hold;
+}
+
+TokenCount TurnLedger::freeHold(const Program& program) const
+{
+    TokenCount hold = usableHold(program);
     TokenCount used = program.running + program.unsettled;
     return hold > used ? hold - used : 0;
 }
@@ -351,10 +355,9 @@
     if (program == m_programs.end())
         return word;
     word.records = recordsOf(id, program->second);
-    for (Change& it : program->second.changes) {
-        word.claimed += it.claimed;
+    word.claimed = program->second.claimed;
+    for (Change& it : program->second.changes)
         it.isVoid = it.isVoid || isBinding;
-    }
     return word;
 }
 
@@ -392,14 +395,13 @@
 // and need not wait for a write of its own. What was sent before may take effect and stays.
 void TurnLedger::confirmCovered(Program& program)
 {
-    auto hold = program.account.holds.find(m_self);
-    TokenCount tokens = hold == program.account.holds.end() ? 0 : hold->second.tokens;
+    TokenCount tokens = usableHold(program);
     TokenCount used = program.running + program.unsettled;
     for (const Change& it : program.changes)
         if (it.change.kind == AccountChange::Kind::Reserve && !it.isCancelled)
             used -= std::min(used, it.needed);
     std::erase_if(program.changes, [&](const Change& it) {
-        bool isUnsent = it.change.kind == AccountChange::Kind::Reserve && it.claimed == 0 && !it.isCancelled;
+        bool isUnsent = it.change.kind == AccountChange::Kind::Reserve && !it.wasSent && !it.isCancelled;
         if (!isUnsent || used + it.needed > tokens)
             return false;
         used += it.needed;
@@ -471,7 +473,7 @@
         assert(fits && "denied reservations were dropped");
         static_cast<void>(fits);
         kept.step = change.step;
-        it.claimed = std::max(it.claimed, change.most);
+        it.wasSent = true;
         most = std::max(most, change.most);
         hasReserve = hasReserve || change.kind == AccountChange::Kind::Reserve;
         if (!change.record)
@@ -487,7 +489,10 @@
         TokenCount spare = kept.account.remaining() < turnsLeftToKeep * most ? 0 : most;
         hold.tokens = std::min(hold.tokens, program.running + spare);
     }
-    program.holdAfterBatch = hold.tokens;
+    program.holdAfterBatch = std::min(program.holdAfterBatch.value_or(hold.tokens), hold.tokens);
+    TokenCount before = program.account.spent + program.account.held();
+    TokenCount after = kept.account.spent + kept.account.held();
+    program.claimed = std::max(program.claimed, after - std::min(after, before));
     part.puts.emplace_back(key, encodeAccount(kept.account));
     return std::pair(std::move(part), std::move(kept));
 }
@@ -516,8 +521,7 @@
 // not if another has stored this daemon's changes, without their holds.
 bool TurnLedger::isCovered(const Program& program) const
 {
-    auto hold = program.account.holds.find(m_self);
-    TokenCount tokens = hold == program.account.holds.end() ? 0 : hold->second.tokens;
+    TokenCount tokens = usableHold(program);
     for (const Change& it : program.changes)
         if (it.change.kind == AccountChange::Kind::Reserve && !it.isCancelled)
             tokens += it.needed;
@@ -543,6 +547,12 @@
         m_outcomes.emplace_back(it, isCovered(program) ? ChangeOutcome::Stored : ChangeOutcome::Denied);
 }
 
+void TurnLedger::forgetBatches(Program& program)
+{
+    program.claimed = 0;
+    program.holdAfterBatch.reset();
+}
+
 // A newer account came from the store: what it holds of this daemon's changes is stored.
 void TurnLedger::rebase(Program& program, const ProgramAccount& account, std::int64_t revision)
 {
@@ -550,6 +560,7 @@
         return;
     program.account = account;
     program.revision = revision;
+    forgetBatches(program);
     auto it = account.holds.find(m_self);
     if (it != account.holds.end())
         dropStored(program, it->second.step);
@@ -563,7 +574,6 @@
     m_batches.erase(it);
     Program& program = m_programs.at(part.program);
     program.isInBatch = false;
-    program.holdAfterBatch.reset();
     onPart(part, program);
     std::erase_if(program.changes, [](const Change& it) { return it.isCancelled; });
     confirmCovered(program);
@@ -594,6 +604,7 @@
             // The program's records were removed after their retention.
             program.account = {};
             program.revision = 0;
+            forgetBatches(program);
         }
     });
 }
--- a/unittests/Turns/BudgetFuzzTest.cpp
+++ b/unittests/Gateway/BudgetFuzzTest.cpp
@@ -1,4 +1,6 @@
-#include "LedgerStore.h"
+#include "../Turns/LedgerStore.h"
+
+#include "basilpoint/Gateway/CommitWitness.h"
 
 #include "basilpoint/Turns/TurnJournal.h"
 
@@ -25,8 +27,8 @@
 };
 
 /// Daemons with ledgers of their own before one store, whose answers are lost at times and which executes some
-/// writes late. While the store is down, turns run under grants of a journal that all share. Keeps count of the
-/// tokens that callers got.
+/// writes late. While the store is down, turns run under grants of a journal that all share; a keeper that saw the
+/// writes speaks for daemons that were started again. Keeps count of the tokens that callers got.
 class Fleet {
 public:
     Fleet()
@@ -37,7 +39,7 @@
 
     void restart(int n)
     {
-        m_haveAllSeenAll = m_haveAllSeenAll && m_ledgers[n] == nullptr;
+        m_hasSeenAll[n] = m_ledgers[n] == nullptr;
         m_ledgers[n] = std::make_unique<TurnLedger>(DaemonLifetime("d" + std::to_string(m_nextLifetime++)), LedgerSettings {});
         m_running[n].clear();
         m_unstored[n].clear();
@@ -94,27 +96,54 @@
         for (const TurnRecord& it : applyEntry(account, entry))
             batch.puts.emplace_back(TurnLedger::turnKey(entry.program, it.turn), encodeTurn(it));
         batch.puts.emplace_back(key, encodeAccount(account));
-        RC_ASSERT(m_store.commit(batch) > 0);
+        std::int64_t stored = m_store.commit(batch);
+        RC_ASSERT(stored > 0);
+        noteAnswer(batch, stored, {});
     }
 
-    void write(int n, int fate)
+    enum class Fate {
+        /// Never executed, or later.
+        Lost,
+        /// Executed, but the answer is lost on its way to the keeper.
+        AnswerLost,
+        /// Executed, but the answer is lost on its way from the keeper.
+        KeeperKnows,
+        /// Executed past the keeper, and the answer is lost.
+        Bypassing,
+        Answered,
+    };
+
+    void write(int n, Fate fate)
     {
         auto batch = m_ledgers[n]->nextBatch();
         if (!batch)
             return;
-        if (fate == 0 || m_isStoreDown) { // Never executed, or later.
-            m_ledgers[n]->batchLost(batch->number);
+        if (m_isStoreDown)
+            fate = Fate::Lost;
+        std::int64_t revision = fate == Fate::Lost ? 0 : m_store.commit(*batch);
+        std::vector<StoredRecord> current = m_store.conditionKeys(*batch);
+        switch (fate) {
+        case Fate::Lost:
             m_late.push_back(*batch);
-        } else if (fate == 1) { // Executed, but the answer is lost.
-            m_store.commit(*batch);
-            m_ledgers[n]->batchLost(batch->number);
-        } else {
-            auto revision = m_store.commit(*batch);
-            if (revision > 0)
-                m_ledgers[n]->batchStored(batch->number, revision);
-            else
-                m_ledgers[n]->batchRefused(batch->number, m_store.conditionKeys(*batch));
+            m_witness.lost(transactionOf(*batch), m_now);
+            break;
+        case Fate::AnswerLost:
+            m_witness.lost(transactionOf(*batch), m_now);
+            break;
+        case Fate::Bypassing:
+            m_hasBypassed[n] = true;
+            break;
+        case Fate::KeeperKnows:
+        case Fate::Answered:
+            noteAnswer(*batch, revision, current);
+            break;
         }
+        if (fate != Fate::Answered)
+            m_ledgers[n]->batchLost(batch->number);
+        else if (revision > 0)
+            m_ledgers[n]->batchStored(batch->number, revision);
+        else
+            m_ledgers[n]->batchRefused(batch->number, current);
         takeOutcomes(n);
     }
 
@@ -135,7 +164,12 @@
         // In an outage a turn whose reservation is not stored runs under a grant.
         if (!turn.isReserved && m_isStoreDown && turn.grant == 0)
             takeGrant(n, turn);
-        TurnEnd end { turn.reservation, turn.grant, m_hadOutage, turn.needsGrant, m_nextTurn % 2 == 0 };
+        TurnEnd end;
+        end.reservation = turn.reservation;
+        end.grant = turn.grant;
+        end.neededGrant = turn.needsGrant;
+        end.mayMissGrants = m_hadOutage;
+        end.holdsAhead = m_nextTurn % 2 == 0;
         if (!turn.isReserved && turn.grant == 0) {
             m_ledgers[n]->end(turn.request, 0, std::nullopt, end);
             return;
@@ -161,6 +195,27 @@
     }
 
 private:
+    static KeyTransaction transactionOf(const LedgerBatch& batch)
+    {
+        KeyTransaction transaction;
+        for (const auto& [key, revision] : batch.conditions)
+            transaction.conditions.push_back({ key, revision });
+        for (const auto& [key, value] : batch.puts)
+            transaction.puts.push_back({ key, value });
+        return transaction;
+    }
+
+    /// The keeper sees the store's answer.
+    void noteAnswer(const LedgerBatch& batch, std::int64_t revision, const std::vector<StoredRecord>& current)
+    {
+        if (revision > 0)
+            return m_witness.stored(transactionOf(batch), revision, m_now);
+        std::vector<KeyValue> items;
+        for (const StoredRecord& it : current)
+            items.push_back({ it.key, it.value, it.revision });
+        m_witness.refused(transactionOf(batch), items, m_now);
+    }
+
     void note(AccountChange::Kind kind, int n, std::uint64_t grant, std::uint64_t offset, TokenCount tokens)
     {
         AccountChange change;
@@ -174,14 +229,21 @@
     void takeGrant(int n, RunningTurn& turn)
     {
         ProgramId program("p");
-        bool isComplete = m_haveAllSeenAll;
+        bool isComplete = true;
+        bool needsWitness = false;
         TokenCount claimed = 0;
-        for (auto& it : m_ledgers) {
-            AccountWord word = it->giveWord(program, m_isStoreDown && m_haveAllSeenAll);
+        auto take = [&](const AccountWord& word) {
             isComplete = isComplete && word.isComplete;
-            claimed += word.claimed;
+            claimed = std::max(claimed, word.claimed);
             m_ledgers[n]->programRead(program, word.records);
+        };
+        for (int k = 0; k < daemons; ++k) {
+            take(m_ledgers[k]->giveWord(program, m_isStoreDown));
+            isComplete = isComplete && (m_hasSeenAll[k] || !m_hasBypassed[k]);
+            needsWitness = needsWitness || !m_hasSeenAll[k];
         }
+        if (needsWitness)
+            take(m_witness.testify(program, {}, m_now));
         TokenCount remaining = m_ledgers[n]->remainingOf(program, budget);
         TokenCount allowance = isComplete ? std::max(most, remaining - std::min(remaining, claimed)) : most;
         TokenCount before = grantedTokens(m_grants);
@@ -224,8 +286,11 @@
     std::deque<JournalEntry> m_kept;
     bool m_isStoreDown = false;
     bool m_hadOutage = false;
-    /// Whether no daemon was started again, which then may have missed changes of its predecessor.
-    bool m_haveAllSeenAll = true;
+    /// Whether the daemon was never started again, so that it cannot have missed changes of its predecessor.
+    bool m_hasSeenAll[daemons] = {};
+    /// Whether one of the daemon's lifetimes wrote past the keeper.
+    bool m_hasBypassed[daemons] = {};
+    CommitWitness m_witness { 1'000'000, true, m_now };
     std::map<CallId, std::string> m_history { { CallId(), "" } };
     CallId m_last;
     TokenCount m_handedOut = 0;
@@ -246,8 +311,10 @@
         if (kind < 7)
             fleet.begin(n);
         else if (kind < 15)
-            fleet.write(n, draw < 15 ? 0 : draw < 30 ? 1
-                                                     : 2);
+            fleet.write(n, draw < 15 ? Fleet::Fate::Lost : draw < 25 ? Fleet::Fate::AnswerLost
+                    : draw < 32                                      ? Fleet::Fate::KeeperKnows
+                    : draw < 34                                      ? Fleet::Fate::Bypassing
+                                                                     : Fleet::Fate::Answered);
         else if (kind < 22)
             fleet.end(n, draw % 2 == 0 ? most : static_cast<TokenCount>(draw) % (most + 1), draw % 4 != 0);
         else if (kind == 22)
