A keeper's memory is no answer of the store; only whole handovers cover a successor

Found by reading: a daemon that stopped as planned covered its successor although an earlier kill left its own knowledge incomplete. Change: a keeper whose store fails refuses nothing from memory; a handover says whether its daemon has seen all.

--- a/lib/Gateway/AccountPeers.cpp
+++ b/lib/Gateway/AccountPeers.cpp
@@ -160,7 +160,7 @@
 {
     if (areMany())
         return false;
-    Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()) };
+    Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()), hasSeenAll() };
     std::size_t asked = m_peers.size();
     std::size_t taken = ask(m_peers, peerpaths::handOver, encodeHandover(handover), handoverLimit, [](const RelayAddress&, const std::string&) {});
     m_log.write(LogLine("handed-over").field("accounts", handover.accounts.size()).field("taken", taken).field("asked", asked).field("seenAll", hasSeenAll()));
@@ -172,7 +172,8 @@
     Handover handover = decodeHandover(body);
     for (const KnownAccount& it : handover.accounts)
         m_ledger.programRead(it.program, { it.record });
-    m_handovers.noted(handover.daemon, m_clock.now());
+    if (handover.hasSeenAll)
+        m_handovers.noted(handover.daemon, m_clock.now());
     return "taken";
 }
 
--- a/lib/Gateway/StoreCodec.cpp
+++ b/lib/Gateway/StoreCodec.cpp
@@ -118,13 +118,13 @@
     Json accounts = Json::array();
     for (const KnownAccount& it : handover.accounts)
         accounts.push_back({ it.program.text(), it.record.key, bytesToJson(it.record.value), it.record.revision });
-    return toCbor({ { "d", handover.daemon }, { "a", std::move(accounts) } });
+    return toCbor({ { "d", handover.daemon }, { "a", std::move(accounts) }, { "w", handover.hasSeenAll } });
 }
 
 Handover decodeHandover(const std::string& bytes)
 {
     return decode(bytes, [](const Json& json) {
-        Handover handover { json.at("d").get<std::string>(), {} };
+        Handover handover { json.at("d").get<std::string>(), {}, json.at("w").get<bool>() };
         for (const Json& it : json.at("a"))
             handover.accounts.push_back({ ProgramId(it.at(0).get<std::string>()), { it.at(1).get<std::string>(), bytesFromJson(it.at(2)), it.at(3).get<std::int64_t>() } });
         return handover;
--- a/lib/Gateway/StoreCodec.h
+++ b/lib/Gateway/StoreCodec.h
@@ -43,6 +43,8 @@
 struct Handover {
     std::string daemon;
     std::vector<KnownAccount> accounts;
+    /// No earlier lifetime of the daemon has changed what this one does not know.
+    bool hasSeenAll = false;
 };
 
 std::string encodeHandover(const Handover&);
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -103,9 +103,12 @@
     return std::move(*result);
 }
 
-// The store would refuse them all the same, and with them each call that they share.
+// The store would refuse them all the same, and with them each call that they share. While it fails, an answer without
+// it would look to the daemons as if it were back.
 void StoreRelay::refuseOutdated()
 {
+    if (m_store.health().failingSince())
+        return;
     auto refused = m_group.refuseOutdated([this](const std::string& key) { return m_witness.latest(key); });
     for (auto& [ticket, result] : refused)
         m_waiting[ticket] = std::optional(std::move(result));
--- a/unittests/Gateway/StoreCodecTest.cpp
+++ b/unittests/Gateway/StoreCodecTest.cpp
@@ -31,7 +31,8 @@
     BOOST_TEST(back.isComplete);
     BOOST_TEST(back.isFresh);
     BOOST_TEST(back.isBound == word.isBound);
-    Handover handover = decodeHandover(encodeHandover({ "d", { { ProgramId("p"), { "k", "v", 9 } } } }));
+    Handover handover = decodeHandover(encodeHandover({ "d", { { ProgramId("p"), { "k", "v", 9 } } }, true }));
+    BOOST_TEST(handover.hasSeenAll);
     BOOST_TEST(handover.daemon == "d");
     BOOST_TEST(handover.accounts.at(0).program.text() == "p");
     BOOST_TEST(handover.accounts.at(0).record.revision == 9);
