Commit a program's changes by the keeper of the data centre that it began in

Ruled out: dealing out by the program's hash (two thirds of all commits over a border, where bytes are dear). Change: an account names the data centre of the daemon that wrote it first; commits and recalls go by the keeper there. Tests: programKeepsTheDataCentreThatItBeganIn, StorePathsTest.

--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -52,10 +52,11 @@
     };
 
     /// Ways to try, the best first; never empty.
-    std::vector<StorePath> order(Purpose, TimePoint now) const;
+    /// \param home data centre whose keeper is the first, where daemons are dealt out; its own if empty.
+    std::vector<StorePath> order(Purpose, TimePoint now, const DataCentreId& home = {}) const;
 
     /// Keepers that may remember what they committed, the likeliest first.
-    std::vector<StorePath> memories(TimePoint now) const;
+    std::vector<StorePath> memories(TimePoint now, const DataCentreId& home = {}) const;
 
     /// Whether the way leads by a keeper.
     bool isKeeper(const StorePath&) const;
@@ -80,7 +81,7 @@
         unsigned count = 0;
     };
 
-    std::vector<StorePath> keepers() const;
+    std::vector<StorePath> keepers(const DataCentreId& home) const;
     void preferUsable(std::vector<StorePath>&, TimePoint now) const;
     bool isSuspended(const StorePath&, TimePoint now) const;
 
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -147,6 +147,8 @@
     std::uint64_t number = 0;
     std::vector<std::pair<std::string, std::int64_t>> conditions;
     std::vector<std::pair<std::string, std::string>> puts;
+    /// Data centre by whose keeper all commit the program's changes.
+    DataCentreId home {};
 
     std::size_t entries() const { return conditions.size() + puts.size(); }
 };
@@ -166,6 +168,8 @@
     std::size_t maxBatches = 32;
     /// Bytes of turns and accounts that are kept in memory.
     std::size_t maxCachedBytes = 12 * 1024 * 1024;
+    /// Data centre of this daemon.
+    DataCentreId dataCentre {};
 };
 
 /// Turns and budgets of the programs that this daemon serves.
@@ -187,6 +191,9 @@
     /// All of the program's records, as the store had them at one time.
     void wholeProgramRead(const ProgramId&, const std::vector<StoredRecord>&);
 
+    /// Data centre by whose keeper the program's changes are committed; this daemon's own if it knows no account.
+    DataCentreId homeOf(const ProgramId&) const;
+
     /// Revision of the program's account up to which all its records are known here; 0 if that is not known.
     std::int64_t completeUpTo(const ProgramId&) const;
 
--- a/include/basilpoint/Turns/TurnRecord.h
+++ b/include/basilpoint/Turns/TurnRecord.h
@@ -47,6 +47,9 @@
     std::map<DaemonLifetime, DaemonHold> holds;
     /// After this time nothing of the program needs to be kept.
     WallTimePoint keepUntil;
+    /// Data centre of the daemon that wrote the account first; where all commit by the keeper there, that keeper knows
+    /// the account as it is.
+    DataCentreId home {};
 
     /// Tokens that daemons hold.
     TokenCount held() const;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -81,6 +81,13 @@
 
 } // namespace
 
+static LedgerSettings ledgerSettingsOf(const GatewaySettings& settings)
+{
+    LedgerSettings ledger;
+    ledger.dataCentre = settings.dataCentre;
+    return ledger;
+}
+
 Gateway::Gateway(boost::asio::io_context& io, const GatewaySettings& settings, const WireFormat& format, HttpClient& client, TransactionalStore& store, const Clock& clock)
     : m_settings(settings)
     , m_format(format)
@@ -96,7 +103,7 @@
         m_accounts.setRelays(relays); })
     , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
     , m_selector(m_random())
-    , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), LedgerSettings {})
+    , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
     , m_forwarder(client, m_directory, m_selector, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
--- a/lib/Gateway/LedgerWriter.cpp
+++ b/lib/Gateway/LedgerWriter.cpp
@@ -70,7 +70,7 @@
     for (const auto& [key, value] : batch.puts)
         transaction.puts.push_back({ key, value });
     try {
-        KeyTransactionResult result = m_store.commit(transaction);
+        KeyTransactionResult result = m_store.commit(transaction, batch.home);
         m_pause = Milliseconds(0);
         if (result.revision)
             m_ledger.batchStored(batch.number, *result.revision);
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -35,9 +35,8 @@
 }
 
 template <typename Call>
-auto StoreClient::tryPaths(const char* kind, StorePaths::Purpose purpose, Call call)
+auto StoreClient::tryPaths(const char* kind, const std::vector<StorePath>& paths, Call call)
 {
-    std::vector<StorePath> paths = m_paths.order(purpose, m_clock.now());
     for (std::size_t n = 0;; ++n) {
         const StorePath& path = paths[n];
         auto relay = m_relays.find(path.relay);
@@ -59,12 +58,12 @@
 }
 
 template <typename Call>
-auto StoreClient::measure(const char* kind, StorePaths::Purpose purpose, Call call)
+auto StoreClient::measure(const char* kind, const std::vector<StorePath>& paths, Call call)
 {
     TimePoint start = m_clock.now();
     auto elapsed = [&] { return std::chrono::duration_cast<Milliseconds>(m_clock.now() - start); };
     try {
-        auto result = tryPaths(kind, purpose, call);
+        auto result = tryPaths(kind, paths, call);
         m_metrics.observe("store_call_seconds", m_clock.now() - start);
         auto failingSince = m_health.failingSince();
         if (m_health.answered(elapsed(), m_clock.now()))
@@ -92,9 +91,9 @@
     return std::any_of(transaction.puts.begin(), transaction.puts.end(), [](const KeyWrite& it) { return !TurnLedger::programPrefixOf(it.key).empty(); });
 }
 
-KeyTransactionResult StoreClient::commit(const KeyTransaction& transaction)
+KeyTransactionResult StoreClient::commit(const KeyTransaction& transaction, const DataCentreId& home)
 {
-    return measure("commit", StorePaths::Purpose::Commit, [&](TransactionalStore& store, const StorePath& path) {
+    return measure("commit", m_paths.order(StorePaths::Purpose::Commit, m_clock.now(), home), [&](TransactionalStore& store, const StorePath& path) {
         if (!m_bypassMark || m_paths.isKeeper(path) || !changesProgram(transaction))
             return store.commit(transaction, m_health.answerLimit());
         KeyTransaction marked = transaction;
@@ -106,12 +105,12 @@
 
 KeySnapshot StoreClient::snapshot(const std::string& prefix, ReadMode mode)
 {
-    return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", StorePaths::Purpose::Read, [&](TransactionalStore& store, const StorePath&) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
+    return measure(mode == ReadMode::Stale ? "snapshot-stale" : "snapshot", m_paths.order(StorePaths::Purpose::Read, m_clock.now()), [&](TransactionalStore& store, const StorePath&) { return store.snapshot(prefix, mode, m_health.answerLimit()); });
 }
 
-std::vector<KeyValue> StoreClient::recall(const std::string& prefix, std::int64_t after)
+std::vector<KeyValue> StoreClient::recall(const std::string& prefix, std::int64_t after, const DataCentreId& home)
 {
-    for (const StorePath& path : m_paths.memories(m_clock.now())) {
+    for (const StorePath& path : m_paths.memories(m_clock.now(), home)) {
         auto relay = m_relays.find(path.relay);
         if (relay == m_relays.end())
             continue;
@@ -132,13 +131,13 @@
 
 std::optional<KeyValue> StoreClient::get(const std::string& key)
 {
-    return measure("get", StorePaths::Purpose::Read, [&](TransactionalStore& store, const StorePath&) { return store.get(key); });
+    return measure("get", m_paths.order(StorePaths::Purpose::Read, m_clock.now()), [&](TransactionalStore& store, const StorePath&) { return store.get(key); });
 }
 
 std::int64_t StoreClient::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler& onChange)
 {
     try {
-        return tryPaths("watch", StorePaths::Purpose::Wait, [&](TransactionalStore& store, const StorePath&) {
+        return tryPaths("watch", m_paths.order(StorePaths::Purpose::Wait, m_clock.now()), [&](TransactionalStore& store, const StorePath&) {
             return store.awaitChanges(prefix, after, wait, std::max(shortestWatchLimit, m_health.answerLimit()), onChange);
         });
     } catch (const KeyValueUnavailableError& error) {
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -26,7 +26,8 @@
     void onBypass(std::function<KeyWrite()> mark) { m_bypassMark = std::move(mark); }
 
     /// \throws KeyValueUnavailableError, as all calls do if no way led to the service.
-    KeyTransactionResult commit(const KeyTransaction&);
+    /// \param home data centre whose keeper commits, where there are many daemons.
+    KeyTransactionResult commit(const KeyTransaction&, const DataCentreId& home = {});
     KeySnapshot snapshot(const std::string& prefix, ReadMode);
     std::optional<KeyValue> get(const std::string& key);
     /// Waits up to \p wait for changes after revision \p after. \returns the revision to go on from.
@@ -34,7 +35,7 @@
 
     /// Records below \p prefix, newer than revision \p after, that a keeper remembers from what it committed; what is
     /// found is certain, more may exist. Empty if no keeper has any or answers.
-    std::vector<KeyValue> recall(const std::string& prefix, std::int64_t after);
+    std::vector<KeyValue> recall(const std::string& prefix, std::int64_t after, const DataCentreId& home);
 
     /// Whether keepers should be asked before the store: it is slow or fails, or they are the nearest by far.
     bool prefersRecall() const { return isSlow() || m_paths.areMany(); }
@@ -49,9 +50,9 @@
 
 private:
     template <typename Call>
-    auto tryPaths(const char* kind, StorePaths::Purpose, Call);
+    auto tryPaths(const char* kind, const std::vector<StorePath>&, Call);
     template <typename Call>
-    auto measure(const char* kind, StorePaths::Purpose, Call);
+    auto measure(const char* kind, const std::vector<StorePath>&, Call);
 
     TransactionalStore& m_direct;
     HttpClient* m_peers;
--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -41,14 +41,15 @@
     return static_cast<std::size_t>(n) > daemonsPerKeeper;
 }
 
-std::vector<StorePath> StorePaths::keepers() const
+std::vector<StorePath> StorePaths::keepers(const DataCentreId& home) const
 {
+    const DataCentreId& first = home.empty() ? m_own : home;
     std::vector<StorePath> paths;
     for (const auto& [name, relay] : m_relays)
         if (relay.isKeeper)
             paths.push_back({ name });
     if (areMany())
-        std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == m_own; });
+        std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == first; });
     return paths;
 }
 
@@ -57,21 +58,21 @@
     std::stable_partition(paths.begin(), paths.end(), [&](const StorePath& it) { return !isSuspended(it, now); });
 }
 
-std::vector<StorePath> StorePaths::memories(TimePoint now) const
+std::vector<StorePath> StorePaths::memories(TimePoint now, const DataCentreId& home) const
 {
-    std::vector<StorePath> paths = keepers();
+    std::vector<StorePath> paths = keepers(home);
     preferUsable(paths, now);
     return paths;
 }
 
-std::vector<StorePath> StorePaths::order(Purpose purpose, TimePoint now) const
+std::vector<StorePath> StorePaths::order(Purpose purpose, TimePoint now, const DataCentreId& home) const
 {
     std::vector<StorePath> others;
     for (const auto& [name, relay] : m_relays)
         if (!relay.isKeeper)
             others.push_back({ name });
     std::stable_partition(others.begin(), others.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == m_own; });
-    std::vector<StorePath> paths = keepers();
+    std::vector<StorePath> paths = keepers(home);
     switch (purpose) {
     case Purpose::Commit:
     case Purpose::Wait:
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -76,7 +76,7 @@
 // Newer records than \p after. \returns the revision up to which records were found; \p after if there are none.
 std::int64_t TurnController::recall(const ProgramId& program, std::int64_t after)
 {
-    std::vector<KeyValue> found = m_store.recall(TurnLedger::programPrefix(program), after);
+    std::vector<KeyValue> found = m_store.recall(TurnLedger::programPrefix(program), after, m_ledger.homeOf(program));
     if (!found.empty())
         m_ledger.programRead(program, recordsFrom(found));
     for (const KeyValue& it : found)
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -234,6 +234,12 @@
         program->second.completeUpTo = std::max(program->second.completeUpTo, it->revision);
 }
 
+DataCentreId TurnLedger::homeOf(const ProgramId& id) const
+{
+    auto it = m_programs.find(id);
+    return it == m_programs.end() || it->second.account.home.empty() ? m_settings.dataCentre : it->second.account.home;
+}
+
 std::int64_t TurnLedger::completeUpTo(const ProgramId& id) const
 {
     auto it = m_programs.find(id);
@@ -483,6 +489,9 @@
     }
     if (kept.step == 0 && kept.imported.empty())
         return std::nullopt;
+    if (kept.account.home.empty())
+        kept.account.home = m_settings.dataCentre;
+    part.home = kept.account.home;
     DaemonHold& hold = kept.account.holds[m_self];
     // Of what running turns do not need, one turn's worth stays for the next; none if other daemons may need it.
     if (isWhole && !hasReserve) {
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -50,6 +50,9 @@
         BOOST_TEST(own.areMany());
         BOOST_TEST(own.memories(now).front().relay == std::string("keeper-") + dataCentre);
         BOOST_TEST(own.memories(now).size() == 3U);
+        // A program's changes go where the others commit them.
+        BOOST_TEST(own.order(StorePaths::Purpose::Commit, now, DataCentreId("b")).front().relay == "keeper-b");
+        BOOST_TEST(own.memories(now, DataCentreId("b")).front().relay == "keeper-b");
         own.failed({ std::string("keeper-") + dataCentre }, now);
         BOOST_TEST(own.order(StorePaths::Purpose::Commit, now).front().relay.starts_with("keeper-"));
     }
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -136,6 +136,27 @@
     BOOST_TEST(account().holds.at(DaemonLifetime("a")).tokens == most);
 }
 
+// Load: sub-agents that come in by another data centre; all of a program's changes go by one keeper.
+BOOST_AUTO_TEST_CASE(programKeepsTheDataCentreThatItBeganIn)
+{
+    LedgerSettings first;
+    first.dataCentre = DataCentreId("x");
+    LedgerSettings second;
+    second.dataCentre = DataCentreId("y");
+    TurnLedger here(DaemonLifetime("h"), first);
+    TurnLedger there(DaemonLifetime("t"), second);
+    ProgramId program("p");
+    BOOST_TEST(there.homeOf(program).text() == "y");
+    run(here, request("1"));
+    admit(there, request("2", "1"));
+    BOOST_TEST(there.homeOf(program).text() == "x");
+    auto batch = there.nextBatch();
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(batch->home.text() == "x");
+    there.batchStored(batch->number, store.commit(*batch));
+    BOOST_TEST(account().home.text() == "x");
+}
+
 // One that fails must not take others with it.
 BOOST_AUTO_TEST_CASE(eachBatchIsOfOneProgram)
 {
