--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -20,8 +20,12 @@
 // Urgency of the most urgent route's calls. Engines take 0 to 9, and 5 for calls without one.
 static constexpr unsigned firstUrgency = 4;
 static constexpr unsigned lastUrgency = 9;
+// Events of a stream that tell its target's pace: at least two pauses.
+static constexpr unsigned leastEventsForPace = 3;
 static constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
+using DoubleMilliseconds = std::chrono::duration<double, std::milli>;
+
 struct Forwarder::Attempt {
     Attempt(ResponseWriter& responseWriter, const StreamHooks& streamHooks)
         : writer(responseWriter)
@@ -37,6 +41,13 @@
     bool isUnreachable = false;
     EventStreamSplitter splitter;
     std::string reason;
+    TimePoint sentAt;
+    TimePoint firstEventAt;
+    TimePoint lastEventAt;
+    unsigned events = 0;
+    TargetId target;
+
+    double millisecondsBetweenEvents() const { return DoubleMilliseconds(lastEventAt - firstEventAt).count() / (events - 1); }
 };
 
 namespace {
@@ -140,6 +151,12 @@
 void Forwarder::passEvents(ForwardedCall& call, Attempt& attempt, std::string_view chunk)
 {
     for (const StreamEvent& event : attempt.splitter.append(chunk)) {
+        attempt.lastEventAt = m_clock.now();
+        if (attempt.events++ == 0)
+            attempt.firstEventAt = attempt.lastEventAt;
+        // A slow target should be known before its streams end.
+        if (attempt.events == leastEventsForPace)
+            m_selector.paceSeen(attempt.target, { call.route.name, attempt.millisecondsBetweenEvents() }, m_clock.now());
         if (!attempt.writer.started()) {
             if (attempt.hooks.beforeFirstEvent && !attempt.hooks.beforeFirstEvent())
                 throw StreamRejectedError();
@@ -206,6 +223,8 @@
     // The directory may drop the entry while the call waits.
     Registration chosen = target;
     ForwardEnd end = ForwardEnd::MayHaveRun;
+    attempt.sentAt = m_clock.now();
+    attempt.target = chosen.id;
     m_selector.sent(chosen.id);
     try {
         receive(call, attempt, chosen, optionsFor(call, chosen, isLast));
@@ -223,10 +242,23 @@
     if (writer.started() && end == ForwardEnd::MayHaveRun)
         end = ForwardEnd::BrokenOff;
     m_selector.ended(chosen.id, outcomeOf(call, end, attempt.isUnreachable), m_clock.now());
+    if (auto pace = paceOf(call, attempt, end))
+        m_selector.paceSeen(chosen.id, *pace, m_clock.now());
     logAttempt(call, chosen, attempt, end);
     return end;
 }
 
+// Streams differ in length, but hardly in the time from one event to the next.
+std::optional<CallPace> Forwarder::paceOf(const ForwardedCall& call, const Attempt& attempt, ForwardEnd end) const
+{
+    double whole = DoubleMilliseconds(m_clock.now() - attempt.sentAt).count();
+    if (attempt.isStream && attempt.events >= leastEventsForPace)
+        return CallPace { call.route.name, attempt.millisecondsBetweenEvents(), whole };
+    if (call.route.kind == CallKind::Stream || end != ForwardEnd::Delivered || attempt.response.status != 200)
+        return std::nullopt;
+    return CallPace { call.route.name, whole, whole };
+}
+
 TargetOutcome Forwarder::outcomeOf(const ForwardedCall& call, ForwardEnd end, bool isUnreachable) const
 {
     bool isOver = call.isCallerGone || m_clock.now() >= call.deadline;
@@ -275,6 +307,7 @@
 ForwardEnd Forwarder::forward(ForwardedCall& call, ResponseWriter& writer, const StreamHooks& hooks)
 {
     call.query.service = chooseService(call.route, call.attributes);
+    call.query.kind = call.route.name;
     unsigned runs = 0;
     unsigned refusals = 0;
     ForwardEnd end = ForwardEnd::NotRun;
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -74,6 +74,7 @@
     void receive(ForwardedCall&, Attempt&, const Registration&, const HttpCallOptions&);
     void passEvents(ForwardedCall&, Attempt&, std::string_view chunk);
     ForwardEnd deliver(ForwardedCall&, Attempt&, const Registration&);
+    std::optional<CallPace> paceOf(const ForwardedCall&, const Attempt&, ForwardEnd) const;
     TargetOutcome outcomeOf(const ForwardedCall&, ForwardEnd, bool isUnreachable) const;
     void logAttempt(const ForwardedCall&, const Registration&, const Attempt&, ForwardEnd) const;
 
