--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -199,6 +199,10 @@
 {
     m_log.write(LogLine("start").field("role", "keeper"));
     m_peers.start();
+    // Every keeper in the list counts towards the answers that an absence needs; one that cannot answer yet would be
+    // missing there, and its predecessor as well.
+    if (m_journal)
+        m_directory.setEntryCondition([this] { return m_journal->isSynchronized(); });
     spawnFiber([this] { m_directory.run(); });
     spawnFiber([this] { watchEmptying(); });
     if (m_journal) {
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -49,6 +49,8 @@
         m_wasKnown = current.has_value();
         m_start = { !current || (before && before->hasLeft), hasBypassed(entry, m_clock.wallNow()) };
     }
+    if (m_mayEnter && !m_mayEnter())
+        return false;
     std::string value = encodeEntry(entry);
     if (current && current->value == value)
         return true;
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -26,6 +26,8 @@
     RelayDirectory(StoreClient&, PeerServer&, HttpClient& peers, RelayAddress self, const Clock&, JsonLog&, ChangeHook);
 
     void onEnter(EnterHook hook) { m_onEnter = std::move(hook); }
+    /// \p mayEnter tells whether this daemon is ready to be counted on; until then it only reads the list.
+    void setEntryCondition(std::function<bool()> mayEnter) { m_mayEnter = std::move(mayEnter); }
     void onAnnounce(AnnounceHook hook) { m_onAnnounce = std::move(hook); }
 
     /// Runs for the life of the process.
@@ -63,6 +65,7 @@
     ChangeHook m_onChange;
     EnterHook m_onEnter;
     AnnounceHook m_onAnnounce;
+    std::function<bool()> m_mayEnter;
     Start m_start;
     bool m_isLeaving = false;
     /// Whether this daemon stood in the list when it was last read.
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -30,6 +30,9 @@
     /// this journal is itself not complete.
     bool takePlaceOf(const std::string& gone);
 
+    /// Whether this journal has all that the others had as its disk was lost.
+    bool isSynchronized() const { return m_journal.isSynchronized(); }
+
     /// Runs for the life of the process.
     void run();
 
--- /dev/null
+++ b/unittests/Gateway/RelayDirectoryTest.cpp
@@ -0,0 +1,92 @@
+#include "RelayDirectory.h"
+
+#include "DaemonEntry.h"
+
+#include "../Net/TestRuntime.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace basilpoint;
+
+namespace {
+
+/// The store in memory, for calls that need no waiting.
+class MemoryStore final : public TransactionalStore {
+public:
+    std::optional<KeyValue> get(const std::string& key) override
+    {
+        auto it = items.find(key);
+        return it == items.end() ? std::nullopt : std::optional(it->second);
+    }
+
+    KeyTransactionResult commit(const KeyTransaction& transaction, Milliseconds) override
+    {
+        ++m_revision;
+        for (const KeyWrite& it : transaction.puts)
+            items[it.key] = { it.key, it.value, m_revision };
+        for (const std::string& it : transaction.deletes)
+            items.erase(it);
+        return { m_revision, {} };
+    }
+
+    std::int64_t awaitChanges(const std::string&, std::int64_t after, Milliseconds, Milliseconds, const ChangeHandler&) override { return after; }
+
+    KeySnapshot snapshot(const std::string& prefix, ReadMode, Milliseconds) override
+    {
+        KeySnapshot result { {}, m_revision };
+        for (const auto& [key, item] : items)
+            if (key.starts_with(prefix))
+                result.items.push_back(item);
+        return result;
+    }
+
+    std::map<std::string, KeyValue> items;
+
+private:
+    std::int64_t m_revision = 1;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayDirectoryTest)
+
+// A keeper that replaces another one: until its journal is whole it must not count among those whose answers are needed.
+BOOST_AUTO_TEST_CASE(daemonReadsTheListButEntersItOnlyOnceItMay)
+{
+    testRuntime().run([] {
+        SystemClock clock;
+        Metrics metrics;
+        MemoryStore store;
+        JsonLog log(clock, -1, "keeper-2");
+        HttpClient peers(testRuntime().io());
+        StoreClient client(store, nullptr, DataCentreId("a"), clock, log, metrics);
+        PeerServer server(testRuntime().io(), { "127.0.0.1", 0 });
+        // Nobody listens there; the announcement fails at once.
+        RelayAddress other { "keeper-1", DataCentreId("b"), { "127.0.0.1", 1 }, true };
+        store.items[DaemonEntry::keyOf("keeper-1")] = { DaemonEntry::keyOf("keeper-1"), encodeEntry({ other }), 1 };
+        bool mayEnter = false;
+        bool hasEntered = false;
+        std::vector<RelayAddress> known;
+        RelayDirectory directory(client, server, peers, { "keeper-2", DataCentreId("a"), { "127.0.0.1", 2 }, true }, clock, log, [&](const std::vector<RelayAddress>& relays, bool) { known = relays; });
+        directory.setEntryCondition([&] { return mayEnter; });
+        directory.onEnter([&](const RelayDirectory::Start&) { hasEntered = true; });
+        bool isOver = false;
+        spawnFiber([&] {
+            directory.run();
+            isOver = true;
+        });
+        BOOST_TEST(waitUntil([&] { return !known.empty(); }));
+        pause(Milliseconds(400));
+        BOOST_TEST(!store.items.contains(DaemonEntry::keyOf("keeper-2")));
+        BOOST_TEST(!hasEntered);
+        mayEnter = true;
+        BOOST_TEST(waitUntil([&] { return hasEntered; }));
+        BOOST_TEST(store.items.contains(DaemonEntry::keyOf("keeper-2")));
+        directory.retire();
+        BOOST_TEST(waitUntil([&] { return isOver; }));
+        BOOST_TEST(!store.items.contains(DaemonEntry::keyOf("keeper-2")));
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
