Take no failure of an older call for a new loss of the store

Change: StoreHealth ignores a failure of a call that began before the last answer. Test: callThatBeganBeforeTheLastAnswerIsNoNewFailure.

--- a/include/basilpoint/Gateway/StoreHealth.h
+++ b/include/basilpoint/Gateway/StoreHealth.h
@@ -12,7 +12,8 @@
     /// A call was answered after \p took. \returns whether the service is back after a failure.
     bool answered(Milliseconds took, TimePoint now);
 
-    /// A call was not answered or refused. \returns whether this is the first failure since the last answer.
+    /// A call was not answered or refused. One that began before the last answer says nothing of the time since.
+    /// \returns whether this is the first failure since the last answer.
     bool failed(Milliseconds waited, TimePoint now);
 
     /// Whether calls have failed for at least \p limit without an answer between.
@@ -29,6 +30,7 @@
 
     double m_usualMilliseconds = 10;
     std::optional<TimePoint> m_failingSince;
+    std::optional<TimePoint> m_answeredAt;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/StoreHealth.cpp
+++ b/lib/Gateway/StoreHealth.cpp
@@ -16,9 +16,10 @@
     m_usualMilliseconds += smoothing * (static_cast<double>(took.count()) - m_usualMilliseconds);
 }
 
-bool StoreHealth::answered(Milliseconds took, TimePoint)
+bool StoreHealth::answered(Milliseconds took, TimePoint now)
 {
     learn(took);
+    m_answeredAt = now;
     bool isBack = m_failingSince.has_value();
     m_failingSince.reset();
     return isBack;
@@ -29,6 +30,9 @@
     // A refusal comes at once and says nothing of the time that answers take.
     if (waited >= answerLimit())
         learn(waited);
+    // Calls of an outage end after it, one after the other, as their time is up.
+    if (m_answeredAt && now - waited < *m_answeredAt)
+        return false;
     bool isFirst = !m_failingSince;
     if (isFirst)
         m_failingSince = now;
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -106,6 +106,20 @@
     BOOST_TEST(!health.answered(Milliseconds(5), now + Milliseconds(310)));
 }
 
+// An outage of 3.7 s that ends while calls of it still wait: they time out later, and the store is back all the same.
+BOOST_AUTO_TEST_CASE(callThatBeganBeforeTheLastAnswerIsNoNewFailure)
+{
+    StoreHealth health;
+    BOOST_TEST(health.failed(Milliseconds(150), now));
+    now += Milliseconds(3'700);
+    BOOST_TEST(health.answered(Milliseconds(6), now));
+    BOOST_TEST(!health.failed(Milliseconds(1'500), now + Milliseconds(200)));
+    BOOST_TEST(!health.failingSince().has_value());
+    // One that began since is one.
+    BOOST_TEST(health.failed(Milliseconds(150), now + Milliseconds(200)));
+    BOOST_TEST(health.failingSince().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(answerLimitFollowsASlowStore)
 {
     StoreHealth health;
