Ask keepers for few grants at once among many daemons; name outstanding programs from what changed

Every turn is some seven calls to each of three keepers, which have 0.3 of a core. By reading: each question for one program's grants copied its whole turns, and each of 72 gateways' questions for all outstanding programs went through all of them, every other second. Tests: manyDaemonsLeaveTheKeepersAloneWhileTheStoreAnswers; outstandingProgramsAreThoseWithTokensToAccountFor as before.

--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -67,6 +67,9 @@
     /// How long a daemon waits for the store before it turns to the keepers' disks.
     Milliseconds patience(bool isStoreSlow, bool isStoreFailing) const;
 
+    /// Grants that a daemon may ask the keepers for at once.
+    std::size_t maxGrantsAtOnce() const;
+
     void failed(const StorePath&, TimePoint now);
     void answered(const StorePath& path) { m_failures.erase(path); }
 
--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -68,7 +68,7 @@
     std::vector<JournalEntry> openGrants() const;
 
     /// Programs with granted tokens that may be missing in their accounts.
-    std::set<ProgramId> outstandingPrograms() const;
+    const std::set<ProgramId>& outstandingPrograms();
 
     /// Grants whose program's records need not be kept any more.
     std::vector<EntryName> expiredGrants(WallTimePoint now) const;
@@ -89,6 +89,9 @@
     std::map<EntryName, JournalEntry> m_entries;
     std::map<CallId, std::set<EntryName>> m_byTurn;
     std::map<ProgramId, std::set<EntryName>> m_byProgram;
+    /// As of the last question, but for the programs that changed since.
+    std::set<ProgramId> m_outstanding;
+    std::set<ProgramId> m_changed;
     bool m_isSynchronized = false;
 };
 
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -45,6 +45,8 @@
     /// Whether keepers are quicker to ask than the store.
     bool isSlow() const;
 
+    std::size_t maxGrantsAtOnce() const { return m_paths.maxGrantsAtOnce(); }
+
     /// How long to wait for the store before the keepers' disks take its place.
     Milliseconds patience() const { return m_paths.patience(isSlow(), isFailing()); }
 
--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -1,6 +1,7 @@
 #include "basilpoint/Gateway/StorePaths.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace basilpoint {
 
@@ -19,6 +20,9 @@
 static constexpr Milliseconds patienceOfFew { 160 };
 // Beyond that of a slow store as well; callers' targets for a program leave room for one such wait.
 static constexpr Milliseconds patienceOfMany { 1'000 };
+// A grant is some three calls to each keeper, of which it answers about a thousand a second at 0.3 of a core; with more
+// than two of each of 72 daemons they would take longer than a grant waits.
+static constexpr std::size_t maxGrantsOfMany = 2;
 
 void StorePaths::setRelays(const std::vector<RelayAddress>& relays)
 {
@@ -54,6 +58,12 @@
     return areMany() ? patienceOfMany : patienceOfFew;
 }
 
+// In an outage, what the keepers can't carry is refused at once, before a target works in vain.
+std::size_t StorePaths::maxGrantsAtOnce() const
+{
+    return areMany() ? maxGrantsOfMany : std::numeric_limits<std::size_t>::max();
+}
+
 std::vector<StorePath> StorePaths::keepers(const DataCentreId& home) const
 {
     const DataCentreId& first = home.empty() ? m_own : home;
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -345,6 +345,25 @@
 // While the account cannot be read, the grants of all daemons together stay within what is left of the budget,
 // if that is known for certain; else within the most of one turn, for which the rule for budgets leaves room.
 bool TurnController::takeGrant(const ForwardedCall& call, Turn& turn)
+{
+    if (m_grantsUnderWay >= m_store.maxGrantsAtOnce()) {
+        m_log.write(LogLine("grant-not-asked").field("request", call.attributes.call.text()).field("underWay", m_grantsUnderWay));
+        return false;
+    }
+    struct UnderWay {
+        std::size_t& count;
+
+        explicit UnderWay(std::size_t& n)
+            : count(n)
+        {
+            ++count;
+        }
+        ~UnderWay() { --count; }
+    } underWay(m_grantsUnderWay);
+    return askForGrant(call, turn);
+}
+
+bool TurnController::askForGrant(const ForwardedCall& call, Turn& turn)
 {
     const TurnRequest& asked = turn.request;
     // One that may break off the stream is for outages only.
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -53,6 +53,7 @@
     void dropOnceStored(const JournalEntry&, ChangeId);
     bool isReserved(const ForwardedCall&, Turn&);
     bool takeGrant(const ForwardedCall&, Turn&);
+    bool askForGrant(const ForwardedCall&, Turn&);
     /// Tokens that all grants of the program together may hand out now.
     TokenCount allowanceOf(const TurnRequest&);
     TurnEnd endOf(const Turn&) const;
@@ -69,6 +70,7 @@
     TurnJournalClient& m_journal;
     AccountPeers& m_accounts;
     SharedReads<std::pair<ProgramId, ReadMode>> m_reads;
+    std::size_t m_grantsUnderWay = 0;
     const Clock& m_clock;
     JsonLog& m_log;
 };
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -155,7 +155,7 @@
     return encodeEntries(m_journal.findTurn(CallId(body)));
 }
 
-std::string TurnJournalServer::outstanding() const
+std::string TurnJournalServer::outstanding()
 {
     requireSynchronized();
     return encodePrograms(m_journal.outstandingPrograms());
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -42,7 +42,7 @@
     void keep(const std::vector<JournalEntry>&);
     std::string find(const std::string& body) const;
     std::string grants(const std::string& body) const;
-    std::string outstanding() const;
+    std::string outstanding();
     void drop(const EntryName&);
     std::string all() const;
     void makeLast(const std::vector<JournalOperation>&);
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -30,6 +30,7 @@
 {
     m_entries.emplace(nameOf(entry), entry);
     m_byProgram[entry.program].insert(nameOf(entry));
+    m_changed.insert(entry.program);
     for (const AccountChange& it : entry.changes)
         if (it.record)
             m_byTurn[it.record->turn].insert(nameOf(entry));
@@ -53,6 +54,7 @@
         if (it.record)
             eraseName(m_byTurn, it.record->turn, name);
     eraseName(m_byProgram, entry->second.program, name);
+    m_changed.insert(entry->second.program);
     m_entries.erase(entry);
 }
 
@@ -142,13 +144,17 @@
     return total;
 }
 
-std::set<ProgramId> TurnJournal::outstandingPrograms() const
+// Many daemons ask after an outage, each every other second, while few programs change between two questions.
+const std::set<ProgramId>& TurnJournal::outstandingPrograms()
 {
-    std::set<ProgramId> programs;
-    for (const auto& [program, names] : m_byProgram)
-        if (outstandingTokens(grantsOf(program)) > 0)
-            programs.insert(program);
-    return programs;
+    for (const ProgramId& it : m_changed) {
+        if (outstandingTokens(grantsOf(it)) > 0)
+            m_outstanding.insert(it);
+        else
+            m_outstanding.erase(it);
+    }
+    m_changed.clear();
+    return m_outstanding;
 }
 
 std::vector<JournalEntry> TurnJournal::openGrants() const
@@ -164,10 +170,18 @@
     return open;
 }
 
+// Picked before they are copied: beside them lie whole turns.
 std::vector<JournalEntry> TurnJournal::grantsOf(const ProgramId& program) const
 {
-    std::vector<JournalEntry> grants = entriesOf(program);
-    std::erase_if(grants, [](const JournalEntry& it) { return !isGrant(it); });
+    std::vector<JournalEntry> grants;
+    auto names = m_byProgram.find(program);
+    if (names == m_byProgram.end())
+        return grants;
+    for (const EntryName& it : names->second) {
+        const JournalEntry& entry = m_entries.at(it);
+        if (isGrant(entry))
+            grants.push_back(entry);
+    }
     return grants;
 }
 
--- a/unittests/Gateway/BudgetFuzzTest.cpp
+++ b/unittests/Gateway/BudgetFuzzTest.cpp
@@ -211,6 +211,7 @@
         if (revision > 0)
             return m_witness.stored(transactionOf(batch), revision, m_now);
         std::vector<KeyValue> items;
+        items.reserve(current.size());
         for (const StoredRecord& it : current)
             items.push_back({ it.key, it.value, it.revision });
         m_witness.refused(transactionOf(batch), items, m_now);
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -71,6 +71,8 @@
     many.setRelays(relays);
     BOOST_TEST((many.patience(true, false) > Milliseconds(500)));
     BOOST_TEST((many.patience(true, true) == Milliseconds(0)));
+    BOOST_TEST(many.maxGrantsAtOnce() == 2U);
+    BOOST_TEST(paths.maxGrantsAtOnce() > 1'000U);
 }
 
 BOOST_AUTO_TEST_CASE(fewDaemonsRememberByTheKeeperThatTheyShare)
