Ask no keeper for what it remembers that failed lately

Change: StorePaths::memories() leaves suspended keepers out. Test: keepersThatFailedAreNotAskedWhatTheyRemember.

--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -55,7 +55,7 @@
     /// \param home data centre whose keeper is the first, where daemons are dealt out; its own if empty.
     std::vector<StorePath> order(Purpose, TimePoint now, const DataCentreId& home = {}) const;
 
-    /// Keepers that may remember what they committed, the likeliest first.
+    /// Keepers that may remember what they committed, the likeliest first; without those that failed lately.
     std::vector<StorePath> memories(TimePoint now, const DataCentreId& home = {}) const;
 
     /// Whether the way leads by a keeper.
--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -84,7 +84,8 @@
 std::vector<StorePath> StorePaths::memories(TimePoint now, const DataCentreId& home) const
 {
     std::vector<StorePath> paths = keepers(home);
-    preferUsable(paths, now);
+    // Unlike a commit this can be left out, and one that is cut off would cost each turn its time-out.
+    std::erase_if(paths, [&](const StorePath& it) { return isSuspended(it, now); });
     return paths;
 }
 
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -83,6 +83,17 @@
     BOOST_TEST(paths.memories(now).front().relay == "keeper-2");
 }
 
+// Load: a daemon that is cut from all keepers and reaches the store; no turn may wait for them.
+BOOST_AUTO_TEST_CASE(keepersThatFailedAreNotAskedWhatTheyRemember)
+{
+    paths.failed({ "keeper-1" }, now);
+    paths.failed({ "keeper-2" }, now);
+    BOOST_TEST(paths.memories(now).empty());
+    BOOST_TEST(!paths.order(StorePaths::Purpose::Commit, now).empty());
+    now += std::chrono::seconds(1);
+    BOOST_TEST(paths.memories(now).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(failedWayIsLeftOutForATime)
 {
     paths.failed({ "keeper-1" }, now);
