Mark changes past the keepers once, not each

Log of front-bp-b-1, which is cut from all keepers from 1 to 13 s and commits by front-bp-a-1: every change carries the mark, all write one key, and the relay lets one write of a key on its way at a time, so they go one after the other; turns wait for their record until their callers leave (968 'cut, no answer', 527 'deadline'). Change: no mark while one that is stored is younger than 30 s; marks count for 30 s more. Test: changesPastTheKeepersAreMarkedOnce.

--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -11,6 +11,8 @@
 static constexpr Milliseconds shortestWatchLimit { 400 };
 // Once the store fails for this long it is not asked again.
 static constexpr Milliseconds failingLimit { 250 };
+// A mark in each change would let them go only one after the other; it is read with this much in hand.
+static constexpr std::chrono::seconds markLifetime { 30 };
 // With a longer limit than this the store answers so slowly that other daemons are asked first.
 static constexpr Milliseconds usualLimit { 600 };
 
@@ -94,12 +96,17 @@
 KeyTransactionResult StoreClient::commit(const KeyTransaction& transaction, const DataCentreId& home)
 {
     return measure("commit", m_paths.order(StorePaths::Purpose::Commit, m_clock.now(), home), [&](TransactionalStore& store, const StorePath& path) {
-        if (!m_bypassMark || m_paths.isKeeper(path) || !changesProgram(transaction))
+        TimePoint now = m_clock.now();
+        bool isMarked = m_markedAt && now - *m_markedAt < markLifetime;
+        if (!m_bypassMark || isMarked || m_paths.isKeeper(path) || !changesProgram(transaction))
             return store.commit(transaction, m_health.answerLimit());
         KeyTransaction marked = transaction;
         marked.puts.push_back(m_bypassMark());
         m_log.write(LogLine("keepers-bypassed").field("relay", path.relay));
-        return store.commit(marked, m_health.answerLimit());
+        KeyTransactionResult result = store.commit(marked, m_health.answerLimit());
+        if (result.revision)
+            m_markedAt = now;
+        return result;
     });
 }
 
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace basilpoint {
 
@@ -22,7 +23,8 @@
     /// Daemons that may relay calls.
     void setRelays(const std::vector<RelayAddress>&);
 
-    /// \p mark is written with each change of a program that goes past the keepers, which then do not know of it.
+    /// \p mark is written with a change of a program that goes past the keepers, which then do not know of it, unless
+    /// one was stored shortly before.
     void onBypass(std::function<KeyWrite()> mark) { m_bypassMark = std::move(mark); }
 
     /// \throws KeyValueUnavailableError, as all calls do if no way led to the service.
@@ -67,6 +69,8 @@
     StoreHealth m_health;
     StorePaths m_paths;
     std::function<KeyWrite()> m_bypassMark;
+    /// When the latest mark that is stored was made.
+    std::optional<TimePoint> m_markedAt;
     std::map<std::string, std::shared_ptr<RelayedStore>> m_relays;
 };
 
--- a/unittests/Gateway/RelayDirectoryTest.cpp
+++ b/unittests/Gateway/RelayDirectoryTest.cpp
@@ -4,6 +4,8 @@
 
 #include "../Net/TestRuntime.h"
 
+#include "basilpoint/Turns/TurnLedger.h"
+
 #include <boost/test/unit_test.hpp>
 #include <map>
 
@@ -22,6 +24,7 @@
 
     KeyTransactionResult commit(const KeyTransaction& transaction, Milliseconds) override
     {
+        last = transaction;
         ++m_revision;
         for (const KeyWrite& it : transaction.puts)
             items[it.key] = { it.key, it.value, m_revision };
@@ -42,6 +45,7 @@
     }
 
     std::map<std::string, KeyValue> items;
+    KeyTransaction last;
 
 private:
     std::int64_t m_revision = 1;
@@ -89,4 +93,29 @@
     });
 }
 
+// Load: a daemon that is cut from all keepers for 12 s and commits 30 times a second past them. Changes that all write the
+// mark could only go one after the other.
+BOOST_AUTO_TEST_CASE(changesPastTheKeepersAreMarkedOnce)
+{
+    ManualClock clock;
+    Metrics metrics;
+    MemoryStore store;
+    JsonLog log(clock, -1, "gateway-1");
+    StoreClient client(store, nullptr, DataCentreId("a"), clock, log, metrics);
+    client.onBypass([] { return KeyWrite { DaemonEntry::keyOf("gateway-1"), "mark" }; });
+    auto commit = [&](const std::string& key) {
+        client.commit({ { { key, 0 } }, { { key, "value" } }, {} });
+        return store.last.puts.size() == 2U;
+    };
+    std::string account = TurnLedger::accountKey(ProgramId("p"));
+    BOOST_TEST(!commit("daemons/other"));
+    BOOST_TEST(commit(account));
+    BOOST_TEST(!commit(account));
+    clock.advance(std::chrono::seconds(12));
+    BOOST_TEST(!commit(account));
+    // Renewed before it matters no more.
+    clock.advance(std::chrono::seconds(30));
+    BOOST_TEST(commit(account));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
