Ask in one place whether daemons are many; keep one constant for the longest retention

AccountPeers counted its peers anew against StorePaths' limit, from the same list, and had its own copy of the two minutes that CommitWitness states; CommitWitness::addClaim used no member. No change of behaviour: both lists are set from the same one in RelayDirectory::use().

--- a/include/basilpoint/Gateway/CommitWitness.h
+++ b/include/basilpoint/Gateway/CommitWitness.h
@@ -46,7 +46,6 @@
 private:
     void remember(const KeyValue&, TimePoint now);
     void missSomething(TimePoint now) { m_incompleteUntil = now + longestRetention; }
-    void addClaim(TokenCount& claimed, const ProgramAccount& known, std::int64_t revision, const std::string& key, const KeyTransaction&) const;
 
     RecordCache m_cache;
     /// Transactions of unknown fate by the account that they write; dropped once a newer account is known.
--- a/lib/Gateway/AccountPeers.cpp
+++ b/lib/Gateway/AccountPeers.cpp
@@ -3,12 +3,11 @@
 #include "PeerCall.h"
 #include "StoreCodec.h"
 
+#include "basilpoint/Gateway/CommitWitness.h"
 #include "basilpoint/Net/FiberRuntime.h"
 
 namespace basilpoint {
 
-// Records of programs are kept for less than this after their last turn.
-static constexpr std::chrono::minutes longestRetention { 2 };
 static constexpr Milliseconds peerLimit { 150 };
 // A hold is given back within a commit's usual time, or the turn is refused.
 static constexpr Milliseconds releaseLimit { 150 };
@@ -52,19 +51,12 @@
     return found;
 }
 
-// A question to all costs each of many daemons as much as all of its own callers do; grants then stay within one
-// turn's most, and keepers remember what was committed.
-bool AccountPeers::areMany() const
-{
-    return m_peers.size() > StorePaths::daemonsPerKeeper;
-}
-
 // A program's account lives in the daemons' memory as long as they do. One that runs for longer than records are
 // kept, or whose last lifetime handed over what it knew, misses no change of its own; and none is made while all
 // see the store fail.
 bool AccountPeers::hasSeenAll() const
 {
-    return m_hasCleanStart || m_clock.now() - m_startedAt > longestRetention;
+    return m_hasCleanStart || m_clock.now() - m_startedAt > CommitWitness::longestRetention;
 }
 
 // A word that is given while the store still answers, or by a daemon that may have missed changes, is not complete.
@@ -105,7 +97,9 @@
 AccountPeers::Knowledge AccountPeers::read(const ProgramId& program)
 {
     Knowledge known;
-    if (areMany())
+    // A question to all costs each of many daemons as much as all of its own callers do; grants then stay within one
+    // turn's most, and keepers remember what was committed.
+    if (m_store.areMany())
         return known;
     std::size_t asked = m_peers.size();
     std::size_t complete = 0;
@@ -158,7 +152,7 @@
 
 bool AccountPeers::handOver(const std::string& instance)
 {
-    if (areMany())
+    if (m_store.areMany())
         return false;
     Handover handover { instance, m_ledger.knownAccounts(m_clock.wallNow()), hasSeenAll() };
     std::size_t asked = m_peers.size();
--- a/lib/Gateway/AccountPeers.h
+++ b/lib/Gateway/AccountPeers.h
@@ -82,7 +82,6 @@
     AccountWord ownWord(const ProgramId&);
     bool askKeepers(const ProgramId&, Knowledge&);
     bool hasSeenAll() const;
-    bool areMany() const;
 
     StoreClient& m_store;
     TurnLedger& m_ledger;
--- a/lib/Gateway/CommitWitness.cpp
+++ b/lib/Gateway/CommitWitness.cpp
@@ -88,7 +88,7 @@
 }
 
 // Of those that were made on the account as it is known one at most takes effect.
-void CommitWitness::addClaim(TokenCount& claimed, const ProgramAccount& known, std::int64_t revision, const std::string& key, const KeyTransaction& transaction) const
+static void addClaim(TokenCount& claimed, const ProgramAccount& known, std::int64_t revision, const std::string& key, const KeyTransaction& transaction)
 {
     if (conditionOn(transaction, key) < revision)
         return;
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -40,13 +40,16 @@
     std::vector<KeyValue> recall(const std::string& prefix, std::int64_t after, const DataCentreId& home);
 
     /// Whether keepers should be asked before the store: it is slow or fails, or they are the nearest by far.
-    bool prefersRecall() const { return isSlow() || m_paths.areMany(); }
+    bool prefersRecall() const { return isSlow() || areMany(); }
 
     const StoreHealth& health() const { return m_health; }
 
     /// Whether keepers are quicker to ask than the store.
     bool isSlow() const;
 
+    /// Whether there are too many daemons for one keeper, or for questions to all of them.
+    bool areMany() const { return m_paths.areMany(); }
+
     std::size_t maxGrantsAtOnce() const { return m_paths.maxGrantsAtOnce(); }
 
     /// How long to wait for the store before the keepers' disks take its place.
