Test that turns are served after keepers are emptied and all restart

The operator may ask at any time that an instance with a keeper be emptied.

The fixture takes the tolerated losses and a data centre for each process, and the fake store deletes keys, which it ignored before, so that a removed keeper stayed in the list.

--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -50,6 +50,11 @@
     m_items[key] = { encodeBase64(value), ++m_revision, true };
 }
 
+std::string FakeStore::valueOf(const std::string& key) const
+{
+    return decodeBase64(m_items.at(key).encoded);
+}
+
 Json FakeStore::itemOf(const std::string& key, const Item& item) const
 {
     if (!item.exists)
@@ -97,6 +102,8 @@
     ++m_revision;
     for (const Json& it : body.at("puts"))
         m_items[it.at("key").get<std::string>()] = { it.at("value").get<std::string>(), m_revision, true };
+    for (const Json& it : body.value("deletes", Json::array()))
+        m_items[it.get<std::string>()] = { {}, m_revision, false };
     sendJson(writer, 200, { { "rev", m_revision } });
 }
 
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -6,6 +6,7 @@
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Net/HttpClient.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -17,11 +18,17 @@
 
 namespace {
 
-/// A small deployment: two gateways and a keeper as separate processes, with a fake store and fake targets.
+// Time in which turns must be served again once all processes have restarted.
+constexpr auto recoveryLimit = std::chrono::seconds(15);
+const char* const defaultZone = "z";
+
+/// A small deployment: gateways and keepers as separate processes, with a fake store and fake targets.
 class Deployment {
 public:
-    Deployment()
-        : folder(std::filesystem::temp_directory_path() / ("basilpoint-day-" + std::to_string(::getpid())))
+    /// \param toleratedLosses number of machines that may be lost, as the settings files specify it.
+    explicit Deployment(unsigned toleratedLosses = 0)
+        : folder(std::filesystem::temp_directory_path() / ("basilpoint-day-" + std::to_string(::getpid()) + "-" + std::to_string(++count)))
+        , tolerated(toleratedLosses)
         , client(testRuntime().io())
         , store(testRuntime().io())
         , engine(testRuntime().io(), "i-engine", "models")
@@ -55,7 +62,8 @@
         store.put("op/config", Json { { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }.dump());
     }
 
-    void start(const std::string& name, bool isGateway)
+    /// Starts a process, again with the same addresses and disk if it has run before.
+    void start(const std::string& name, bool isGateway, const std::string& zone = defaultZone)
     {
         Instance& instance = instances[name];
         if (instance.callers == 0) {
@@ -64,8 +72,8 @@
             instance.peers = freePort();
         }
         std::ofstream settings(folder / (name + ".conf"));
-        settings << "node=" << name << "\nzone=z\nip=127.0.0.1\nprovider.addr=" << store.endpoint().text() << "\nportRange=" << instance.peers << "," << instance.peers
-                 << "\nbounds.graceS=6\ntolerate.machines=0\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
+        settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << store.endpoint().text() << "\nportRange=" << instance.peers << "," << instance.peers
+                 << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
         if (isGateway)
             settings << "listen.front=127.0.0.1:" << instance.callers << "\nlisten.ready=127.0.0.1:" << instance.readiness << "\n";
         else
@@ -74,6 +82,9 @@
         processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
     }
 
+    /// Kills a process. \returns whether it has ended.
+    bool kill(const std::string& name);
+
     int statusAt(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers = {}, const std::string& body = {})
     {
         answer.clear();
@@ -110,7 +121,10 @@
         int starts = 0;
     };
 
+    static inline int count = 0;
+
     std::filesystem::path folder;
+    unsigned tolerated;
     HttpClient client;
     FakeStore store;
     FakeTarget engine;
@@ -123,11 +137,11 @@
     int calls = 0;
 };
 
-/// Polls until \p condition holds, for ten seconds at most.
+/// Polls until \p condition holds, for \p limit at most.
 template <typename Condition>
-bool eventually(Condition condition)
+bool eventually(Condition condition, std::chrono::seconds limit = std::chrono::seconds(10))
 {
-    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    auto end = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
         if (std::chrono::steady_clock::now() > end)
             return false;
@@ -136,6 +150,66 @@
     return true;
 }
 
+bool Deployment::kill(const std::string& name)
+{
+    processes[name]->signal(SIGKILL);
+    return eventually([&] { return !processes[name]->running(); });
+}
+
+/// Starts the gateways "a" and "b" and the keepers, and waits until all are in the list of daemons.
+void startAll(Deployment& deployment, const std::map<std::string, std::string>& zonesOfKeepers)
+{
+    for (const auto& [keeper, zone] : zonesOfKeepers)
+        deployment.start(keeper, false, zone);
+    deployment.start("a", true);
+    deployment.start("b", true);
+    BOOST_REQUIRE(eventually([&] {
+        return deployment.isReady("a") && deployment.isReady("b") && deployment.store.has("daemons/a") && deployment.store.has("daemons/b")
+            && std::all_of(zonesOfKeepers.begin(), zonesOfKeepers.end(), [&](const auto& it) { return deployment.store.has("daemons/" + it.first); });
+    }));
+}
+
+/// Has the operator empty a keeper, then removes it together with its disk.
+void emptyAndRemove(Deployment& deployment, const std::string& keeper)
+{
+    deployment.store.put("op/retire/" + keeper, Json { { "durationS", 10 } }.dump());
+    BOOST_REQUIRE(eventually([&] { return deployment.store.has("status/retire/" + keeper); }));
+    BOOST_TEST(Json::parse(deployment.store.valueOf("status/retire/" + keeper)).at("state") == "done");
+    BOOST_REQUIRE(deployment.kill(keeper));
+    std::filesystem::remove_all(deployment.folder / keeper);
+    BOOST_TEST(eventually([&] { return !deployment.store.has("daemons/" + keeper); }));
+}
+
+/// Kills all processes, then starts the gateways and \p zonesOfKeepers again.
+void restartAll(Deployment& deployment, const std::map<std::string, std::string>& zonesOfKeepers)
+{
+    for (const char* it : { "a", "b" })
+        BOOST_REQUIRE(deployment.kill(it));
+    for (const auto& [keeper, zone] : zonesOfKeepers)
+        BOOST_REQUIRE(deployment.kill(keeper));
+    for (const auto& [keeper, zone] : zonesOfKeepers)
+        deployment.start(keeper, false, zone);
+    deployment.start("a", true);
+    deployment.start("b", true);
+}
+
+/// Expects that a turn that continues "t3", and the first turn of a program, are served before recoveryLimit.
+void expectRecovery(Deployment& deployment)
+{
+    bool isContinued = false;
+    bool isFirstServed = false;
+    eventually(
+        [&] {
+            isContinued = isContinued || deployment.turn("a", "continued", "t3", "in4;") == 200;
+            isFirstServed = isFirstServed || deployment.turn("b", "first", "", "new;", "p2") == 200;
+            return isContinued && isFirstServed;
+        },
+        recoveryLimit);
+    BOOST_TEST(isContinued);
+    BOOST_TEST(isFirstServed);
+    BOOST_TEST(std::any_of(deployment.engine.runs.begin(), deployment.engine.runs.end(), [](const auto& it) { return it.body == "in1;one-t1\ntwo-t1\nin2;one-t2\ntwo-t2\nin3;one-t3\ntwo-t3\nin4;"; }));
+}
+
 void inFiber(const std::function<void()>& body)
 {
     testRuntime().run(body);
@@ -220,4 +294,60 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(turnsAreServedAfterAKeeperIsEmptiedAndAllRestart)
+{
+    inFiber([] {
+        // Never deleted, since fibers of the fakes use them until the process ends.
+        auto& deployment = *new Deployment(1);
+        startAll(deployment, { { "k1", "z" }, { "k2", "y" } });
+        BOOST_TEST(eventually([&] { return deployment.turn("a", "t1", "", "in1;") == 200; }));
+        BOOST_TEST(deployment.turn("b", "t2", "t1", "in2;") == 200);
+        emptyAndRemove(deployment, "k1");
+        BOOST_TEST(deployment.turn("a", "t3", "t2", "in3;") == 200);
+        restartAll(deployment, { { "k2", "y" } });
+        expectRecovery(deployment);
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(turnsAreServedAfterTwoOfThreeKeepersAreEmptiedAndAllRestart)
+{
+    inFiber([] {
+        // Never deleted, since fibers of the fakes use them until the process ends.
+        auto& deployment = *new Deployment(1);
+        startAll(deployment, { { "k1", "z" }, { "k2", "y" }, { "k3", "y" } });
+        BOOST_TEST(eventually([&] { return deployment.turn("a", "t1", "", "in1;") == 200; }));
+        emptyAndRemove(deployment, "k1");
+        BOOST_TEST(deployment.turn("b", "t2", "t1", "in2;") == 200);
+        emptyAndRemove(deployment, "k2");
+        BOOST_TEST(deployment.turn("a", "t3", "t2", "in3;") == 200);
+        restartAll(deployment, { { "k3", "y" } });
+        expectRecovery(deployment);
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(turnsAreKeptInAnOutageAfterOneOfThreeKeepersIsEmptied)
+{
+    inFiber([] {
+        // Never deleted, since fibers of the fakes use them until the process ends.
+        auto& deployment = *new Deployment(1);
+        startAll(deployment, { { "k1", "z" }, { "k2", "y" }, { "k3", "y" } });
+        BOOST_TEST(eventually([&] { return deployment.turn("a", "t1", "", "in1;") == 200; }));
+        emptyAndRemove(deployment, "k1");
+        BOOST_TEST(deployment.turn("a", "t2", "t1", "in2;") == 200);
+        deployment.store.isDown = true;
+        pause(std::chrono::milliseconds(600));
+        BOOST_TEST(deployment.turn("a", "t3", "t2", "in3;") == 200);
+        BOOST_TEST(!deployment.store.has("turns/t3"));
+        // The gateway that served the turn is killed during the outage: the keepers have the turn and write it to the store.
+        BOOST_REQUIRE(deployment.kill("a"));
+        deployment.store.isDown = false;
+        BOOST_TEST(eventually([&] { return deployment.turn("b", "t4", "t3", "in4;") == 200; }));
+        BOOST_TEST(deployment.engine.runs.back().body.find("in3;one-t3\ntwo-t3\nin4;") != std::string::npos);
+        BOOST_TEST(eventually([&] { return deployment.store.has("turns/t3"); }));
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
