Don't dereference an owner that is not known yet when a shard is claimed

The claim now waits for a later round, in which the owner is known or is considered dead.

The new test restarts all three daemons of a fleet.

--- a/lib/Daemon/FleetController.cpp
+++ b/lib/Daemon/FleetController.cpp
@@ -212,8 +212,9 @@
             if (pair)
                 record = decodeShardRecord(pair->value);
             bool isFree = !record || isOwnerDead(*record);
-            if (!isFree) {
-                const MemberInfo* owner = findMember(record->owner);
+            const MemberInfo* owner = isFree ? nullptr : findMember(record->owner);
+            // An owner that is not known yet is asked, or considered dead, in a later round.
+            if (owner) {
                 Milliseconds limit = std::min(initialQuiesceLimit * (1 << std::min(m_handOverAttempts[shard]++, 7U)), maxQuiesceLimit);
                 Json request { { "shard", shard.value() }, { "limitMilliseconds", limit.count() } };
                 isFree = m_links->call(owner->peer, PeerChannel::Ownership, request.dump(), limit + handOverMargin) == "1";
--- a/unittests/EndToEnd/FleetTest.cpp
+++ b/unittests/EndToEnd/FleetTest.cpp
@@ -75,6 +75,28 @@
     });
 }
 
+// The shards' records name the instances before the restart, which no daemon of the new fleet has heard of.
+BOOST_AUTO_TEST_CASE(daemonsThatDoNotKnowTheOwnersOfShardsKeepRunning)
+{
+    runInFiber([](HttpClient& client) {
+        static constexpr unsigned count = 3;
+        TestFleet fleet(client, { count, 1, {}, {}, count });
+        requireEventually(
+            fleet, [&] { return fleet.allReady(); }, testTimeout);
+        for (unsigned n = 0; n < count; ++n)
+            fleet.daemon(n).signal(SIGKILL);
+        for (unsigned n = 0; n < count; ++n) {
+            requireEventually(
+                fleet, [&] { return !fleet.daemon(n).running(); }, testTimeout);
+            fleet.startDaemon(n);
+        }
+        requireEventually(
+            fleet, [&] { return fleet.allReady(); }, testTimeout);
+        for (unsigned n = 0; n < count; ++n)
+            BOOST_TEST(fleet.daemon(n).running());
+    });
+}
+
 BOOST_AUTO_TEST_CASE(resumedOwnersRepeatNoCall)
 {
     runInFiber([](HttpClient& client) {
