Count refusals by code, broken answers by cause and the wait for ends

Each refusal now has a stable code, each broken answer a cause (reservation, grant, end, target, time, caller), and both are counted in summary and /metrics. So are the ends of turns with the time that they waited, turns given to the keepers, queries of outstanding grants by result, and commits without a keeper. Names of events and existing fields stay.

PlatformDayTest checks the counters of refusals and ends at a gateway; no test breaks an answer off.

--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -39,12 +39,12 @@
     std::shared_ptr<const RouteTable> table = m_configuration.current();
     Milliseconds timeLeft = attributes.timeLeft.value_or(maxRetryAfter);
     if (!table)
-        return refuse(attributes, { 503, "no configuration yet" }, timeLeft, arrivedAt, writer);
+        return refuse(attributes, { 503, "no-configuration", "no configuration yet" }, timeLeft, arrivedAt, writer);
     if (attributes.call.empty())
-        return refuse(attributes, { 400, "no request id" }, timeLeft, arrivedAt, writer);
+        return refuse(attributes, { 400, "no-request-id", "no request id" }, timeLeft, arrivedAt, writer);
     const ForwardingRoute* route = table->match(hostWithoutPort(request.header("host")), request.path());
     if (!route)
-        return refuse(attributes, { 404, "no route" }, timeLeft, arrivedAt, writer);
+        return refuse(attributes, { 404, "no-route", "no route" }, timeLeft, arrivedAt, writer);
     serve(*route, table, request, std::move(attributes), arrivedAt, writer);
 }
 
@@ -70,7 +70,8 @@
     }
     if (refusal->isBrokenOff || writer.started()) {
         m_metrics.count("requests_total{status=\"broken-off\"}");
-        m_log.write(LogLine("broken-off").field("request", call->attributes.call.text()).field("callerGone", call->isCallerGone).field("reason", refusal->reason));
+        m_metrics.count(fmt::format("broken_off_total{{cause=\"{}\"}}", refusal->code));
+        m_log.write(LogLine("broken-off").field("request", call->attributes.call.text()).field("callerGone", call->isCallerGone).field("reason", refusal->reason).field("cause", refusal->code));
         throw ConnectionLostError(refusal->reason);
     }
     refuse(call->attributes, *refusal, std::chrono::duration_cast<Milliseconds>(call->deadline - m_clock.now()), arrivedAt, writer);
@@ -82,11 +83,11 @@
     case ForwardEnd::Delivered:
         return std::nullopt;
     case ForwardEnd::NotRun:
-        return TurnController::Refusal { 503, "no target took the call" };
+        return TurnController::Refusal { 503, "no-target", "no target took the call" };
     case ForwardEnd::MayHaveRun:
-        return TurnController::Refusal { m_clock.now() >= call.deadline ? 504 : 502, "no answer" };
+        return TurnController::Refusal { m_clock.now() >= call.deadline ? 504 : 502, "no-answer", "no answer" };
     case ForwardEnd::BrokenOff:
-        return TurnController::Refusal { 502, "stream broke off", true };
+        return TurnController::Refusal { 502, causeOfBrokenStream(call, m_clock.now()), "stream broke off", true };
     }
     assert(false && "unhandled enumerator");
     return std::nullopt;
@@ -95,9 +96,10 @@
 void CallController::refuse(const CallAttributes& attributes, const TurnController::Refusal& refusal, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter& writer)
 {
     m_metrics.count(fmt::format("requests_total{{status=\"{}\"}}", refusal.status));
+    m_metrics.count(fmt::format("refusals_total{{code=\"{}\"}}", refusal.code));
     HttpResponse response { refusal.status, { { "content-type", "text/plain" } }, refusal.reason };
     LogLine line("refused");
-    line.field("request", attributes.call.text()).field("program", attributes.program.text()).field("previous", attributes.previousTurn.text()).field("status", refusal.status).field("reason", refusal.reason);
+    line.field("request", attributes.call.text()).field("program", attributes.program.text()).field("previous", attributes.previousTurn.text()).field("status", refusal.status).field("reason", refusal.reason).field("code", refusal.code);
     line.field("configuration", m_configuration.current() ? m_configuration.current()->configuration().version : 0);
     line.field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - arrivedAt));
     if (refusal.status == 503) {
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -276,6 +276,13 @@
     return TargetOutcome::Abandoned;
 }
 
+std::string_view causeOfBrokenStream(const ForwardedCall& call, TimePoint now)
+{
+    if (call.isCallerGone)
+        return "caller-gone";
+    return now >= call.deadline ? "no-time-left" : "target-broke-off";
+}
+
 static const char* toString(ForwardEnd end)
 {
     switch (end) {
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -55,6 +55,9 @@
 /// Identifies one lifetime of a target; connections are pooled per lifetime.
 std::string lifetimeOf(const Registration&);
 
+/// Cause of a broken stream that no hook stopped, as a stable identifier.
+std::string_view causeOfBrokenStream(const ForwardedCall&, TimePoint now);
+
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -108,7 +108,7 @@
     , m_writer(m_store, m_ledger, clock, m_log)
     , m_forwarder(client, m_directory, m_selector, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
-    , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log)
+    , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
     , m_callers(io, settings.callers, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
     , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -102,6 +102,7 @@
             return store.commit(transaction, m_health.responseTimeout());
         KeyTransaction marked = transaction;
         marked.puts.push_back(m_directCommitMark());
+        m_metrics.count("keepers_bypassed_total");
         m_log.write(LogLine("keepers-bypassed").field("relay", path.relay));
         KeyTransactionResult result = store.commit(marked, m_health.responseTimeout());
         if (result.revision)
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -46,9 +46,17 @@
     /// Set if the turn runs under a grant.
     std::optional<TurnJournalClient::GrantRequest> grant;
     TokenCount granted = 0;
+    /// Cause for which a hook stopped the stream; empty if none did.
+    std::string_view stoppedBy;
+
+    bool stop(const ForwardedCall& call, std::string_view cause)
+    {
+        stoppedBy = call.isCallerGone ? "caller-gone" : cause;
+        return false;
+    }
 };
 
-TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, AccountPeers& accounts, const Clock& clock, JsonLog& log)
+TurnController::TurnController(Forwarder& forwarder, StoreClient& store, TurnLedger& ledger, LedgerWriter& writer, TurnJournalClient& journal, AccountPeers& accounts, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_forwarder(forwarder)
     , m_store(store)
     , m_ledger(ledger)
@@ -57,6 +65,7 @@
     , m_accounts(accounts)
     , m_clock(clock)
     , m_log(log)
+    , m_metrics(metrics)
 {
 }
 
@@ -106,7 +115,7 @@
 {
     auto origin = readOrigin(missing);
     if (!origin)
-        return isPrevious ? Refusal { 404, "no such turn" } : Refusal { 503, "history not whole yet" };
+        return isPrevious ? Refusal { 404, "no-such-turn", "no such turn" } : Refusal { 503, "history-incomplete", "history not whole yet" };
     if (isPrevious)
         knowledge.origin = origin;
     knowledge.isProgramFresh = false;
@@ -116,7 +125,7 @@
 
 static TurnController::Refusal refusalOf(const TurnBudgetSpent& spent, TokenCount maxTokens)
 {
-    return { spent.isCertain ? 402 : 503, fmt::format("{}: budget {}, spent {}, held {}, needed {}", spent.isCertain ? "budget spent" : "budget not certain yet", spent.budget, spent.spent, spent.held, maxTokens) };
+    return { spent.isCertain ? 402 : 503, spent.isCertain ? "budget-spent" : "budget-not-certain", fmt::format("{}: budget {}, spent {}, held {}, needed {}", spent.isCertain ? "budget spent" : "budget not certain yet", spent.budget, spent.spent, spent.held, maxTokens) };
 }
 
 static ReadMode modeOf(const TurnNeedsProgram& needed)
@@ -139,7 +148,7 @@
 {
     auto entries = m_journal.find(missing, std::min(call.deadline, m_clock.now() + journalTimeout));
     if (!entries)
-        return Refusal { 503, "keepers out of reach" };
+        return Refusal { 503, "keepers-unavailable", "keepers out of reach" };
     bool isPrevious = missing == call.attributes.previousTurn;
     if (entries->empty())
         return recheckOrigin(missing, isPrevious, knowledge);
@@ -185,7 +194,7 @@
     admission.knowledge.outstanding = outstandingOf(admission.call, admission.turn.request);
     admission.areGrantsKnown = admission.knowledge.outstanding.has_value();
     if (!admission.areGrantsKnown && ++admission.unansweredGrantQueries == maxGrantQueries)
-        return Refusal { 503, "grants not known" };
+        return Refusal { 503, "grants-not-known", "grants not known" };
     return std::nullopt;
 }
 
@@ -194,7 +203,7 @@
     if (auto refusal = findOnKeepers(admission.call, notFound.missing, admission.knowledge))
         return refusal;
     if (++admission.searches > maxSearches)
-        return Refusal { 503, "history not whole yet" };
+        return Refusal { 503, "history-incomplete", "history not whole yet" };
     return std::nullopt;
 }
 
@@ -248,7 +257,7 @@
     }
     if (adoptFromKeepers(admission))
         return std::nullopt;
-    return Refusal { 503, "store out of reach" };
+    return Refusal { 503, "store-unavailable", "store out of reach" };
 }
 
 // Searches the keepers for the previous turn, which they keep until the store has confirmed it.
@@ -267,7 +276,7 @@
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNeedsOrigin& needed)
 {
     if (m_store.isFailing())
-        return Refusal { 503, "store out of reach" };
+        return Refusal { 503, "store-unavailable", "store out of reach" };
     admission.knowledge.origin = readOrigin(needed.previous);
     admission.knowledge.isOriginKnown = true;
     return std::nullopt;
@@ -276,7 +285,7 @@
 std::variant<TurnAdmitted, TurnController::Refusal> TurnController::admit(const ForwardedCall& call, Turn& turn)
 {
     if (!m_accounts.hasEntered())
-        return Refusal { 503, "not in the list of daemons yet" };
+        return Refusal { 503, "not-entered", "not in the list of daemons yet" };
     Admission admission { call, turn };
     try {
         for (;;) {
@@ -299,12 +308,12 @@
             if (refusal)
                 return *refusal;
             if (call.isCallerGone || m_clock.now() >= call.deadline)
-                return Refusal { 503, "no time left" };
+                return Refusal { 503, "no-time-left", "no time left" };
         }
     } catch (const KeyValueUnavailableError& error) {
-        return Refusal { 503, error.what() };
+        return Refusal { 503, error.code(), error.what() };
     } catch (const DamagedRecordError& error) {
-        return Refusal { 503, error.what() };
+        return Refusal { 503, error.code(), error.what() };
     }
 }
 
@@ -345,6 +354,7 @@
 std::optional<TokenCount> TurnController::outstandingOf(const ForwardedCall& call, const TurnRequest& request)
 {
     auto outstanding = m_journal.outstanding(request.program, std::min(call.deadline, m_clock.now() + grantsTimeout));
+    m_metrics.count(outstanding ? "grants_queries_total{known=\"yes\"}" : "grants_queries_total{known=\"no\"}");
     m_log.write(LogLine("grants-outstanding").field("request", call.attributes.call.text()).field("program", request.program.text()).field("known", outstanding.has_value()).field("tokens", outstanding.value_or(0)));
     return outstanding;
 }
@@ -438,6 +448,7 @@
     spawnFiber([this, entries, change, isKept, deadline] {
         const JournalEntry& entry = entries.front();
         *isKept = m_journal.append(entries, deadline);
+        m_metrics.count(*isKept ? "turns_journaled_total{kept=\"yes\"}" : "turns_journaled_total{kept=\"no\"}");
         m_log.write(LogLine("turn-journaled").field("turn", entry.changes.back().record->turn.text()).field("program", entry.program.text()).field("step", entry.step()).field("kept", *isKept));
         m_writer.wakeWaiters();
         dropOnceStored(entry, change);
@@ -458,20 +469,33 @@
         m_journal.grantStored(entry.program, entry.daemon, settled.grant, settled.keepUntil);
 }
 
+// Counted in milliseconds as well, since the summary has no histograms.
+void TurnController::countEnd(std::string_view outcome, std::chrono::nanoseconds waited)
+{
+    m_metrics.observe("turn_end_wait_seconds", waited);
+    m_metrics.count(fmt::format("turn_ends_total{{outcome=\"{}\"}}", outcome));
+    m_metrics.count(fmt::format("turn_end_wait_milliseconds_total{{outcome=\"{}\"}}", outcome), std::chrono::duration_cast<Milliseconds>(waited).count());
+}
+
 StreamHooks TurnController::hooksFor(ForwardedCall& call, Turn& turn)
 {
     StreamHooks hooks;
-    hooks.beforeFirstEvent = [this, &call, &turn] { return ensureReserved(call, turn); };
+    hooks.beforeFirstEvent = [this, &call, &turn] { return ensureReserved(call, turn) || turn.stop(call, "reservation-not-recorded"); };
     hooks.onEvent = [this, &call, &turn](const StreamEvent& event) {
         const ForwardingService* service = call.table->service(call.query.service);
         TokenCount tokens = service && service->engine ? service->engine->tokensPerEvent : 1;
         if (!mayHandOut(turn, tokens))
-            return false;
+            return turn.stop(call, "grant-used-up");
         turn.handedOut += tokens;
         turn.output.append(event.data).append("\n");
         return true;
     };
-    hooks.beforeEnd = [this, &call, &turn](const TargetId& target) { return record(call, turn, target); };
+    hooks.beforeEnd = [this, &call, &turn](const TargetId& target) {
+        TimePoint start = m_clock.now();
+        bool isRecorded = record(call, turn, target) || turn.stop(call, "end-not-recorded");
+        countEnd(isRecorded ? "recorded" : turn.stoppedBy, m_clock.now() - start);
+        return isRecorded;
+    };
     return hooks;
 }
 
@@ -496,8 +520,8 @@
     // While the store fails, the turn needs a grant, which is taken before an engine does work that may be wasted.
     bool mustReserveFirst = !turn.admitted.mayRunAhead || turn.admitted.needsGrant || m_store.isFailing();
     if (mustReserveFirst && !ensureReserved(call, turn))
-        refusal = turn.refusalWithoutGrant ? *turn.refusalWithoutGrant : turn.isDenied && !m_accounts.mayMissGrants(program) ? Refusal { 402, "budget spent" }
-                                                                                                                             : Refusal { 503, "reservation not recorded" };
+        refusal = turn.refusalWithoutGrant ? *turn.refusalWithoutGrant : turn.isDenied && !m_accounts.mayMissGrants(program) ? Refusal { 402, "budget-spent", "budget spent" }
+                                                                                                                             : Refusal { 503, "reservation-not-recorded", "reservation not recorded" };
     if (!refusal) {
         call.body = std::move(turn.admitted.history);
         call.body->append(call.request.body);
@@ -522,11 +546,13 @@
     case ForwardEnd::Delivered:
         return std::nullopt;
     case ForwardEnd::NotRun:
-        return Refusal { 503, "no target took the call" };
+        return Refusal { 503, "no-target", "no target took the call" };
     case ForwardEnd::MayHaveRun:
-        return Refusal { m_clock.now() >= call.deadline ? 504 : 502, turn.isDenied ? "budget spent meanwhile" : "no answer" };
+        if (turn.isDenied)
+            return Refusal { m_clock.now() >= call.deadline ? 504 : 502, "budget-spent-meanwhile", "budget spent meanwhile" };
+        return Refusal { m_clock.now() >= call.deadline ? 504 : 502, turn.stoppedBy.empty() ? "no-answer" : turn.stoppedBy, "no answer" };
     case ForwardEnd::BrokenOff:
-        return Refusal { 502, "stream broke off", true };
+        return Refusal { 502, turn.stoppedBy.empty() ? causeOfBrokenStream(call, m_clock.now()) : turn.stoppedBy, "stream broke off", true };
     }
     assert(false && "unhandled enumerator");
     return std::nullopt;
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -14,12 +14,14 @@
 /// Serves turns: finds their history, enforces their program's budget, and stores their records.
 class TurnController {
 public:
-    TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, AccountPeers&, const Clock&, JsonLog&);
+    TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, AccountPeers&, const Clock&, JsonLog&, Metrics&);
 
     /// Why a turn was not answered by a target.
     struct Refusal {
         /// HTTP status; 402, 404 and 503 guarantee that the turn has not run.
         int status = 503;
+        /// Stable identifier in kebab-case of the reason, or of what broke the answer off.
+        std::string_view code;
         std::string reason;
         /// Whether the answer has begun and cannot be completed, so that its connection must be closed.
         bool isBrokenOff = false;
@@ -59,6 +61,7 @@
     TurnEnd endOf(const Turn&) const;
     std::optional<TokenCount> outstandingOf(const ForwardedCall&, const TurnRequest&);
     bool mayHandOut(const Turn&, TokenCount) const;
+    void countEnd(std::string_view outcome, std::chrono::nanoseconds waited);
     StreamHooks hooksFor(ForwardedCall&, Turn&);
     std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
     bool record(ForwardedCall&, Turn&, const TargetId&);
@@ -73,6 +76,7 @@
     std::size_t m_grantsInFlight = 0;
     const Clock& m_clock;
     JsonLog& m_log;
+    Metrics& m_metrics;
 };
 
 } // namespace basilpoint
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -274,6 +274,10 @@
         pause(std::chrono::milliseconds(600));
         BOOST_TEST(deployment.turn("a", "t8", "t7", "in8;") == 200);
         BOOST_TEST(!deployment.store.has("turns/t8"));
+        // The metrics name why calls were refused and how turns ended.
+        BOOST_TEST(deployment.statusAt(deployment.instances["a"].readiness, "GET", "/metrics") == 200);
+        for (const char* it : { "refusals_total{code=\"no-such-turn\"}", "refusals_total{code=\"no-route\"} 1", "turn_ends_total{outcome=\"recorded\"}", "turn_end_wait_milliseconds_total{outcome=\"recorded\"}", "turn_end_wait_seconds_count", "turns_journaled_total{kept=\"yes\"} 1" })
+            BOOST_TEST(deployment.answer.find(it) != std::string::npos, it);
         // The gateway that served the turn is killed during the outage: the keeper has the turn and writes it to the store.
         deployment.processes["a"]->signal(SIGKILL);
         BOOST_TEST(eventually([&] { return !deployment.processes["a"]->running(); }));
