--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -23,6 +23,10 @@
         Drop,
         /// Marks the journal as complete; until then it answers no queries.
         Synchronized,
+        /// Removes all entries and marks the journal as incomplete, since its keeper is no member or joins only now.
+        Reset,
+        /// Records the latest view of the keepers in \ref entry.
+        View,
     };
 
     Kind kind = Kind::Synchronized;
@@ -57,6 +61,8 @@
 
     bool has(const EntryName& name) const { return m_entries.contains(name); }
     bool isSynchronized() const { return m_isSynchronized; }
+    /// Encoded view of the keepers; empty if none has been recorded.
+    const std::string& view() const { return m_view; }
 
     /// Entries of the program that \p turn belongs to; empty if the journal does not have the turn.
     std::vector<JournalEntry> findTurn(const CallId& turn) const;
@@ -84,6 +90,7 @@
 private:
     void append(const JournalEntry&);
     void drop(const EntryName&);
+    void reset();
     std::vector<JournalEntry> entriesOf(const ProgramId&) const;
 
     std::map<EntryName, JournalEntry> m_entries;
@@ -93,6 +100,7 @@
     std::set<ProgramId> m_outstanding;
     std::set<ProgramId> m_changed;
     bool m_isSynchronized = false;
+    std::string m_view;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -99,9 +99,7 @@
     , m_store(store, &client, settings.dataCentre, clock, m_log, m_metrics)
     , m_journal(client, settings.tolerated, clock, m_log)
     , m_peers(io, settings.peers)
-    , m_relays(m_store, m_peers, client, { settings.instance, settings.dataCentre, settings.peers, false }, clock, m_log, [this](const std::vector<RelayAddress>& relays, bool) { 
-        m_journal.setRelays(relays);
-        m_accounts.setRelays(relays); })
+    , m_relays(m_store, m_peers, client, { settings.instance, settings.dataCentre, settings.peers, false }, clock, m_log, [this](const std::vector<RelayAddress>& relays, bool) { m_accounts.setRelays(relays); })
     , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
     , m_selector(m_random())
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
@@ -265,6 +263,7 @@
     spawnFiber([this] { watchTargets(); });
     spawnFiber([this] { probeStore(); });
     m_relays.onEnter([this](const RelayDirectory::Start& start) { m_accounts.entered(start); });
+    m_relays.onKeeperView([this](const KeeperView& view) { m_journal.setView(view); });
     m_relays.onAnnounce([this](const std::string& instance) { m_accounts.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -1,6 +1,6 @@
 #include "basilpoint/Gateway/Keeper.h"
 
-#include "KeeperSuccession.h"
+#include "KeeperViewController.h"
 #include "RelayDirectory.h"
 #include "StoreRelay.h"
 #include "StoreWatch.h"
@@ -18,8 +18,8 @@
 static constexpr Milliseconds logInterval { 200 };
 static constexpr Milliseconds stateRetryInterval { 300 };
 static constexpr Milliseconds summaryInterval { 10'000 };
-static constexpr Milliseconds successionInterval { 1'000 };
-static constexpr int maxStateAttempts = 40;
+// Time for an instance's own keeper to report that the instance is empty.
+static constexpr Milliseconds ownConfirmationDelay { 2'000 };
 // A request to empty an instance need not be noticed for seconds, so long waits keep the watch cheap.
 static constexpr Milliseconds emptyingWatchWait { 4'000 };
 
@@ -34,13 +34,13 @@
         JsonLog& log() { return m_log; }
 
     private:
-        bool isDiskFree(const std::string& instance);
         bool confirmEmpty(const std::string& instance);
+        bool tryToConfirmEmpty(const std::string& instance, bool isOwn);
         void empty(const std::string& key);
         void logSummary();
         void watchEmptying();
-        void replaceLostKeepers();
         void updateKeepers(const std::vector<RelayAddress>&, bool wasKnown);
+        void installView(const KeeperView&);
 
         KeeperSettings m_settings;
         WireFormat m_format;
@@ -53,7 +53,8 @@
         /// Null if the instance has no disk.
         std::unique_ptr<TurnJournalServer> m_journal;
         RelayDirectory m_directory;
-        KeeperSuccession m_succession;
+        /// Null if the instance has no disk.
+        std::unique_ptr<KeeperViewController> m_views;
         std::set<std::string> m_keepers;
         bool m_isListRead = false;
         const Clock& m_clock;
@@ -61,6 +62,11 @@
 
 } // namespace
 
+static RelayAddress selfOf(const KeeperSettings& settings)
+{
+    return { settings.instance, settings.dataCentre, settings.peers, true };
+}
+
 Keeper::Keeper(boost::asio::io_context& io, const KeeperSettings& settings, const WireFormat& format, HttpClient& peers, TransactionalStore& store, const Clock& clock)
     : m_settings(settings)
     , m_format(format)
@@ -69,14 +75,11 @@
     , m_store(store, &peers, settings.dataCentre, clock, m_log, m_metrics)
     , m_peers(io, settings.peers)
     , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
-    , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, settings.dataFolder, settings.isFirstStart, m_store, m_relay, clock, m_log))
-    , m_directory(m_store, m_peers, peers, { settings.instance, settings.dataCentre, settings.peers, true }, clock, m_log,
-          [this](const std::vector<RelayAddress>& relays, bool wasKnown) {
-              updateKeepers(relays, wasKnown);
-              // If this keeper was listed and has lost its disk, that loss is already one of those tolerated.
-              if (m_journal)
-                  m_journal->setRelays(relays, wasKnown && m_settings.tolerated > 0 ? m_settings.tolerated - 1 : m_settings.tolerated);
-          })
+    , m_journal(settings.dataFolder.empty() ? nullptr : std::make_unique<TurnJournalServer>(io, m_peers, peers, JournalSettings { settings.instance, settings.dataFolder, settings.tolerated, settings.isFirstStart }, m_store, m_relay, clock, m_log))
+    , m_directory(m_store, m_peers, peers, selfOf(settings), clock, m_log, [this](const std::vector<RelayAddress>& relays, bool wasKnown) { updateKeepers(relays, wasKnown); })
+    , m_views(m_journal ? std::make_unique<KeeperViewController>(
+                  m_store, m_peers, peers, *m_journal, selfOf(settings), settings.tolerated, format.emptyingStatePrefix + settings.instance, [this](const std::string& instance) { return m_directory.remove(instance); }, clock, m_log)
+                        : nullptr)
     , m_clock(clock)
 {
 }
@@ -94,38 +97,30 @@
     m_keepers = std::move(keepers);
 }
 
-// Before a keeper is removed, it hands its entries over to all others, so that each entry remains on one more disk
-// than may be lost. It is then removed from the list. Instances without a keeper have no entries.
-bool Keeper::isDiskFree(const std::string& instance)
+void Keeper::installView(const KeeperView& view)
 {
-    if (!m_journal)
-        return true;
-    if (instance == m_settings.instance) {
-        if (!m_journal->handOver())
-            return false;
-        m_directory.retire();
-        return true;
+    try {
+        m_journal->install(view);
+    } catch (const Error& error) {
+        // The disk failed; the journal refuses calls under this view too, since it cannot write them.
+        m_log.write(LogLine("keepers-view-not-installed").field("version", view.version).field("reason", error.what()));
     }
-    std::vector<RelayAddress> relays = m_directory.relays();
-    auto it = std::find_if(relays.begin(), relays.end(), [&](const RelayAddress& relay) { return relay.isKeeper && relay.instance == instance; });
-    if (it == relays.end())
-        return true;
-    // A running keeper does this itself.
-    if (m_directory.announceTo(*it) || !m_journal->takeOverFrom(instance))
-        return false;
-    m_directory.remove(instance);
-    return true;
 }
 
+// Members of the view have given their entries to the others before they leave it, and a keeper whose instance has been
+// reported to be empty cannot join, so an instance is empty if the view does not contain its keeper.
 bool Keeper::confirmEmpty(const std::string& instance)
 {
+    if (m_views && m_views->view().contains(instance))
+        return false;
     std::string stateKey = m_format.emptyingStatePrefix + instance;
     auto current = m_store.get(stateKey);
     if (current && current->value == m_format.emptiedState)
         return true;
-    if (!isDiskFree(instance))
+    auto view = m_store.get(KeeperView::key);
+    if (view && decodeView(view->value).contains(instance))
         return false;
-    bool isWritten = m_store.commit({ { { stateKey, current ? current->modRevision : 0 } }, { { stateKey, m_format.emptiedState } }, {} }).revision.has_value();
+    bool isWritten = m_store.commit({ { { stateKey, current ? current->modRevision : 0 }, { KeeperView::key, view ? view->modRevision : 0 } }, { { stateKey, m_format.emptiedState } }, {} }).revision.has_value();
     m_log.write(LogLine("instance-empty").field("emptied", instance).field("written", isWritten));
     return isWritten;
 }
@@ -133,19 +128,30 @@
 void Keeper::empty(const std::string& key)
 {
     std::string instance = key.substr(m_format.emptyingPrefix.size());
+    if (m_views)
+        m_views->empty(instance);
     spawnFiber([this, instance] {
-        for (int n = 0; n < maxStateAttempts; ++n) {
-            try {
-                if (confirmEmpty(instance))
-                    return;
-            } catch (const Error& error) {
-                m_log.write(LogLine("instance-empty-unwritten").field("emptied", instance).field("reason", error.what()));
-            }
+        bool isOwn = instance == m_settings.instance;
+        sleepFiber(isOwn ? Milliseconds(0) : ownConfirmationDelay);
+        while (!tryToConfirmEmpty(instance, isOwn))
             sleepFiber(stateRetryInterval);
-        }
     });
 }
 
+bool Keeper::tryToConfirmEmpty(const std::string& instance, bool isOwn)
+{
+    try {
+        if (!confirmEmpty(instance))
+            return false;
+        if (isOwn)
+            m_directory.retire();
+        return true;
+    } catch (const Error& error) {
+        m_log.write(LogLine("instance-empty-unwritten").field("emptied", instance).field("reason", error.what()));
+        return false;
+    }
+}
+
 void Keeper::watchEmptying()
 {
     watchStore(
@@ -160,34 +166,6 @@
         });
 }
 
-// Each data centre has one keeper, so another one here has been replaced by this one or is replacing it. A keeper
-// that was removed because it was disconnected for long enters the list again with the entries that it has.
-void Keeper::replaceLostKeepers()
-{
-    for (;; sleepFiber(successionInterval)) {
-        try {
-            std::vector<RelayAddress> relays = m_directory.relays();
-            for (const RelayAddress& it : relays) {
-                if (!it.isKeeper || it.dataCentre != m_settings.dataCentre)
-                    continue;
-                if (m_directory.announceTo(it))
-                    m_succession.answered(it.instance);
-                else
-                    m_succession.failed(it.instance, m_clock.now());
-            }
-            for (const std::string& it : m_succession.gone(m_clock.now())) {
-                if (!m_journal->takeOverFrom(it))
-                    continue;
-                m_directory.remove(it);
-                m_succession.answered(it);
-            }
-        } catch (const Error& error) {
-            // Retried after the interval.
-            m_log.write(LogLine("succession-failed").field("reason", error.what()));
-        }
-    }
-}
-
 void Keeper::logSummary()
 {
     LogLine line("summary");
@@ -199,15 +177,16 @@
 {
     m_log.write(LogLine("start").field("role", "keeper"));
     m_peers.start();
-    // Every listed keeper counts towards the answers needed to be certain that an entry does not exist. A keeper that
-    // cannot answer yet would be missing from them in addition to its predecessor.
-    if (m_journal)
-        m_directory.setEntryCondition([this] { return m_journal->isSynchronized(); });
+    // Keepers that are no members of the view, or not complete yet, commit for no one.
+    if (m_journal) {
+        m_directory.setEntryCondition([this] { return m_views->isMember() && m_journal->isSynchronized(); });
+        m_directory.onKeeperView([this](const KeeperView& view) { installView(view); });
+    }
     spawnFiber([this] { m_directory.run(); });
     spawnFiber([this] { watchEmptying(); });
     if (m_journal) {
         spawnFiber([this] { m_journal->run(); });
-        spawnFiber([this] { replaceLostKeepers(); });
+        spawnFiber([this] { m_views->run(); });
     }
     spawnFiber([this] {
         for (;; sleepFiber(logInterval))
--- /dev/null
+++ b/lib/Gateway/KeeperCodec.cpp
@@ -0,0 +1,130 @@
+#include "KeeperCodec.h"
+
+#include "basilpoint/Support/Cbor.h"
+#include "basilpoint/Turns/Errors.h"
+
+namespace basilpoint {
+
+using Json = nlohmann::json;
+
+template <typename Read>
+static auto decodeCbor(const char* what, const std::string& bytes, Read read)
+{
+    try {
+        return read(Json::from_cbor(bytes));
+    } catch (const Json::exception&) {
+        throw DamagedRecordError(what);
+    }
+}
+
+static Json entriesToJson(const std::vector<JournalEntry>& entries)
+{
+    Json json = Json::array();
+    for (const JournalEntry& it : entries)
+        json.push_back(bytesToJson(encodeEntry(it)));
+    return json;
+}
+
+static std::vector<JournalEntry> entriesFrom(const Json& json)
+{
+    std::vector<JournalEntry> entries;
+    for (const Json& it : json)
+        entries.push_back(decodeEntry(bytesFromJson(it)));
+    return entries;
+}
+
+std::string encodeRequest(const KeeperRequest& request)
+{
+    return toCbor({ { "v", encodeView(request.view) }, { "b", bytesToJson(request.body) } });
+}
+
+KeeperRequest decodeRequest(const std::string& bytes)
+{
+    return decodeCbor("keeper request", bytes, [](const Json& json) {
+        return KeeperRequest { decodeView(json.at("v").get<std::string>()), bytesFromJson(json.at("b")) };
+    });
+}
+
+std::string encodeAnswer(const KeeperAnswer& answer)
+{
+    Json json { { "b", bytesToJson(answer.body) } };
+    if (answer.newerView)
+        json["v"] = encodeView(*answer.newerView);
+    return toCbor(json);
+}
+
+KeeperAnswer decodeAnswer(const std::string& bytes)
+{
+    return decodeCbor("keeper answer", bytes, [](const Json& json) {
+        KeeperAnswer answer { std::nullopt, bytesFromJson(json.at("b")) };
+        if (json.contains("v"))
+            answer.newerView = decodeView(json["v"].get<std::string>());
+        return answer;
+    });
+}
+
+std::string encodeContents(const JournalContents& contents)
+{
+    return toCbor({ { "s", contents.isSynchronized }, { "e", entriesToJson(contents.entries) } });
+}
+
+JournalContents decodeContents(const std::string& bytes)
+{
+    return decodeCbor("journal contents", bytes, [](const Json& json) {
+        return JournalContents { json.at("s").get<bool>(), entriesFrom(json.at("e")) };
+    });
+}
+
+std::string encodeTransfer(const JournalTransfer& transfer)
+{
+    return toCbor({ { "v", transfer.version }, { "e", entriesToJson(transfer.entries) }, { "l", transfer.isLast } });
+}
+
+JournalTransfer decodeTransfer(const std::string& bytes)
+{
+    return decodeCbor("journal transfer", bytes, [](const Json& json) {
+        return JournalTransfer { json.at("v").get<std::uint64_t>(), entriesFrom(json.at("e")), json.at("l").get<bool>() };
+    });
+}
+
+std::string encodeReport(const KeeperReport& report)
+{
+    return toCbor({ { "v", encodeView(report.view) }, { "s", report.silent }, { "l", report.isLeaving } });
+}
+
+KeeperReport decodeReport(const std::string& bytes)
+{
+    return decodeCbor("keeper report", bytes, [](const Json& json) {
+        return KeeperReport { decodeView(json.at("v").get<std::string>()), json.at("s").get<InstanceNames>(), json.at("l").get<bool>() };
+    });
+}
+
+std::string encodeEntries(const std::vector<JournalEntry>& entries)
+{
+    return toCbor(entriesToJson(entries));
+}
+
+std::vector<JournalEntry> decodeEntries(const std::string& bytes)
+{
+    return decodeCbor("journal entries", bytes, entriesFrom);
+}
+
+std::string encodePrograms(const std::set<ProgramId>& programs)
+{
+    Json json = Json::array();
+    for (const ProgramId& it : programs)
+        json.push_back(it.text());
+    return toCbor(json);
+}
+
+std::set<ProgramId> decodePrograms(const std::string& bytes)
+{
+    return decodeCbor("programs with grants", bytes, [](const Json& json) {
+        std::set<ProgramId> programs;
+        for (const Json& it : json)
+            programs.insert(ProgramId(it.get<std::string>()));
+        return programs;
+    });
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/KeeperMembership.cpp
@@ -0,0 +1,158 @@
+#include "KeeperMembership.h"
+
+#include <algorithm>
+
+namespace basilpoint {
+
+// A standby of a data centre that has a keeper leaves time for one of a data centre that has none.
+static constexpr Milliseconds joinDelay { 1'200 };
+// How long a leaving member waits for a standby: longer than it takes one to notice and to join.
+static constexpr Milliseconds replacementLimit { 4'000 };
+// Longer than it takes daemons that reach the store to read the view.
+static constexpr Milliseconds sealDelay { 15'000 };
+
+KeeperMembership::KeeperMembership(RelayAddress self, unsigned tolerated)
+    : m_self(std::move(self))
+    , m_tolerated(tolerated)
+{
+}
+
+void KeeperMembership::setView(const KeeperView& view, TimePoint now)
+{
+    if (view.version <= m_view.version)
+        return;
+    m_view = view;
+    m_viewSince = now;
+    m_shortSince.reset();
+    std::erase_if(m_reports, [&](const auto& it) { return !view.contains(it.first); });
+    m_succession.retain([&](const std::string& it) { return view.contains(it); });
+}
+
+void KeeperMembership::answered(const std::string& keeper, const KeeperReport& report, TimePoint now)
+{
+    m_succession.answered(keeper);
+    m_reports[keeper] = report;
+    setView(report.view, now);
+}
+
+void KeeperMembership::failed(const std::string& keeper, TimePoint now)
+{
+    m_succession.failed(keeper, now);
+    m_reports.erase(keeper);
+}
+
+KeeperReport KeeperMembership::report(TimePoint now) const
+{
+    std::vector<std::string> silent = m_succession.gone(now);
+    return { m_view, InstanceNames(silent.begin(), silent.end()), isLeaving() };
+}
+
+// One keeper alone may be cut off from a member that serves everyone else. A keeper that does not know the view yet
+// probes nobody.
+InstanceNames KeeperMembership::gone(TimePoint now) const
+{
+    InstanceNames gone;
+    for (const std::string& keeper : m_succession.gone(now)) {
+        bool isConfirmed = std::all_of(m_reports.begin(), m_reports.end(), [&](const auto& it) { return it.second.view.version == 0 || it.second.silent.contains(keeper); });
+        if (m_view.contains(keeper) && isConfirmed)
+            gone.insert(keeper);
+    }
+    return gone;
+}
+
+static std::vector<RelayAddress> without(const std::vector<RelayAddress>& keepers, const InstanceNames& removed)
+{
+    std::vector<RelayAddress> remaining;
+    std::copy_if(keepers.begin(), keepers.end(), std::back_inserter(remaining), [&](const RelayAddress& it) { return !removed.contains(it.instance); });
+    return remaining;
+}
+
+// Members that are gone may still be alive and answer daemons that know only older views. These learn of the joint view
+// from the store meanwhile.
+InstanceNames KeeperMembership::assumedSealed(TimePoint now) const
+{
+    return m_view.isJoint() && now - m_viewSince >= sealDelay ? gone(now) : InstanceNames();
+}
+
+// Without a quorum the change could not be completed.
+bool KeeperMembership::hasQuorumOfAnswers() const
+{
+    InstanceNames answering;
+    for (const auto& [keeper, report] : m_reports)
+        answering.insert(keeper);
+    if (m_view.contains(m_self.instance))
+        answering.insert(m_self.instance);
+    return isReadQuorum(m_view, answering, m_tolerated);
+}
+
+bool KeeperMembership::isFirstOf(const std::vector<RelayAddress>& keepers) const
+{
+    auto isAnswering = [&](const RelayAddress& it) { return it.instance == m_self.instance || m_reports.contains(it.instance); };
+    auto first = std::find_if(keepers.begin(), keepers.end(), isAnswering);
+    return first != keepers.end() && first->instance == m_self.instance;
+}
+
+KeeperMembership::Step KeeperMembership::next(TimePoint now)
+{
+    if (m_view.members.empty())
+        return isLeaving() ? Step {} : Step { Action::Begin, beginChange(m_view, { m_self }) };
+    InstanceNames gone = this->gone(now);
+    InstanceNames unavailable = m_emptied;
+    unavailable.insert(gone.begin(), gone.end());
+    for (const auto& [keeper, report] : m_reports)
+        if (report.isLeaving)
+            unavailable.insert(keeper);
+    std::vector<RelayAddress> staying = without(m_view.members, unavailable);
+    if (staying.size() >= wantedMembers())
+        m_shortSince.reset();
+    else if (!m_shortSince)
+        m_shortSince = now;
+    if (!hasQuorumOfAnswers())
+        return {};
+    if (m_view.isJoint())
+        return nextOfJoint(gone);
+    return m_view.contains(m_self.instance) ? removeEmptied(staying, gone, now) : join(staying, gone, now);
+}
+
+// The keeper that joins completes its change, since it began it. If it or another member is gone, the change continues
+// without that one.
+KeeperMembership::Step KeeperMembership::nextOfJoint(const InstanceNames& gone) const
+{
+    std::vector<RelayAddress> joining = without(without(m_view.members, namesOf(m_view.previous)), gone);
+    std::vector<RelayAddress> leaving = without(without(m_view.previous, namesOf(m_view.members)), gone);
+    if (!isFirstOf(!joining.empty() ? joining : !leaving.empty() ? leaving
+                                                                 : without(m_view.members, gone)))
+        return {};
+    std::vector<RelayAddress> members = without(m_view.members, gone);
+    if (members.size() == m_view.members.size())
+        return { Action::Complete };
+    return { Action::Begin, beginChange(m_view, members.empty() ? m_view.previous : members) };
+}
+
+KeeperMembership::Step KeeperMembership::join(const std::vector<RelayAddress>& staying, const InstanceNames& gone, TimePoint now) const
+{
+    if (isLeaving() || !m_shortSince)
+        return {};
+    bool hasOneHere = std::any_of(staying.begin(), staying.end(), [&](const RelayAddress& it) { return it.dataCentre == m_self.dataCentre; });
+    if (hasOneHere && now - *m_shortSince < joinDelay)
+        return {};
+    std::vector<RelayAddress> members = without(m_view.members, gone);
+    members.push_back(m_self);
+    return { Action::Begin, beginChange(m_view, std::move(members)) };
+}
+
+// A keeper that leaves removes itself. If it is gone, the first of the others does so.
+KeeperMembership::Step KeeperMembership::removeEmptied(const std::vector<RelayAddress>& staying, const InstanceNames& gone, TimePoint now) const
+{
+    InstanceNames removed;
+    for (const std::string& it : m_emptied)
+        if (m_view.contains(it) && (it == m_self.instance || (gone.contains(it) && isFirstOf(staying))))
+            removed.insert(it);
+    std::vector<RelayAddress> members = without(m_view.members, removed);
+    bool mayBeReplaced = m_shortSince && now - *m_shortSince < replacementLimit;
+    if (removed.empty() || members.empty() || mayBeReplaced)
+        return {};
+    return { Action::Begin, beginChange(m_view, std::move(members)) };
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/PeerCall.h
+++ b/lib/Gateway/PeerCall.h
@@ -24,6 +24,9 @@
     inline constexpr const char* journalOutstanding = "/journal/outstanding";
     inline constexpr const char* journalDrop = "/journal/drop";
     inline constexpr const char* journalAll = "/journal/all";
+    inline constexpr const char* journalTransfer = "/journal/transfer";
+    inline constexpr const char* keeperProbe = "/keepers/probe";
+    inline constexpr const char* keeperInstall = "/keepers/install";
 }
 
 /// Another daemon did not answer, or refused the call.
--- a/lib/Gateway/PeerServer.h
+++ b/lib/Gateway/PeerServer.h
@@ -18,6 +18,10 @@
 
     void on(const std::string& path, Handler handler) { m_handlers[path] = std::move(handler); }
     void start() { m_server.start(); }
+    /// Stops accepting calls.
+    void stop() { m_server.stop(); }
+    /// Actual address, if the port was 0.
+    Endpoint endpoint() const { return m_server.endpoint(); }
 
 private:
     void handle(const HttpRequest&, ResponseWriter&);
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -6,6 +6,7 @@
 
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Net/FiberSignal.h"
+#include "basilpoint/Turns/Errors.h"
 
 #include <algorithm>
 
@@ -62,6 +63,10 @@
     std::vector<RelayAddress> relays;
     m_isListed = false;
     for (const KeyValue& it : m_store.snapshot(DaemonEntry::prefix, m_knownRelays ? ReadMode::Stale : ReadMode::Current).items) {
+        if (it.key == KeeperView::key) {
+            readKeeperView(it.value);
+            continue;
+        }
         auto entry = decodeDaemonEntry(it);
         if (entry && entry->address.instance == m_self.instance)
             m_isListed = true;
@@ -72,6 +77,17 @@
     applyRelays(std::move(relays));
 }
 
+void RelayDirectory::readKeeperView(const std::string& value)
+{
+    if (!m_onKeeperView)
+        return;
+    try {
+        m_onKeeperView(decodeView(value));
+    } catch (const DamagedRecordError& error) {
+        m_log.write(LogLine("keepers-view-unreadable").field("reason", error.what()));
+    }
+}
+
 void RelayDirectory::mergeAnnounced(std::vector<RelayAddress>& relays)
 {
     // These announcements are in the list now.
@@ -140,17 +156,18 @@
     remove(m_self.instance);
 }
 
-void RelayDirectory::remove(const std::string& instance)
+bool RelayDirectory::remove(const std::string& instance)
 {
     std::string key = DaemonEntry::keyOf(instance);
     auto current = m_store.get(key);
     bool isRemoved = !current || m_store.commit({ { { key, current->modRevision } }, {}, { key } }).revision.has_value();
     m_log.write(LogLine("daemon-removed").field("daemon", instance).field("removed", isRemoved));
     if (!isRemoved)
-        return;
+        return false;
     handleRemoval(instance);
     for (const RelayAddress& it : relays())
         spawnFiber([this, it, instance] { notify(it, peerpaths::removed, instance); });
+    return true;
 }
 
 void RelayDirectory::handleAnnouncement(const std::string& body)
@@ -189,13 +206,24 @@
     }
 }
 
+// A daemon that is not ready to enter the list reads it as rarely as one that has entered, until it is ready.
+void RelayDirectory::awaitNextRound(bool isEntered, Milliseconds pause) const
+{
+    TimePoint end = m_clock.now() + pause;
+    do
+        sleepFiber(isEntered ? pause : entryRetryInterval);
+    while (!isEntered && m_mayEnter && !m_mayEnter() && m_clock.now() < end);
+}
+
 void RelayDirectory::run()
 {
     bool isEntered = false;
+    bool isWaiting = false;
     Milliseconds pause = minRefreshInterval;
     while (!m_isStopping) {
         try {
-            if (!isEntered && enter()) {
+            isWaiting = m_wasKnown && m_mayEnter && !m_mayEnter();
+            if (!isEntered && !isWaiting && enter()) {
                 isEntered = true;
                 if (m_onEnter)
                     m_onEnter(m_start);
@@ -208,8 +236,8 @@
         } catch (const KeyValueUnavailableError&) {
             // The store client has logged the failure; the list is read again in the next round.
         }
-        sleepFiber(isEntered ? pause : entryRetryInterval);
-        if (isEntered)
+        awaitNextRound(isEntered, pause);
+        if (isEntered || isWaiting)
             pause = std::min(maxRefreshInterval, pause * 2);
     }
 }
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -3,6 +3,8 @@
 #include "PeerServer.h"
 #include "StoreClient.h"
 
+#include "basilpoint/Gateway/KeeperView.h"
+
 namespace basilpoint {
 
 /// Enters this daemon in the list of daemons in the store, and keeps the store client's relays up to date.
@@ -29,6 +31,8 @@
     void onEnter(EnterHook hook) { m_onEnter = std::move(hook); }
     /// \param mayEnter returns whether this daemon is ready to enter the list; until then it only reads the list.
     void setEntryCondition(std::function<bool()> mayEnter) { m_mayEnter = std::move(mayEnter); }
+    /// Called with the view of the keepers whenever the list is read.
+    void onKeeperView(std::function<void(const KeeperView&)> hook) { m_onKeeperView = std::move(hook); }
     void onAnnounce(AnnounceHook hook) { m_onAnnounce = std::move(hook); }
 
     /// Keeps this daemon in the list, and reads the list, until recordHandover() or retire() is called.
@@ -37,8 +41,8 @@
     /// Removes this daemon from the list permanently.
     void retire();
 
-    /// Removes a daemon that is gone permanently from the list.
-    void remove(const std::string& instance);
+    /// Removes a daemon that is gone permanently from the list. \returns whether it is no longer there.
+    bool remove(const std::string& instance);
 
     /// Announces this daemon to another one. \returns whether that one answered and so has added this one to its list.
     bool announceTo(const RelayAddress&);
@@ -52,6 +56,8 @@
 private:
     bool enter();
     void refresh();
+    void readKeeperView(const std::string& value);
+    void awaitNextRound(bool isEntered, Milliseconds pause) const;
     void announce();
     void handleAnnouncement(const std::string& body);
     void handleRemoval(const std::string& instance);
@@ -67,6 +73,7 @@
     ChangeHook m_onChange;
     EnterHook m_onEnter;
     AnnounceHook m_onAnnounce;
+    std::function<void(const KeeperView&)> m_onKeeperView;
     std::function<bool()> m_mayEnter;
     Start m_start;
     bool m_isStopping = false;
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -1,67 +1,30 @@
 #include "TurnJournalClient.h"
 
+#include "KeeperCodec.h"
 #include "PeerCall.h"
 
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Net/FiberSignal.h"
-#include "basilpoint/Support/Cbor.h"
 #include "basilpoint/Turns/Errors.h"
 
 #include <algorithm>
 
 namespace basilpoint {
 
-using Json = nlohmann::json;
-
 // How long a keeper is skipped after a failure if there are enough others.
 static constexpr Milliseconds failurePause { 1'000 };
 static constexpr Milliseconds dropTimeout { 500 };
+// A change of the membership has two views, and each may need a second round.
+static constexpr int maxRounds = 6;
 
-std::string encodeEntries(const std::vector<JournalEntry>& entries)
-{
-    Json json = Json::array();
-    for (const JournalEntry& it : entries)
-        json.push_back(bytesToJson(encodeEntry(it)));
-    return toCbor(json);
-}
-
-std::vector<JournalEntry> decodeEntries(const std::string& text)
-{
-    std::vector<JournalEntry> entries;
-    try {
-        for (const Json& it : Json::from_cbor(text))
-            entries.push_back(decodeEntry(bytesFromJson(it)));
-    } catch (const Json::exception&) {
-        throw DamagedRecordError("journal entries");
-    }
-    return entries;
-}
-
-std::string encodePrograms(const std::set<ProgramId>& programs)
-{
-    Json json = Json::array();
-    for (const ProgramId& it : programs)
-        json.push_back(it.text());
-    return toCbor(json);
-}
-
-std::set<ProgramId> decodePrograms(const std::string& text)
-{
-    std::set<ProgramId> programs;
-    try {
-        for (const Json& it : Json::from_cbor(text))
-            programs.insert(ProgramId(it.get<std::string>()));
-    } catch (const Json::exception&) {
-        throw DamagedRecordError("programs with grants");
-    }
-    return programs;
-}
-
-/// A request to all keepers and its answers.
+/// A request to all keepers of one view and its answers.
 struct TurnJournalClient::Round {
+    KeeperView view;
     std::size_t asked = 0;
     std::size_t ended = 0;
-    std::vector<std::string> answers;
+    std::map<std::string, std::string> answers;
+    InstanceNames answering;
+    bool isViewOutdated = false;
     FiberSignal changed;
 };
 
@@ -73,97 +36,124 @@
 {
 }
 
-void TurnJournalClient::setRelays(const std::vector<RelayAddress>& relays)
+void TurnJournalClient::setView(const KeeperView& view)
 {
-    m_keepers = filterRelays(relays, true);
+    if (view.version <= m_view.version)
+        return;
+    m_view = view;
+    m_log.write(LogLine("keepers-view").field("version", view.version).field("members", view.members.size()).field("previous", view.previous.size()).field("tolerated", m_tolerated));
 }
 
-std::vector<RelayAddress> TurnJournalClient::responsiveKeepers() const
+std::vector<RelayAddress> TurnJournalClient::responsiveKeepers(const Quorum& isQuorum) const
 {
+    std::vector<RelayAddress> all = m_view.all();
     std::vector<RelayAddress> likely;
-    std::copy_if(m_keepers.begin(), m_keepers.end(), std::back_inserter(likely), [&](const RelayAddress& it) {
+    std::copy_if(all.begin(), all.end(), std::back_inserter(likely), [&](const RelayAddress& it) {
         auto failed = m_failedAt.find(it.instance);
         return failed == m_failedAt.end() || m_clock.now() - failed->second > failurePause;
     });
-    return likely.size() > m_tolerated ? likely : m_keepers;
+    return isQuorum(m_view, namesOf(likely), m_tolerated) ? likely : all;
 }
 
-std::shared_ptr<TurnJournalClient::Round> TurnJournalClient::ask(const char* path, const std::string& body, TimePoint deadline)
+void TurnJournalClient::ask(const std::shared_ptr<Round>& round, const RelayAddress& keeper, const char* path, const std::string& request, Milliseconds timeout)
+{
+    try {
+        KeeperAnswer answer = decodeAnswer(callPeer(m_client, keeper.endpoint, path, request, timeout));
+        m_failedAt.erase(keeper.instance);
+        if (answer.newerView) {
+            setView(*answer.newerView);
+            round->isViewOutdated = true;
+        } else {
+            round->answers[keeper.instance] = std::move(answer.body);
+            round->answering.insert(keeper.instance);
+        }
+    } catch (const Error& error) {
+        m_failedAt[keeper.instance] = m_clock.now();
+        m_log.write(LogLine("keeper-failed").field("keeper", keeper.instance).field("call", path).field("reason", error.what()));
+    }
+    ++round->ended;
+    round->changed.notifyAll();
+}
+
+std::shared_ptr<TurnJournalClient::Round> TurnJournalClient::askAll(const std::vector<RelayAddress>& keepers, const char* path, const std::string& body, TimePoint deadline)
 {
     auto round = std::make_shared<Round>();
-    std::vector<RelayAddress> keepers = responsiveKeepers();
+    round->view = m_view;
     round->asked = keepers.size();
+    std::string request = encodeRequest({ m_view, body });
     auto timeout = std::chrono::duration_cast<Milliseconds>(deadline - m_clock.now());
-    for (const RelayAddress& keeper : keepers) {
-        spawnFiber([this, round, path, body, keeper, timeout] {
-            try {
-                round->answers.push_back(callPeer(m_client, keeper.endpoint, path, body, timeout));
-                m_failedAt.erase(keeper.instance);
-            } catch (const PeerUnavailableError& error) {
-                m_failedAt[keeper.instance] = m_clock.now();
-                m_log.write(LogLine("keeper-failed").field("keeper", keeper.instance).field("call", path).field("reason", error.what()));
-            }
-            ++round->ended;
-            round->changed.notifyAll();
-        });
-    }
+    for (const RelayAddress& keeper : keepers)
+        spawnFiber([this, round, keeper, path, request, timeout] { ask(round, keeper, path, request, timeout); });
     return round;
 }
 
-bool TurnJournalClient::awaitAnswers(Round& round, std::size_t needed)
-{
-    while (round.answers.size() < needed && round.ended < round.asked)
-        round.changed.wait();
-    return round.answers.size() >= needed;
+// Keepers that know a newer view refuse the call, so that it is repeated with that view. Keepers that failed recently
+// are asked only if the others are no quorum or form none.
+bool TurnJournalClient::askQuorum(const char* path, const std::string& body, TimePoint deadline, const Quorum& isQuorum, const AnswerHook& onAnswers)
+{
+    bool isAskingAll = false;
+    for (int n = 0; n < maxRounds && m_clock.now() < deadline; ++n) {
+        std::vector<RelayAddress> all = m_view.all();
+        if (!isQuorum(m_view, namesOf(all), m_tolerated))
+            break;
+        std::vector<RelayAddress> keepers = isAskingAll ? all : responsiveKeepers(isQuorum);
+        auto round = askAll(keepers, path, body, deadline);
+        for (;;) {
+            if (onAnswers(round->answers))
+                return true;
+            if (round->isViewOutdated)
+                break;
+            if (isQuorum(round->view, round->answering, m_tolerated))
+                return true;
+            if (round->ended == round->asked)
+                break;
+            round->changed.wait();
+        }
+        if (!round->isViewOutdated && keepers.size() == all.size())
+            break;
+        isAskingAll = !round->isViewOutdated;
+    }
+    m_log.write(LogLine("keepers-no-quorum").field("call", path).field("version", m_view.version).field("members", m_view.members.size()).field("previous", m_view.previous.size()).field("tolerated", m_tolerated));
+    return false;
 }
 
 bool TurnJournalClient::append(const std::vector<JournalEntry>& entries, TimePoint deadline)
 {
-    std::size_t needed = m_tolerated + 1;
-    if (m_keepers.size() < needed || m_clock.now() >= deadline)
-        return false;
-    auto round = ask(peerpaths::journalAppend, encodeEntries(entries), deadline);
-    return awaitAnswers(*round, needed);
+    return askQuorum(peerpaths::journalAppend, encodeEntries(entries), deadline, isWriteQuorum, [](const Answers&) { return false; });
 }
 
 std::optional<std::vector<JournalEntry>> TurnJournalClient::find(const CallId& turn, TimePoint deadline)
 {
     std::vector<JournalEntry> found;
-    if (m_keepers.empty() || m_clock.now() >= deadline)
-        return std::nullopt;
-    std::size_t needed = m_keepers.size() > m_tolerated ? m_keepers.size() - m_tolerated : 1;
-    auto round = ask(peerpaths::journalFind, turn.text(), deadline);
-    std::size_t read = 0;
-    for (;;) {
-        for (; read < round->answers.size(); ++read)
-            for (JournalEntry& it : decodeEntries(round->answers[read]))
+    // An entry that was found is valid, but its absence is certain only once enough keepers have answered.
+    bool isCertain = askQuorum(peerpaths::journalFind, turn.text(), deadline, isReadQuorum, [&](const Answers& answers) {
+        found.clear();
+        for (const auto& [keeper, answer] : answers)
+            for (JournalEntry& it : decodeEntries(answer))
                 found.push_back(std::move(it));
-        // An entry that was found is valid, but its absence is certain only once enough keepers have answered.
-        if (!found.empty() || read >= needed)
-            return found;
-        if (round->ended == round->asked)
-            return std::nullopt;
-        round->changed.wait();
-    }
+        return !found.empty();
+    });
+    return isCertain ? std::optional(std::move(found)) : std::nullopt;
 }
 
-std::optional<std::vector<std::string>> TurnJournalClient::askEnough(const char* path, const std::string& body, TimePoint deadline)
+std::optional<TurnJournalClient::Answers> TurnJournalClient::readAll(const char* path, const std::string& body, TimePoint deadline)
 {
-    if (m_keepers.size() <= m_tolerated || m_clock.now() >= deadline)
-        return std::nullopt;
-    std::size_t needed = m_keepers.size() - m_tolerated;
-    auto round = ask(path, body, deadline);
-    return awaitAnswers(*round, needed) ? std::optional(round->answers) : std::nullopt;
+    Answers answers;
+    bool isCertain = askQuorum(path, body, deadline, isReadQuorum, [&](const Answers& received) {
+        answers = received;
+        return false;
+    });
+    return isCertain ? std::optional(std::move(answers)) : std::nullopt;
 }
 
 std::optional<std::vector<JournalEntry>> TurnJournalClient::grantsOf(const ProgramId& program, TimePoint deadline)
 {
-    auto answers = askEnough(peerpaths::journalGrants, program.text(), deadline);
+    auto answers = readAll(peerpaths::journalGrants, program.text(), deadline);
     if (!answers)
         return std::nullopt;
     std::vector<JournalEntry> grants;
-    for (const std::string& it : *answers)
-        for (JournalEntry& entry : decodeEntries(it))
+    for (const auto& [keeper, answer] : *answers)
+        for (JournalEntry& entry : decodeEntries(answer))
             grants.push_back(std::move(entry));
     return grants;
 }
@@ -182,12 +172,12 @@
 
 std::optional<std::set<ProgramId>> TurnJournalClient::outstandingPrograms(TimePoint deadline)
 {
-    auto answers = askEnough(peerpaths::journalOutstanding, {}, deadline);
+    auto answers = readAll(peerpaths::journalOutstanding, {}, deadline);
     if (!answers)
         return std::nullopt;
     std::set<ProgramId> programs;
-    for (const std::string& it : *answers)
-        programs.merge(decodePrograms(it));
+    for (const auto& [keeper, answer] : *answers)
+        programs.merge(decodePrograms(answer));
     return programs;
 }
 
@@ -198,7 +188,7 @@
 
 void TurnJournalClient::grantStored(const ProgramId& program, const DaemonLifetime& daemon, std::uint64_t grant, WallTimePoint keepUntil)
 {
-    ask(peerpaths::journalAppend, encodeEntries({ grantStoredEntry(program, daemon, grant, keepUntil) }), m_clock.now() + dropTimeout);
+    spawnFiber([this, entry = grantStoredEntry(program, daemon, grant, keepUntil)] { append({ entry }, m_clock.now() + dropTimeout); });
 }
 
 // The grant is written before the total is checked against the allowance, so of two concurrent grants at least the
@@ -237,7 +227,7 @@
 
 void TurnJournalClient::drop(const EntryName& name)
 {
-    ask(peerpaths::journalDrop, encodeOperation({ JournalOperation::Kind::Drop, {}, name }), m_clock.now() + dropTimeout);
+    askAll(m_view.all(), peerpaths::journalDrop, encodeOperation({ JournalOperation::Kind::Drop, {}, name }), m_clock.now() + dropTimeout);
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "basilpoint/Gateway/JsonLog.h"
-#include "basilpoint/Gateway/StorePaths.h"
+#include "basilpoint/Gateway/KeeperView.h"
 #include "basilpoint/Net/HttpClient.h"
 #include "basilpoint/Turns/TurnJournal.h"
 
@@ -13,7 +13,8 @@
     /// \param tolerated number of keepers' disks that may be lost at once.
     TurnJournalClient(HttpClient&, unsigned tolerated, const Clock&, JsonLog&);
 
-    void setRelays(const std::vector<RelayAddress>&);
+    /// Takes the view unless a newer one is known.
+    void setView(const KeeperView&);
 
     /// Appends \p entries to the keepers' journals. \returns whether enough disks had them before \p deadline.
     bool append(const std::vector<JournalEntry>& entries, TimePoint deadline);
@@ -61,36 +62,31 @@
 
 private:
     struct Round;
-
-    /// Answers of enough keepers to include every entry that is on one more disk than may be lost; not set if too few
-    /// answer.
-    std::optional<std::vector<std::string>> askEnough(const char* path, const std::string& body, TimePoint deadline);
+    using Answers = std::map<std::string, std::string>;
+    using Quorum = std::function<bool(const KeeperView&, const InstanceNames&, unsigned tolerated)>;
+    /// \returns whether the answers so far are sufficient without a quorum.
+    using AnswerHook = std::function<bool(const Answers&)>;
+
+    /// Suspends until a quorum has answered. \returns false if none does before \p deadline.
+    bool askQuorum(const char* path, const std::string& body, TimePoint deadline, const Quorum&, const AnswerHook&);
+    /// Answers of a read quorum; not set if too few keepers answer.
+    std::optional<Answers> readAll(const char* path, const std::string& body, TimePoint deadline);
     std::optional<std::vector<JournalEntry>> grantsOf(const ProgramId&, TimePoint deadline);
     std::optional<TokenCount> grantedSoFar(const ProgramId&, TimePoint deadline);
-    /// Suspends until \p needed keepers have answered or all calls have ended. \returns whether enough have answered.
-    static bool awaitAnswers(Round&, std::size_t needed);
-    std::shared_ptr<Round> ask(const char* path, const std::string& body, TimePoint deadline);
+    std::shared_ptr<Round> askAll(const std::vector<RelayAddress>&, const char* path, const std::string& body, TimePoint deadline);
+    void ask(const std::shared_ptr<Round>&, const RelayAddress&, const char* path, const std::string& request, Milliseconds timeout);
+    /// Keepers without a recent failure; all keepers if those are no quorum.
+    std::vector<RelayAddress> responsiveKeepers(const Quorum&) const;
 
     HttpClient& m_client;
     unsigned m_tolerated;
     const Clock& m_clock;
     JsonLog& m_log;
-    /// Keepers without a recent failure; all keepers if those are too few.
-    std::vector<RelayAddress> responsiveKeepers() const;
-
-    std::vector<RelayAddress> m_keepers;
+    KeeperView m_view;
     std::map<std::string, TimePoint> m_failedAt;
 };
 
 /// Makes the entry that records that the account includes the tokens used under a grant.
 JournalEntry grantStoredEntry(const ProgramId&, const DaemonLifetime&, std::uint64_t grant, WallTimePoint keepUntil);
 
-std::string encodePrograms(const std::set<ProgramId>&);
-/// \throws DamagedRecordError
-std::set<ProgramId> decodePrograms(const std::string&);
-
-std::string encodeEntries(const std::vector<JournalEntry>&);
-/// \throws DamagedRecordError
-std::vector<JournalEntry> decodeEntries(const std::string&);
-
 } // namespace basilpoint
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -16,6 +16,8 @@
 static constexpr Milliseconds synchronizeTimeout { 1'500 };
 // Age at which the keeper stores an entry itself, in case the daemon that made it is gone.
 static constexpr Milliseconds uploadAfter { 4'000 };
+// Far below the limit of a message between daemons.
+static constexpr std::size_t maxTransferBytes = 1024 * 1024;
 static constexpr std::uint64_t compactionThresholdBytes = 16 * 1024 * 1024;
 static constexpr std::size_t uploadsPerInterval = 20;
 // Puts in one upload, below the limit of a store call; most entries add two.
@@ -24,7 +26,7 @@
 
 namespace {
 
-    /// The journal has lost its disk and has not read the other journals yet, or it is retired.
+    /// The journal does not have all entries yet, or its keeper is no member of the view.
     class JournalNotReadyError final : public Error {
     public:
         JournalNotReadyError()
@@ -51,40 +53,115 @@
     return settings;
 }
 
-TurnJournalServer::TurnJournalServer(boost::asio::io_context& io, PeerServer& server, HttpClient& client, const std::filesystem::path& folder, bool isFirstStart, StoreClient& store, StoreRelay& relay, const Clock& clock, JsonLog& log)
+TurnJournalServer::TurnJournalServer(boost::asio::io_context& io, PeerServer& server, HttpClient& client, const JournalSettings& settings, StoreClient& store, StoreRelay& relay, const Clock& clock, JsonLog& log)
     : m_io(io)
     , m_client(client)
     , m_store(store)
     , m_relay(relay)
     , m_clock(clock)
     , m_log(log)
-    , m_disk(settingsFor(folder))
+    , m_disk(settingsFor(settings.folder))
+    , m_self(settings.instance)
+    , m_tolerated(settings.tolerated)
 {
     m_disk.load([this](std::string_view bytes) { m_journal.apply(decodeOperation(std::string(bytes))); });
     for (const auto& [name, entry] : m_journal.entries())
         m_firstSeenAt[name] = clock.now();
-    m_log.write(LogLine("journal-loaded").field("entries", m_journal.size()).field("bytes", m_disk.bytes()).field("complete", m_journal.isSynchronized()).field("firstStart", isFirstStart));
-    if (isFirstStart && !m_journal.isSynchronized()) {
+    if (!m_journal.view().empty()) {
+        m_view = decodeView(m_journal.view());
+        m_versionOnDisk = m_view.version;
+        m_isViewKnown = true;
+    }
+    m_log.write(LogLine("journal-loaded").field("entries", m_journal.size()).field("bytes", m_disk.bytes()).field("complete", m_journal.isSynchronized()).field("firstStart", settings.isFirstStart).field("version", m_view.version));
+    if (settings.isFirstStart && !m_journal.isSynchronized()) {
         JournalOperation synchronized { JournalOperation::Kind::Synchronized };
         m_journal.apply(synchronized);
         m_disk.write(encodeOperation(synchronized), [](const std::exception_ptr&) {});
     }
-    server.on(peerpaths::journalAppend, [this](const std::string& body) { return append(body); });
-    server.on(peerpaths::journalFind, [this](const std::string& body) { return find(body); });
-    server.on(peerpaths::journalGrants, [this](const std::string& body) { return grants(body); });
-    server.on(peerpaths::journalOutstanding, [this](const std::string&) { return outstanding(); });
+    auto onCurrentView = [&](const char* path, std::string (TurnJournalServer::*handler)(const std::string&)) {
+        server.on(path, [this, handler](const std::string& bytes) { return serve(bytes, [&](const std::string& body) { return (this->*handler)(body); }); });
+    };
+    onCurrentView(peerpaths::journalAppend, &TurnJournalServer::append);
+    onCurrentView(peerpaths::journalFind, &TurnJournalServer::find);
+    onCurrentView(peerpaths::journalGrants, &TurnJournalServer::grants);
+    onCurrentView(peerpaths::journalOutstanding, &TurnJournalServer::outstanding);
     server.on(peerpaths::journalDrop, [this](const std::string& body) {
-        drop(decodeOperation(body).name);
-        return std::string("dropped");
+        drop(decodeOperation(decodeRequest(body).body).name);
+        return encodeAnswer({ std::nullopt, "dropped" });
+    });
+    server.on(peerpaths::journalAll, [this](const std::string&) { return encodeContents({ m_journal.isSynchronized(), m_journal.all() }); });
+    server.on(peerpaths::journalTransfer, [this](const std::string& body) { return acceptTransfer(body); });
+    server.on(peerpaths::keeperInstall, [this](const std::string& body) {
+        install(decodeView(body));
+        if (!m_isViewKnown)
+            throw JournalNotReadyError();
+        return std::string("installed");
     });
-    server.on(peerpaths::journalAll, [this](const std::string&) { return all(); });
 }
 
-void TurnJournalServer::setRelays(const std::vector<RelayAddress>& relays, unsigned maxMissing)
+void TurnJournalServer::startFrom(const KeeperView& stored)
+{
+    m_isViewKnown = true;
+    install(stored);
+}
+
+// A keeper that is no member receives no entries, so it forgets those it has. Suspends until the view is on disk, also
+// if another call is writing it, since a power loss would undo a view that is not.
+void TurnJournalServer::install(const KeeperView& view)
+{
+    if (!m_isViewKnown)
+        return;
+    if (view.version > m_view.version) {
+        m_view = view;
+        m_log.write(LogLine("keepers-view").field("version", view.version).field("members", view.members.size()).field("previous", view.previous.size()).field("tolerated", m_tolerated).field("member", namesOf(view.members).contains(m_self)));
+        if (m_onView)
+            m_onView(view);
+    }
+    while (m_versionOnDisk < view.version) {
+        if (m_isWritingView)
+            m_viewWritten.wait();
+        else
+            writeView();
+    }
+}
+
+void TurnJournalServer::writeView()
 {
-    m_otherKeepers = filterRelays(relays, true);
-    m_maxMissing = maxMissing;
-    m_areOtherKeepersKnown = true;
+    KeeperView view = m_view;
+    bool isJoining = view.isJoint() && namesOf(view.members).contains(m_self) && !namesOf(view.previous).contains(m_self);
+    std::vector<JournalOperation> operations { { JournalOperation::Kind::View, encodeView(view) } };
+    if (isJoining || !view.contains(m_self)) {
+        operations.push_back({ JournalOperation::Kind::Reset });
+        m_firstSeenAt.clear();
+    }
+    m_isWritingView = true;
+    try {
+        persist(operations);
+        m_versionOnDisk = view.version;
+    } catch (...) {
+        m_isWritingView = false;
+        m_viewWritten.notifyAll();
+        throw;
+    }
+    m_isWritingView = false;
+    m_viewWritten.notifyAll();
+}
+
+// The view is checked again after the handler, which may have waited for the disk: entries that are acknowledged under
+// an older view might be missed by the transfer to new members.
+std::string TurnJournalServer::serve(const std::string& bytes, const std::function<std::string(const std::string&)>& handler)
+{
+    KeeperRequest request = decodeRequest(bytes);
+    install(request.view);
+    std::string body;
+    if (request.view.version >= m_view.version) {
+        if (!m_isViewKnown || !m_view.contains(m_self))
+            throw JournalNotReadyError();
+        body = handler(request.body);
+    }
+    if (request.view.version < m_view.version)
+        return encodeAnswer({ m_view, {} });
+    return encodeAnswer({ std::nullopt, std::move(body) });
 }
 
 // Suspends until all operations are on disk, which takes few syncs, and applies them. Rethrows failures of the disk
@@ -113,8 +190,6 @@
 
 std::string TurnJournalServer::append(const std::string& body)
 {
-    if (m_isRetired)
-        throw JournalNotReadyError();
     persistEntries(decodeEntries(body));
     return "kept";
 }
@@ -144,19 +219,19 @@
         throw JournalNotReadyError();
 }
 
-std::string TurnJournalServer::grants(const std::string& body) const
+std::string TurnJournalServer::grants(const std::string& body)
 {
     requireSynchronized();
     return encodeEntries(m_journal.grantsOf(ProgramId(body)));
 }
 
-std::string TurnJournalServer::find(const std::string& body) const
+std::string TurnJournalServer::find(const std::string& body)
 {
     requireSynchronized();
     return encodeEntries(m_journal.findTurn(CallId(body)));
 }
 
-std::string TurnJournalServer::outstanding()
+std::string TurnJournalServer::outstanding(const std::string&)
 {
     requireSynchronized();
     return encodePrograms(m_journal.outstandingPrograms());
@@ -173,66 +248,123 @@
     m_disk.write(encodeOperation(operation), [](const std::exception_ptr&) {});
 }
 
-std::string TurnJournalServer::all() const
-{
-    requireSynchronized();
-    return encodeEntries(m_journal.all());
-}
+struct TurnJournalServer::Collected {
+    /// Keepers that answered.
+    InstanceNames answered;
+    /// Those of them whose journals are complete.
+    InstanceNames complete;
+};
 
-// Adds all entries of \p keepers. \returns how many of them answered.
-std::size_t TurnJournalServer::readFrom(const std::vector<RelayAddress>& keepers)
+// Adds all entries of \p keepers to this journal.
+TurnJournalServer::Collected TurnJournalServer::collect(const std::vector<RelayAddress>& keepers)
 {
-    std::size_t answers = 0;
+    Collected collected;
     for (const RelayAddress& it : keepers) {
+        if (it.instance == m_self)
+            continue;
         try {
-            persistEntries(decodeEntries(callPeer(m_client, it.endpoint, peerpaths::journalAll, {}, synchronizeTimeout)));
-            ++answers;
+            JournalContents contents = decodeContents(callPeer(m_client, it.endpoint, peerpaths::journalAll, {}, synchronizeTimeout));
+            persistEntries(contents.entries);
+            collected.answered.insert(it.instance);
+            if (contents.isSynchronized)
+                collected.complete.insert(it.instance);
         } catch (const Error& error) {
             m_log.write(LogLine("journal-not-read").field("keeper", it.instance).field("reason", error.what()));
         }
     }
-    return answers;
+    collected.answered.insert(m_self);
+    if (m_journal.isSynchronized())
+        collected.complete.insert(m_self);
+    return collected;
+}
+
+// If all members have answered, no other journal can have further entries, even if all of them lost their disks.
+bool TurnJournalServer::isComplete(const std::vector<RelayAddress>& members, const Collected& collected) const
+{
+    InstanceNames names = namesOf(members);
+    return isReadQuorum({ m_view.version, members }, collected.complete, m_tolerated) || std::includes(collected.answered.begin(), collected.answered.end(), names.begin(), names.end());
 }
 
-// Restores the journal after its disk was lost. Every entry is on one more disk than may be lost, so all other keepers
-// except up to m_maxMissing must answer.
+// Restores the journal after its disk was lost.
 bool TurnJournalServer::synchronize()
 {
-    if (!m_areOtherKeepersKnown)
+    KeeperView view = m_view;
+    if (!namesOf(view.members).contains(m_self) || (view.isJoint() && !namesOf(view.previous).contains(m_self)))
         return false;
-    std::vector<RelayAddress> others = m_otherKeepers;
-    std::size_t answers = readFrom(others);
-    if (answers + m_maxMissing < others.size())
+    Collected collected = collect(view.all());
+    if (!isComplete(view.members, collected) || (view.isJoint() && !isComplete(view.previous, collected)) || m_view != view)
         return false;
     persist({ { JournalOperation::Kind::Synchronized } });
-    m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("answers", answers).field("excused", m_maxMissing));
+    m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("answers", collected.answered.size() - 1).field("version", view.version));
     return true;
 }
 
-bool TurnJournalServer::handOver()
+bool TurnJournalServer::transfer(const KeeperView& joint, const InstanceNames& installed, const InstanceNames& gone)
 {
-    m_isRetired = true;
-    std::vector<RelayAddress> others = m_otherKeepers;
-    std::string entries = encodeEntries(m_journal.all());
-    for (const RelayAddress& it : others) {
-        try {
-            callPeer(m_client, it.endpoint, peerpaths::journalAppend, entries, synchronizeTimeout);
-        } catch (const Error& error) {
-            m_log.write(LogLine("journal-not-handed-over").field("keeper", it.instance).field("reason", error.what()));
+    std::vector<RelayAddress> sources = joint.all();
+    std::erase_if(sources, [&](const RelayAddress& it) { return !installed.contains(it.instance); });
+    Collected collected = collect(sources);
+    if (!isComplete(joint.previous, collected) || m_view != joint)
+        return false;
+    // Members that are too few for a write quorum keep nothing safe; all is stored first.
+    bool hasTurns = std::any_of(m_journal.entries().begin(), m_journal.entries().end(), [](const auto& it) { return !isGrant(it.second); });
+    bool isNeeded = hasTurns || !m_journal.outstandingPrograms().empty();
+    if (joint.members.size() <= m_tolerated && isNeeded)
+        return false;
+    InstanceNames received;
+    for (const RelayAddress& it : joint.members) {
+        if (gone.contains(it.instance))
+            continue;
+        if (!sendAll(it, joint.version))
             return false;
-        }
+        received.insert(it.instance);
     }
-    m_log.write(LogLine("journal-handed-over").field("entries", m_journal.size()).field("keepers", others.size()));
-    return true;
+    m_log.write(LogLine("journal-transferred").field("entries", m_journal.size()).field("keepers", received.size()).field("version", joint.version));
+    return received.size() >= std::min<std::size_t>(joint.members.size(), m_tolerated + 1);
 }
 
-bool TurnJournalServer::takeOverFrom(const std::string& gone)
+bool TurnJournalServer::sendAll(const RelayAddress& keeper, std::uint64_t version)
 {
-    if (!m_journal.isSynchronized())
+    try {
+        JournalTransfer part { version, {} };
+        std::size_t bytes = 0;
+        auto send = [&](bool isLast) {
+            part.isLast = isLast;
+            std::string body = encodeTransfer(part);
+            if (keeper.instance == m_self)
+                acceptTransfer(body);
+            else
+                callPeer(m_client, keeper.endpoint, peerpaths::journalTransfer, body, synchronizeTimeout);
+            part.entries.clear();
+            bytes = 0;
+        };
+        for (JournalEntry& it : m_journal.all()) {
+            bytes += encodeEntry(it).size();
+            part.entries.push_back(std::move(it));
+            if (bytes >= maxTransferBytes)
+                send(false);
+        }
+        send(true);
+        return true;
+    } catch (const Error& error) {
+        m_log.write(LogLine("journal-not-transferred").field("keeper", keeper.instance).field("reason", error.what()));
         return false;
-    std::vector<RelayAddress> others = m_otherKeepers;
-    std::erase_if(others, [&](const RelayAddress& it) { return it.instance == gone; });
-    return readFrom(others) == others.size();
+    }
+}
+
+std::string TurnJournalServer::acceptTransfer(const std::string& body)
+{
+    JournalTransfer transfer = decodeTransfer(body);
+    if (transfer.version != m_view.version)
+        throw JournalNotReadyError();
+    persistEntries(transfer.entries);
+    if (transfer.isLast && transfer.version == m_view.version && !m_journal.isSynchronized()) {
+        persist({ { JournalOperation::Kind::Synchronized } });
+        m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("version", transfer.version));
+    }
+    if (transfer.version != m_view.version)
+        throw JournalNotReadyError();
+    return "kept";
 }
 
 // Stores the changes that the account does not include yet. The entries belong to one program and are in order of their
@@ -297,7 +429,9 @@
 
 void TurnJournalServer::uploadOverdue()
 {
-    if (m_store.health().failingSince())
+    // Others have the entries of a keeper that is no member, and may know more of them.
+    bool isMember = namesOf(m_view.members).contains(m_self);
+    if (m_store.health().failingSince() || !isMember || !m_journal.isSynchronized())
         return;
     std::map<ProgramId, std::vector<JournalEntry>> old;
     for (const auto& [name, entry] : m_journal.entries())
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "KeeperCodec.h"
 #include "PeerServer.h"
 #include "StoreClient.h"
 #include "StoreRelay.h"
@@ -12,41 +13,66 @@
 
 namespace basilpoint {
 
+/// Settings of a keeper's journal.
+struct JournalSettings {
+    std::string instance;
+    std::filesystem::path folder;
+    /// Number of keepers' disks that may be lost at once.
+    unsigned tolerated = 0;
+    /// The deployment starts for the first time, so that an empty disk has not lost any entries.
+    bool isFirstStart = false;
+};
+
 /// Keeps turns and grants on this instance's disk for daemons that cannot reach the store, and stores the turns later
 /// if those daemons do not.
 class TurnJournalServer {
 public:
-    /// \param isFirstStart the deployment starts for the first time, so that an empty disk has not lost any entries.
-    TurnJournalServer(boost::asio::io_context&, PeerServer&, HttpClient&, const std::filesystem::path& folder, bool isFirstStart, StoreClient&, StoreRelay&, const Clock&, JsonLog&);
+    /// Called with each view that this journal installs.
+    using ViewHook = std::function<void(const KeeperView&)>;
+
+    TurnJournalServer(boost::asio::io_context&, PeerServer&, HttpClient&, const JournalSettings&, StoreClient&, StoreRelay&, const Clock&, JsonLog&);
 
-    /// Sets the list of relays, whose other keepers' journals are read after this disk was lost.
-    /// \param maxMissing number of other keepers that need not answer for the journal to be complete.
-    void setRelays(const std::vector<RelayAddress>&, unsigned maxMissing);
+    void onView(ViewHook hook) { m_onView = std::move(hook); }
 
-    /// Stops accepting entries and sends all entries to all other keepers. \returns false if one of them failed.
-    bool handOver();
+    const KeeperView& view() const { return m_view; }
 
-    /// Reads the entries of all other keepers except \p gone, which this one replaces. \returns false if one of them
-    /// failed or this journal is not synchronized.
-    bool takeOverFrom(const std::string& gone);
+    /// Records the view on disk, unless a newer one is installed, and refuses calls under older views from then on. Does
+    /// nothing before the start has been completed by a view on disk or startFrom().
+    void install(const KeeperView&);
 
-    /// Whether the journal is complete. After its disk was lost, it is not until it has read the others.
+    /// Takes the view that has just been read from the store, since a lost disk forgets which views had been installed.
+    void startFrom(const KeeperView& stored);
+
+    /// Whether the journal is complete. After its disk was lost, or while it is no member, it is not until it has
+    /// received the entries of the others.
     bool isSynchronized() const { return m_journal.isSynchronized(); }
 
+    /// Gives all members of the joint view the entries of the previous members.
+    /// \param installed keepers that have installed the view, so that they acknowledge nothing under older ones.
+    /// \param gone members that need not answer.
+    /// \returns false if too few answer.
+    bool transfer(const KeeperView& joint, const InstanceNames& installed, const InstanceNames& gone);
+
     /// Runs for the life of the process.
     void run();
 
 private:
+    struct Collected;
+
+    std::string serve(const std::string& bytes, const std::function<std::string(const std::string&)>& handler);
+    void writeView();
     void requireSynchronized() const;
     std::string append(const std::string& body);
     void persistEntries(const std::vector<JournalEntry>&);
-    std::string find(const std::string& body) const;
-    std::string grants(const std::string& body) const;
-    std::string outstanding();
+    std::string find(const std::string& body);
+    std::string grants(const std::string& body);
+    std::string outstanding(const std::string&);
     void drop(const EntryName&);
-    std::string all() const;
+    std::string acceptTransfer(const std::string& body);
     void persist(const std::vector<JournalOperation>&);
-    std::size_t readFrom(const std::vector<RelayAddress>&);
+    Collected collect(const std::vector<RelayAddress>&);
+    bool isComplete(const std::vector<RelayAddress>& members, const Collected&) const;
+    bool sendAll(const RelayAddress&, std::uint64_t version);
     bool synchronize();
     void upload(const ProgramId&, const std::vector<JournalEntry>&);
     void charge(const JournalEntry& grant);
@@ -62,10 +88,15 @@
     JsonLog& m_log;
     TurnJournal m_journal;
     RecordLog m_disk;
-    std::vector<RelayAddress> m_otherKeepers;
-    bool m_areOtherKeepersKnown = false;
-    unsigned m_maxMissing = 0;
-    bool m_isRetired = false;
+    std::string m_self;
+    unsigned m_tolerated;
+    KeeperView m_view;
+    std::uint64_t m_versionOnDisk = 0;
+    bool m_isWritingView = false;
+    FiberSignal m_viewWritten;
+    /// Whether m_view was on disk or has been read from the store since the start.
+    bool m_isViewKnown = false;
+    ViewHook m_onView;
     /// When this process first had each entry.
     std::map<EntryName, TimePoint> m_firstSeenAt;
 };
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -15,7 +15,7 @@
 {
     return readRecord("journal operation", bytes, [](const Json& json) {
         int kind = json.at("k").get<int>();
-        if (kind < 0 || kind > static_cast<int>(JournalOperation::Kind::Synchronized))
+        if (kind < 0 || kind > static_cast<int>(JournalOperation::Kind::View))
             throw DamagedRecordError("journal operation");
         return JournalOperation { static_cast<JournalOperation::Kind>(kind), bytesFromJson(json.at("e")), { DaemonLifetime(json.at("d").get<std::string>()), json.at("s").get<std::uint64_t>() } };
     });
@@ -58,6 +58,16 @@
     m_entries.erase(entry);
 }
 
+void TurnJournal::reset()
+{
+    m_isSynchronized = false;
+    m_entries.clear();
+    m_byTurn.clear();
+    m_byProgram.clear();
+    m_outstanding.clear();
+    m_changed.clear();
+}
+
 void TurnJournal::apply(const JournalOperation& operation)
 {
     switch (operation.kind) {
@@ -68,6 +78,12 @@
     case JournalOperation::Kind::Synchronized:
         m_isSynchronized = true;
         return;
+    case JournalOperation::Kind::Reset:
+        reset();
+        return;
+    case JournalOperation::Kind::View:
+        m_view = operation.entry;
+        return;
     }
     assert(false && "unhandled enumerator");
 }
@@ -205,6 +221,8 @@
 std::vector<JournalOperation> TurnJournal::snapshot() const
 {
     std::vector<JournalOperation> operations;
+    if (!m_view.empty())
+        operations.push_back({ JournalOperation::Kind::View, m_view });
     if (m_isSynchronized)
         operations.push_back({ JournalOperation::Kind::Synchronized });
     for (const auto& [name, entry] : m_entries)
--- /dev/null
+++ b/unittests/Gateway/KeeperMembershipTest.cpp
@@ -0,0 +1,222 @@
+#include "KeeperMembership.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+using namespace basilpoint;
+
+namespace {
+
+/// Keepers that probe each other once a second and share one view; changes complete at once.
+class Fleet {
+public:
+    explicit Fleet(unsigned tolerated)
+        : m_tolerated(tolerated)
+    {
+    }
+
+    void add(const std::string& name, const std::string& dataCentre)
+    {
+        RelayAddress address { name, DataCentreId(dataCentre), { "127.0.0.1", 1 }, true };
+        m_keepers[name] = std::make_unique<KeeperMembership>(address, m_tolerated);
+    }
+
+    void kill(const std::string& name) { m_keepers.erase(name); }
+
+    /// Cuts the connections between two keepers.
+    void cut(const std::string& one, const std::string& other)
+    {
+        m_cuts.insert({ one, other });
+        m_cuts.insert({ other, one });
+    }
+
+    KeeperMembership& keeper(const std::string& name) { return *m_keepers.at(name); }
+
+    void pass(std::chrono::seconds time)
+    {
+        for (TimePoint end = m_now + time; m_now < end; m_now += std::chrono::seconds(1)) {
+            for (auto& [name, keeper] : m_keepers)
+                probeFrom(name, *keeper);
+            for (auto& [name, keeper] : m_keepers)
+                act(*keeper);
+        }
+    }
+
+    InstanceNames members() const { return namesOf(m_view.members); }
+    const KeeperView& view() const { return m_view; }
+    std::uint64_t version() const { return m_view.version; }
+
+    /// Whether keepers can complete changes.
+    bool mayComplete = true;
+
+private:
+    void probeFrom(const std::string& name, KeeperMembership& keeper)
+    {
+        keeper.setView(m_view, m_now);
+        for (const RelayAddress& it : m_view.all()) {
+            if (it.instance == name)
+                continue;
+            auto other = m_keepers.find(it.instance);
+            if (other == m_keepers.end() || m_cuts.contains({ name, it.instance }))
+                keeper.failed(it.instance, m_now);
+            else
+                keeper.answered(it.instance, other->second->report(m_now), m_now);
+        }
+    }
+
+    void act(KeeperMembership& keeper)
+    {
+        keeper.setView(m_view, m_now);
+        KeeperMembership::Step step = keeper.next(m_now);
+        if (step.action == KeeperMembership::Action::Begin)
+            m_view = step.next;
+        else if (step.action == KeeperMembership::Action::Complete && mayComplete)
+            m_view = completeChange(m_view);
+    }
+
+    unsigned m_tolerated;
+    TimePoint m_now { std::chrono::hours(1) };
+    KeeperView m_view;
+    std::map<std::string, std::unique_ptr<KeeperMembership>> m_keepers;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+};
+
+/// Three data centres with two instances each; \ref Fleet::members() are those wanted for one lost disk.
+Fleet startedFleet(unsigned tolerated = 1)
+{
+    Fleet fleet(tolerated);
+    for (const char* it : { "a", "b", "c" })
+        for (const char* n : { "1", "2" })
+            fleet.add(std::string(it) + n, it);
+    fleet.pass(std::chrono::seconds(10));
+    return fleet;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(KeeperMembershipTest)
+
+BOOST_AUTO_TEST_CASE(oneMemberMoreThanAQuorumInEachDataCentreFirst)
+{
+    Fleet fleet = startedFleet();
+    BOOST_TEST(fleet.members() == (InstanceNames { "a1", "b1", "c1" }), boost::test_tools::per_element());
+    BOOST_TEST(!fleet.view().isJoint());
+    // A stable fleet changes nothing.
+    std::uint64_t version = fleet.version();
+    fleet.pass(std::chrono::seconds(30));
+    BOOST_TEST(fleet.version() == version);
+    BOOST_TEST(startedFleet(2).members().size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(fewerDataCentresThanWantedMembersStillFormAQuorum)
+{
+    Fleet fleet(2);
+    for (const char* it : { "a1", "a2", "a3", "a4", "a5" })
+        fleet.add(it, "a");
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(fleet.members().size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(standbyJoinsBeforeAnEmptiedMemberLeaves)
+{
+    Fleet fleet = startedFleet();
+    fleet.keeper("b1").empty("b1");
+    fleet.mayComplete = false;
+    fleet.pass(std::chrono::seconds(2));
+    BOOST_TEST(namesOf(fleet.view().members).contains("b1"));
+    BOOST_TEST(namesOf(fleet.view().members).contains("b2"));
+    fleet.mayComplete = true;
+    fleet.pass(std::chrono::seconds(5));
+    BOOST_TEST(fleet.members() == (InstanceNames { "a1", "b2", "c1" }), boost::test_tools::per_element());
+    // It does not join again.
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(!fleet.members().contains("b1"));
+}
+
+BOOST_AUTO_TEST_CASE(emptiedMemberLeavesIfNoInstanceStandsBy)
+{
+    Fleet fleet(1);
+    fleet.add("a", "a");
+    fleet.add("b", "b");
+    fleet.pass(std::chrono::seconds(5));
+    fleet.keeper("a").empty("a");
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members() == (InstanceNames { "b" }), boost::test_tools::per_element());
+    // The last one has nobody to give its entries to.
+    fleet.keeper("b").empty("b");
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(killedMemberThatIsToBeEmptiedIsRemoved)
+{
+    Fleet fleet(1);
+    for (const char* it : { "a", "b", "c" })
+        fleet.add(it, it);
+    fleet.pass(std::chrono::seconds(5));
+    fleet.kill("a");
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members().contains("a"));
+    for (const char* it : { "b", "c" })
+        fleet.keeper(it).empty("a");
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members() == (InstanceNames { "b", "c" }), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(goneMemberIsReplacedByAStandby)
+{
+    Fleet fleet = startedFleet();
+    fleet.kill("c1");
+    fleet.pass(std::chrono::seconds(2));
+    BOOST_TEST(fleet.members().contains("c1"));
+    fleet.pass(std::chrono::seconds(6));
+    BOOST_TEST(fleet.members() == (InstanceNames { "a1", "b1", "c2" }), boost::test_tools::per_element());
+    // It stands by when it comes back.
+    fleet.add("c1", "c");
+    std::uint64_t version = fleet.version();
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(fleet.version() == version);
+}
+
+BOOST_AUTO_TEST_CASE(keeperThatIsCutOffAloneRemovesNoMember)
+{
+    Fleet fleet = startedFleet();
+    std::uint64_t version = fleet.version();
+    for (const char* it : { "a1", "b1", "c1" })
+        fleet.cut("a2", it);
+    fleet.cut("b2", "b1");
+    fleet.cut("a1", "b1");
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(fleet.version() == version);
+}
+
+BOOST_AUTO_TEST_CASE(livingKeepersOfOneDataCentreDoNotRemoveEachOther)
+{
+    Fleet fleet(1);
+    for (const char* it : { "a1", "a2", "a3" })
+        fleet.add(it, "a");
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members().size() == 3U);
+    std::uint64_t version = fleet.version();
+    fleet.cut("a1", "a2");
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(fleet.version() == version);
+}
+
+BOOST_AUTO_TEST_CASE(changeContinuesWithoutAKeeperThatIsGone)
+{
+    Fleet fleet = startedFleet();
+    fleet.keeper("b1").empty("b1");
+    fleet.mayComplete = false;
+    fleet.pass(std::chrono::seconds(2));
+    BOOST_TEST(fleet.view().isJoint());
+    fleet.kill("b2");
+    fleet.mayComplete = true;
+    fleet.pass(std::chrono::seconds(12));
+    BOOST_TEST(!fleet.view().isJoint());
+    BOOST_TEST(!fleet.members().contains("b1"));
+    BOOST_TEST(!fleet.members().contains("b2"));
+    BOOST_TEST(fleet.members().size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Gateway/KeeperQuorumTest.cpp
@@ -0,0 +1,259 @@
+#include "TurnJournalClient.h"
+#include "TurnJournalServer.h"
+
+#include "MemoryStore.h"
+
+#include "../Journal/TemporaryFolder.h"
+#include "../Net/TestRuntime.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+namespace {
+
+constexpr Milliseconds callTime { 2'000 };
+
+/// A keeper's journal and its server in this process. Destroyed and made again on the same folder, it has restarted.
+struct TestKeeper {
+    TestKeeper(std::string instance, unsigned tolerated, const std::filesystem::path& folder, bool isFirstStart, MemoryStore& memory)
+        : name(std::move(instance))
+        , log(clock, -1, name)
+        , peers(testRuntime().io())
+        , store(memory, nullptr, DataCentreId("z"), clock, log, metrics)
+        , server(testRuntime().io(), { "127.0.0.1", 0 })
+        , relay(server, memory, isFirstStart, clock, log, metrics)
+        , journal(testRuntime().io(), server, peers, { name, folder, tolerated, isFirstStart }, store, relay, clock, log)
+    {
+        server.start();
+    }
+
+    RelayAddress address() const { return { name, DataCentreId("z"), server.endpoint(), true }; }
+
+    std::string name;
+    SystemClock clock;
+    Metrics metrics;
+    JsonLog log;
+    HttpClient peers;
+    StoreClient store;
+    PeerServer server;
+    StoreRelay relay;
+    TurnJournalServer journal;
+};
+
+/// A gateway's side of the journals.
+struct TestGateway {
+    TestGateway(unsigned tolerated, const KeeperView& view)
+        : log(clock, -1, "gateway")
+        , peers(testRuntime().io())
+        , journal(peers, tolerated, clock, log)
+    {
+        journal.setView(view);
+    }
+
+    TimePoint deadline() const { return clock.now() + callTime; }
+    bool append(const std::string& turn, std::uint64_t step)
+    {
+        AccountChange change;
+        change.kind = AccountChange::Kind::Settle;
+        change.step = step;
+        change.record = TurnRecord { CallId(turn), {}, "in", "out", TargetId("t") };
+        return journal.append({ { ProgramId("p"), DaemonLifetime("d"), { change } } }, deadline());
+    }
+    bool finds(const std::string& turn)
+    {
+        auto found = journal.find(CallId(turn), deadline());
+        return found && !found->empty();
+    }
+
+    SystemClock clock;
+    JsonLog log;
+    HttpClient peers;
+    TurnJournalClient journal;
+};
+
+/// Never deleted, since fibers use it until the process ends.
+struct Deployment {
+    explicit Deployment(unsigned tolerance)
+        : tolerated(tolerance)
+    {
+    }
+
+    TestKeeper& start(const std::string& name, bool isFirstStart = true)
+    {
+        TemporaryFolder& folder = folders[name];
+        return *(keepers[name] = std::make_unique<TestKeeper>(name, tolerated, folder.path(), isFirstStart, store));
+    }
+
+    /// Starts a keeper, which has answered no calls yet, on an empty disk.
+    TestKeeper& startEmpty(const std::string& name)
+    {
+        keepers.erase(name);
+        folders.erase(name);
+        return start(name, false);
+    }
+
+    std::vector<RelayAddress> addresses(const std::string& names) const
+    {
+        std::vector<RelayAddress> found;
+        for (char it : names)
+            found.push_back(keepers.at(std::string(1, it))->address());
+        return found;
+    }
+
+    TestGateway& gateway(const KeeperView& view) { return *gateways.emplace_back(std::make_unique<TestGateway>(tolerated, view)); }
+
+    /// The keeper no longer answers.
+    void stop(const std::string& name) { keepers.at(name)->server.stop(); }
+
+    void end()
+    {
+        for (auto& [name, keeper] : keepers)
+            keeper->server.stop();
+    }
+
+    void install(const KeeperView& view, const std::string& names)
+    {
+        for (char it : names)
+            keepers.at(std::string(1, it))->journal.startFrom(view);
+    }
+
+    InstanceNames names(const std::string& names) const { return namesOf(addresses(names)); }
+
+    unsigned tolerated;
+    MemoryStore store;
+    std::map<std::string, TemporaryFolder> folders;
+    std::map<std::string, std::unique_ptr<TestKeeper>> keepers;
+    std::vector<std::unique_ptr<TestGateway>> gateways;
+};
+
+void inFiber(const std::function<void()>& body)
+{
+    testRuntime().run(body);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(KeeperQuorumTest)
+
+BOOST_AUTO_TEST_CASE(grantsAreKnownWhereNoMoreKeepersRemainThanMayBeLost)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(2);
+        deployment.start("a");
+        deployment.start("b");
+        KeeperView view { 7, deployment.addresses("ab") };
+        deployment.install(view, "ab");
+        TestGateway& gateway = deployment.gateway(view);
+        BOOST_TEST(gateway.journal.outstandingPrograms(gateway.deadline()).has_value());
+        BOOST_TEST((gateway.journal.outstanding(ProgramId("p"), gateway.deadline()) == std::optional<TokenCount>(0)));
+        BOOST_TEST(gateway.journal.find(CallId("t1"), gateway.deadline()).has_value());
+        // Two disks could both be lost.
+        BOOST_TEST(!gateway.append("t1", 1));
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(noKeeperAcknowledgesEntriesUnderAViewThatHasBeenReplaced)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b", "c", "d" })
+            deployment.start(it);
+        KeeperView old { 1, deployment.addresses("abc") };
+        deployment.install(old, "abcd");
+        KeeperView joint = beginChange(old, deployment.addresses("bcd"));
+        deployment.install(joint, "bcd");
+        // Keeper a still accepts the old view, but it is no quorum.
+        TestGateway& stale = deployment.gateway(old);
+        BOOST_TEST(stale.append("t1", 1));
+        for (const char* it : { "a", "b", "c", "d" })
+            BOOST_TEST((deployment.keepers[it]->journal.view() == joint), "view of " << it);
+        TestGateway& current = deployment.gateway(joint);
+        BOOST_TEST(current.finds("t1"));
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(newMembersHaveTheEntriesOfThoseTheyReplace)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b", "c" })
+            deployment.start(it);
+        KeeperView old { 1, deployment.addresses("ab") };
+        deployment.install(old, "abc");
+        TestGateway& gateway = deployment.gateway(old);
+        BOOST_REQUIRE(gateway.append("t1", 1));
+        KeeperView joint = beginChange(old, deployment.addresses("bc"));
+        deployment.install(joint, "abc");
+        BOOST_TEST(!deployment.keepers["c"]->journal.isSynchronized());
+        BOOST_TEST(deployment.keepers["c"]->journal.transfer(joint, deployment.names("abc"), {}));
+        BOOST_TEST(deployment.keepers["c"]->journal.isSynchronized());
+        deployment.install(completeChange(joint), "bc");
+        deployment.stop("a");
+        deployment.stop("b");
+        TestGateway& later = deployment.gateway(completeChange(joint));
+        BOOST_TEST(later.finds("t1"));
+        auto none = later.journal.find(CallId("none"), later.deadline());
+        BOOST_TEST((none && none->empty()));
+        deployment.end();
+    });
+}
+
+// A lost disk forgets that older views had been replaced.
+BOOST_AUTO_TEST_CASE(keeperThatLostItsDiskAcceptsNothingBeforeItHasReadTheView)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b" })
+            deployment.start(it);
+        KeeperView view { 3, deployment.addresses("ab") };
+        deployment.install(view, "ab");
+        TestKeeper& empty = deployment.startEmpty("b");
+        view.members = deployment.addresses("ab");
+        TestGateway& gateway = deployment.gateway(view);
+        BOOST_TEST(!gateway.append("t1", 1));
+        BOOST_TEST(empty.journal.view().version == 0U);
+        empty.journal.startFrom(view);
+        pause(Milliseconds(1'100));
+        BOOST_TEST(gateway.append("t2", 2));
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(installedViewSurvivesARestart)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(0);
+        KeeperView view { 5, deployment.start("a").journal.view().members };
+        view.members = deployment.addresses("a");
+        deployment.install(view, "a");
+        deployment.keepers.erase("a");
+        BOOST_TEST((deployment.start("a", false).journal.view() == view));
+        BOOST_TEST(deployment.keepers["a"]->journal.isSynchronized());
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(turnsAreStoredBeforeFewerKeepersRemainThanKeepThemSafe)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b" })
+            deployment.start(it);
+        KeeperView old { 1, deployment.addresses("ab") };
+        deployment.install(old, "ab");
+        TestGateway& gateway = deployment.gateway(old);
+        BOOST_REQUIRE(gateway.append("t1", 1));
+        KeeperView joint = beginChange(old, deployment.addresses("b"));
+        deployment.install(joint, "ab");
+        BOOST_TEST(!deployment.keepers["a"]->journal.transfer(joint, deployment.names("ab"), {}));
+        gateway.journal.drop({ DaemonLifetime("d"), 1 });
+        pause(Milliseconds(300));
+        BOOST_TEST(deployment.keepers["a"]->journal.transfer(joint, deployment.names("ab"), {}));
+        deployment.end();
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Gateway/RelayDirectoryTest.cpp
+++ b/unittests/Gateway/RelayDirectoryTest.cpp
@@ -1,58 +1,16 @@
 #include "RelayDirectory.h"
 
 #include "DaemonEntry.h"
+#include "MemoryStore.h"
 
 #include "../Net/TestRuntime.h"
 
 #include "basilpoint/Turns/TurnLedger.h"
 
 #include <boost/test/unit_test.hpp>
-#include <map>
 
 using namespace basilpoint;
 
-namespace {
-
-/// Store in memory that answers at once.
-class MemoryStore final : public TransactionalStore {
-public:
-    std::optional<KeyValue> get(const std::string& key) override
-    {
-        auto it = items.find(key);
-        return it == items.end() ? std::nullopt : std::optional(it->second);
-    }
-
-    KeyTransactionResult commit(const KeyTransaction& transaction, Milliseconds) override
-    {
-        last = transaction;
-        ++m_revision;
-        for (const KeyWrite& it : transaction.puts)
-            items[it.key] = { it.key, it.value, m_revision };
-        for (const std::string& it : transaction.deletes)
-            items.erase(it);
-        return { m_revision, {} };
-    }
-
-    std::int64_t awaitChanges(const std::string&, std::int64_t after, Milliseconds, Milliseconds, const ChangeHandler&) override { return after; }
-
-    KeySnapshot snapshot(const std::string& prefix, ReadMode, Milliseconds) override
-    {
-        KeySnapshot result { {}, m_revision };
-        for (const auto& [key, item] : items)
-            if (key.starts_with(prefix))
-                result.items.push_back(item);
-        return result;
-    }
-
-    std::map<std::string, KeyValue> items;
-    KeyTransaction last;
-
-private:
-    std::int64_t m_revision = 1;
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(RelayDirectoryTest)
 
 // A keeper that replaces another one must not be among those whose answers are needed before its journal is complete.
@@ -104,7 +62,8 @@
     StoreClient client(store, nullptr, DataCentreId("a"), clock, log, metrics);
     client.setDirectCommitMark([] { return KeyWrite { DaemonEntry::keyOf("gateway-1"), "mark" }; });
     auto commit = [&](const std::string& key) {
-        client.commit({ { { key, 0 } }, { { key, "value" } }, {} });
+        auto current = store.get(key);
+        client.commit({ { { key, current ? current->modRevision : 0 } }, { { key, "value" } }, {} });
         return store.last.puts.size() == 2U;
     };
     std::string account = TurnLedger::accountKey(ProgramId("p"));
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -354,4 +354,42 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(standbyTakesThePlaceOfAnEmptiedKeeper)
+{
+    inFiber([] {
+        // Never deleted, since fibers of the fakes use them until the process ends.
+        auto& deployment = *new Deployment(1);
+        for (const auto& [keeper, zone] : std::map<std::string, std::string> { { "k1", "z" }, { "k2", "y" }, { "k3", "x" }, { "k4", "x" } })
+            deployment.start(keeper, false, zone);
+        deployment.start("a", true);
+        deployment.start("b", true);
+        auto members = [&] {
+            std::vector<std::string> names;
+            if (!deployment.store.has("daemons/.keepers"))
+                return names;
+            Json view = Json::parse(deployment.store.valueOf("daemons/.keepers"));
+            for (const Json& it : view.at("members"))
+                names.push_back(it.at("instance").get<std::string>());
+            return names;
+        };
+        BOOST_REQUIRE(eventually([&] { return deployment.isReady("a") && deployment.isReady("b"); }));
+        BOOST_REQUIRE(eventually([&] { return members().size() == 3; }));
+        BOOST_TEST(eventually([&] { return deployment.turn("a", "t1", "", "in1;") == 200; }));
+        emptyAndRemove(deployment, members().front());
+        BOOST_TEST(members().size() == 3U);
+        // The gateways have not read the list since; the keepers tell them of the new view.
+        deployment.store.isDown = true;
+        pause(std::chrono::milliseconds(600));
+        // One of the three may be lost.
+        BOOST_REQUIRE(deployment.kill(members().front()));
+        BOOST_TEST(eventually([&] { return deployment.turn("a", "t2", "t1", "in2;") == 200; }));
+        BOOST_TEST(!deployment.store.has("turns/t2"));
+        BOOST_TEST(deployment.turn("b", "t3", "t2", "in3;") == 200);
+        BOOST_TEST(deployment.engine.runs.back().body == "in1;one-t1\ntwo-t1\nin2;one-t2\ntwo-t2\nin3;");
+        deployment.store.isDown = false;
+        BOOST_TEST(eventually([&] { return deployment.store.has("turns/t2") && deployment.store.has("turns/t3"); }));
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
