End a grant that too few keepers have

Cause: a grant whose append found no quorum was not taken, but the keepers that had it counted its tokens until it expired. Evidence: KeeperQuorumTest/grantThatTooFewKeepersHaveDoesNotLockItsProgramOut failed before (the tokens stay outstanding). Now the grant is ended with no tokens used, which is true since the turn does not run under it.

--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -14,6 +14,7 @@
 // How long a keeper is skipped after a failure if there are enough others.
 static constexpr Milliseconds failurePause { 1'000 };
 static constexpr Milliseconds dropTimeout { 500 };
+static constexpr Milliseconds endTimeout { 500 };
 // A change of the membership has two views, and each may need a second round.
 static constexpr int maxRounds = 6;
 
@@ -203,8 +204,11 @@
         return std::nullopt;
     TokenCount tokens = std::min(request.maxTokens, allowance - *before);
     JournalEntry entry { request.program, request.daemon, { { AccountChange::Kind::Grant, request.step, tokens, 0, 0, ProgramAccount::unlimited, request.keepUntil } } };
-    if (!append({ entry }, deadline))
+    if (!append({ entry }, deadline)) {
+        // Some keepers may have the grant, whose tokens would be withheld from the program until it expires.
+        spawnFiber([this, request] { endGrant(request, 0, m_clock.now() + endTimeout); });
         return std::nullopt;
+    }
     // One turn's tokens are allowed regardless of the account.
     if (allowance > request.maxTokens)
         allowance = allowanceOf();
--- a/unittests/Gateway/KeeperQuorumTest.cpp
+++ b/unittests/Gateway/KeeperQuorumTest.cpp
@@ -256,4 +256,23 @@
     });
 }
 
+// A grant that too few keepers have is not taken, so its tokens remain available to the program's later turns.
+BOOST_AUTO_TEST_CASE(grantThatTooFewKeepersHaveDoesNotLockItsProgramOut)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b" })
+            deployment.start(it);
+        KeeperView view { 1, deployment.addresses("ab") };
+        deployment.install(view, "ab");
+        deployment.stop("b");
+        TestGateway& gateway = deployment.gateway(view);
+        WallTimePoint keepUntil = gateway.clock.wallNow() + std::chrono::minutes(1);
+        BOOST_TEST(!gateway.journal.grant({ ProgramId("p"), DaemonLifetime("d"), 1, 20, 20, keepUntil }, gateway.deadline(), [] { return TokenCount(20); }));
+        BOOST_TEST(waitUntil([&] { return gateway.journal.outstanding(ProgramId("p"), gateway.deadline()) == std::optional<TokenCount>(0); }));
+        BOOST_TEST(gateway.journal.outstandingPrograms(gateway.deadline())->empty());
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
