--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -461,6 +461,7 @@
 {
     auto outcome = m_writer.await(change, m_clock.now() + maxOutage, [] { return false; });
     m_writer.forget(change);
+    m_log.write(LogLine("journaled-turn-stored").field("turn", entry.changes.back().record->turn.text()).field("program", entry.program.text()).field("step", entry.step()).field("stored", outcome == ChangeOutcome::Stored));
     if (outcome != ChangeOutcome::Stored)
         return;
     m_journal.drop({ entry.daemon, entry.step() });
