Share the outcome of a change among all that wait for it

Cause: class lifetime of shared state. A turn that the store has not confirmed after the fallback delay (1 s with many daemons) has two fibers that wait for its change: the caller's, and one that asks the keepers and drops the entry once it is stored. The second forgot the outcome for both. If too few keepers answered, it began to wait before the caller's fiber was back in its wait, so the store's answer woke it first; the caller's fiber then found no outcome, took that for unknown and broke off an answer whose turn was stored. Callers saw a closed channel in the middle of an answer.

LedgerWriter::expect() now returns the outcome, shared by its waiters and kept until the last has released it; forget() is gone, with the paths on which it had to be called. An answer still ends only once the turn is stored or on enough disks.

TurnControllerTest/answerEndsOnceTheTurnIsStoredAfterTheKeepersFailedToKeepIt failed before, on two checks. The second test, that an answer neither stored nor kept breaks off at the deadline, passed before too.

--- a/lib/Gateway/AccountPeers.cpp
+++ b/lib/Gateway/AccountPeers.cpp
@@ -176,10 +176,9 @@
     auto change = m_ledger.releaseHold(ProgramId(program));
     bool isReleased = false;
     if (change) {
-        m_writer.expect(*change);
+        auto outcome = m_writer.expect(*change);
         m_writer.startWrites();
-        isReleased = m_writer.await(*change, m_clock.now() + releaseTimeout, [] { return false; }) == ChangeOutcome::Stored;
-        m_writer.forget(*change);
+        isReleased = m_writer.await(outcome, m_clock.now() + releaseTimeout, [] { return false; }) == ChangeOutcome::Stored;
     }
     m_log.write(LogLine("hold-release").field("program", program).field("held", change.has_value()).field("released", isReleased));
     return encodeRelease({ m_ledger.self(), isReleased });
--- a/lib/Gateway/LedgerWriter.cpp
+++ b/lib/Gateway/LedgerWriter.cpp
@@ -5,6 +5,7 @@
 #include "basilpoint/Net/FiberRuntime.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace basilpoint {
 
@@ -86,20 +87,19 @@
     startWrites();
 }
 
-std::optional<ChangeOutcome> LedgerWriter::outcome(ChangeId id) const
+LedgerWriter::SharedOutcome LedgerWriter::expect(ChangeId change)
 {
-    auto it = m_expected.find(id);
-    return it == m_expected.end() ? std::nullopt : it->second;
+    auto [it, isNew] = m_expected.try_emplace(change);
+    assert(isNew && "a change is expected once");
+    static_cast<void>(isNew);
+    return { &it->second, [this, change](const auto*) { m_expected.erase(change); } };
 }
 
-std::optional<ChangeOutcome> LedgerWriter::await(ChangeId id, TimePoint deadline, const std::function<bool()>& isCancelled)
+std::optional<ChangeOutcome> LedgerWriter::await(const SharedOutcome& outcome, TimePoint deadline, const std::function<bool()>& isCancelled)
 {
     for (;;) {
-        auto it = m_expected.find(id);
-        if (it == m_expected.end())
-            return std::nullopt;
-        if (it->second)
-            return it->second;
+        if (*outcome)
+            return *outcome;
         TimePoint now = m_clock.now();
         if (now >= deadline || isCancelled())
             return std::nullopt;
--- a/lib/Gateway/LedgerWriter.h
+++ b/lib/Gateway/LedgerWriter.h
@@ -6,6 +6,7 @@
 #include "basilpoint/Turns/TurnLedger.h"
 
 #include <map>
+#include <memory>
 
 namespace basilpoint {
 
@@ -17,16 +18,16 @@
     /// Starts the writes that the ledger has ready.
     void startWrites();
 
-    /// Keeps the outcome of \p change until forget().
-    void expect(ChangeId change) { m_expected.emplace(change, std::nullopt); }
-    void forget(ChangeId change) { m_expected.erase(change); }
+    /// Outcome of a change; not set while unknown. Shared by the fibers that wait for it, and kept until the last of
+    /// them has released it.
+    using SharedOutcome = std::shared_ptr<const std::optional<ChangeOutcome>>;
 
-    /// Outcome of an expected change; not set while unknown.
-    std::optional<ChangeOutcome> outcome(ChangeId) const;
+    /// Keeps the outcome of \p change; at most once for a change. The writer must outlive what it returns.
+    SharedOutcome expect(ChangeId change);
 
     /// Suspends until the outcome is known, \p deadline has passed or \p isCancelled returns true.
     /// \returns the outcome; not set while unknown.
-    std::optional<ChangeOutcome> await(ChangeId, TimePoint deadline, const std::function<bool()>& isCancelled);
+    std::optional<ChangeOutcome> await(const SharedOutcome&, TimePoint deadline, const std::function<bool()>& isCancelled);
 
     /// Wakes waiting fibers, so that they check for cancellation.
     void wakeWaiters() { m_changed.notifyAll(); }
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -36,6 +36,8 @@
 struct TurnController::Turn {
     TurnRequest request;
     TurnAdmitted admitted;
+    /// Outcome of the reservation; null if the turn has none.
+    LedgerWriter::SharedOutcome reserved;
     TokenCount handedOut = 0;
     std::string output;
     bool isEnded = false;
@@ -323,19 +325,18 @@
 {
     if (turn.grant)
         return true;
-    if (!turn.admitted.reservation)
+    if (!turn.reserved)
         return !turn.admitted.needsGrant || takeGrant(call, turn);
-    ChangeId id = *turn.admitted.reservation;
     TimePoint now = m_clock.now();
     TimePoint fallbackAt = std::min(call.deadline, now + m_store.fallbackDelay());
     auto isCallerGone = [&call] { return call.isCallerGone; };
-    auto outcome = m_writer.await(id, fallbackAt, isCallerGone);
+    auto outcome = m_writer.await(turn.reserved, fallbackAt, isCallerGone);
     // While grants may be outstanding, a reservation may be denied only because an attestation voided it.
     bool mayTakeGrant = !outcome || (outcome == ChangeOutcome::Denied && m_accounts.mayMissGrants(turn.request.program));
     if (mayTakeGrant && !call.isCallerGone && takeGrant(call, turn))
         return true;
     if (!outcome)
-        outcome = m_writer.await(id, call.deadline, [&] { return call.isCallerGone || m_store.isFailing(); });
+        outcome = m_writer.await(turn.reserved, call.deadline, [&] { return call.isCallerGone || m_store.isFailing(); });
     turn.isDenied = outcome == ChangeOutcome::Denied;
     return outcome == ChangeOutcome::Stored;
 }
@@ -413,7 +414,7 @@
 {
     if (!turn.grant || turn.handedOut + tokens <= turn.granted)
         return true;
-    return turn.admitted.reservation && m_writer.outcome(*turn.admitted.reservation) == ChangeOutcome::Stored;
+    return turn.reserved && *turn.reserved == ChangeOutcome::Stored;
 }
 
 bool TurnController::record(ForwardedCall& call, Turn& turn, const TargetId& target)
@@ -421,46 +422,41 @@
     turn.isEnded = true;
     TurnRecord record { turn.request.turn, turn.request.previous, call.request.body, turn.output, target };
     ChangeId change = *m_ledger.end(turn.request, turn.handedOut, std::move(record), endOf(turn));
-    m_writer.expect(change);
+    auto stored = m_writer.expect(change);
     m_writer.startWrites();
     TimePoint now = m_clock.now();
-    auto outcome = m_writer.await(change, std::min(call.deadline, now + m_store.fallbackDelay()), [&] { return call.isCallerGone; });
-    if (outcome || call.isCallerGone) {
-        m_writer.forget(change);
+    auto outcome = m_writer.await(stored, std::min(call.deadline, now + m_store.fallbackDelay()), [&] { return call.isCallerGone; });
+    if (outcome || call.isCallerGone)
         return outcome == ChangeOutcome::Stored;
-    }
-    return keepOnKeepers(call, turn, change);
+    return keepOnKeepers(call, turn, change, stored);
 }
 
 // Used while the store is slow or unreachable. The turn is recorded once the store or enough keepers have it.
-bool TurnController::keepOnKeepers(ForwardedCall& call, Turn& turn, ChangeId change)
+bool TurnController::keepOnKeepers(ForwardedCall& call, Turn& turn, ChangeId change, const LedgerWriter::SharedOutcome& stored)
 {
     auto entry = m_ledger.entryFor(turn.request.program, change);
-    if (!entry) {
-        m_writer.forget(change);
+    if (!entry)
         return true;
-    }
     auto isKept = std::make_shared<bool>(false);
     TimePoint deadline = call.deadline;
     std::vector<JournalEntry> entries { *entry };
     if (turn.grant)
         entries.push_back(TurnJournalClient::grantEnd(*std::exchange(turn.grant, std::nullopt), turn.handedOut));
-    spawnFiber([this, entries, change, isKept, deadline] {
+    spawnFiber([this, entries, stored, isKept, deadline] {
         const JournalEntry& entry = entries.front();
         *isKept = m_journal.append(entries, deadline);
         m_metrics.count(*isKept ? "turns_journaled_total{kept=\"yes\"}" : "turns_journaled_total{kept=\"no\"}");
         m_log.write(LogLine("turn-journaled").field("turn", entry.changes.back().record->turn.text()).field("program", entry.program.text()).field("step", entry.step()).field("kept", *isKept));
         m_writer.wakeWaiters();
-        dropOnceStored(entry, change);
+        dropOnceStored(entry, stored);
     });
-    auto outcome = m_writer.await(change, deadline, [&] { return call.isCallerGone || *isKept; });
+    auto outcome = m_writer.await(stored, deadline, [&] { return call.isCallerGone || *isKept; });
     return *isKept || outcome == ChangeOutcome::Stored;
 }
 
-void TurnController::dropOnceStored(const JournalEntry& entry, ChangeId change)
+void TurnController::dropOnceStored(const JournalEntry& entry, const LedgerWriter::SharedOutcome& stored)
 {
-    auto outcome = m_writer.await(change, m_clock.now() + maxOutage, [] { return false; });
-    m_writer.forget(change);
+    auto outcome = m_writer.await(stored, m_clock.now() + maxOutage, [] { return false; });
     m_log.write(LogLine("journaled-turn-stored").field("turn", entry.changes.back().record->turn.text()).field("program", entry.program.text()).field("step", entry.step()).field("stored", outcome == ChangeOutcome::Stored));
     if (outcome != ChangeOutcome::Stored)
         return;
@@ -515,7 +511,7 @@
     m_log.write(LogLine("turn-admitted").field("request", turn.request.turn.text()).field("program", program.text()).field("previous", turn.request.previous.text()).field("budget", turn.request.budget).field("most", turn.request.maxTokens).field("reserving", turn.admitted.reservation.has_value()).field("historyBytes", turn.admitted.history.size()).field("lastTarget", turn.admitted.lastTarget.text()).field("storeFailing", m_store.isFailing()));
     std::optional<Refusal> refusal;
     if (turn.admitted.reservation) {
-        m_writer.expect(*turn.admitted.reservation);
+        turn.reserved = m_writer.expect(*turn.admitted.reservation);
         m_writer.startWrites();
     }
     // While the store fails, the turn needs a grant, which is taken before an engine does work that may be wasted.
@@ -532,8 +528,6 @@
     }
     if (!turn.isEnded)
         m_ledger.end(turn.request, turn.handedOut, std::nullopt, endOf(turn));
-    if (turn.admitted.reservation)
-        m_writer.forget(*turn.admitted.reservation);
     if (turn.grant)
         spawnFiber([this, grant = *turn.grant, used = turn.handedOut] { m_journal.endGrant(grant, used, m_clock.now() + journalTimeout); });
     m_writer.startWrites();
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -51,8 +51,8 @@
     std::optional<ProgramId> readOrigin(const CallId& previous);
     std::optional<Refusal> findOnKeepers(const ForwardedCall&, const CallId& missing, TurnKnowledge&);
     std::optional<Refusal> recheckOrigin(const CallId& missing, bool isPrevious, TurnKnowledge&);
-    bool keepOnKeepers(ForwardedCall&, Turn&, ChangeId);
-    void dropOnceStored(const JournalEntry&, ChangeId);
+    bool keepOnKeepers(ForwardedCall&, Turn&, ChangeId, const LedgerWriter::SharedOutcome&);
+    void dropOnceStored(const JournalEntry&, const LedgerWriter::SharedOutcome&);
     bool ensureReserved(const ForwardedCall&, Turn&);
     bool takeGrant(const ForwardedCall&, Turn&);
     bool requestGrant(const ForwardedCall&, Turn&);
--- /dev/null
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -0,0 +1,192 @@
+#include "TurnController.h"
+
+#include "../Net/TestRuntime.h"
+
+#include "basilpoint/Net/Errors.h"
+#include "basilpoint/Net/FiberSignal.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilpoint;
+
+namespace {
+
+/// Store in memory that holds its commits until released.
+class HeldStore final : public TransactionalStore {
+public:
+    void release()
+    {
+        m_isReleased = true;
+        m_released.notifyAll();
+    }
+
+    std::optional<KeyValue> get(const std::string&) override { return std::nullopt; }
+
+    KeyTransactionResult commit(const KeyTransaction&, Milliseconds) override
+    {
+        while (!m_isReleased)
+            m_released.wait();
+        ++commits;
+        return { ++m_revision, {} };
+    }
+
+    std::int64_t awaitChanges(const std::string&, std::int64_t after, Milliseconds, Milliseconds, const ChangeHandler&) override { return after; }
+    KeySnapshot snapshot(const std::string&, ReadMode, Milliseconds) override { return { {}, m_revision }; }
+
+    int commits = 0;
+
+private:
+    bool m_isReleased = false;
+    FiberSignal m_released;
+    std::int64_t m_revision = 1;
+};
+
+/// Records what a caller receives.
+class RecordingWriter final : public ResponseWriter {
+public:
+    void send(const HttpResponse&) override { isStarted = isEnded = true; }
+    void begin(int, const HttpHeaders&) override { isStarted = true; }
+    void write(std::string_view chunk) override { body.append(chunk); }
+    void end() override { isEnded = true; }
+    bool started() const override { return isStarted; }
+
+    std::string body;
+    bool isStarted = false;
+    bool isEnded = false;
+};
+
+constexpr const char* callHeader = "x-call";
+
+WireFormat testFormat()
+{
+    WireFormat format;
+    format.writeTargetCall = [](HttpRequest&, const TargetCallAttributes&) {};
+    format.readResponse = [](const HttpResponse& response) {
+        auto call = response.headers.find(callHeader);
+        return ResponseAttributes { CallId(call == response.headers.end() ? "" : call->second), false, true };
+    };
+    return format;
+}
+
+std::shared_ptr<const RouteTable> testTable()
+{
+    ForwardingRoute route;
+    route.name = "turns";
+    route.host = "h.example";
+    route.prefix = "/stream/";
+    route.kind = CallKind::Stream;
+    route.services = { { ServiceId("models"), 1 } };
+    route.turnRetention = Milliseconds(60'000);
+    return std::make_shared<const RouteTable>(ForwardingConfiguration { 1, { route }, { { ServiceId("models"), {}, std::nullopt } }, {} });
+}
+
+/// Controller of a daemon that knows no keepers, and a target that answers each turn with one event.
+struct Daemon {
+    Daemon()
+        : log(clock, -1, "daemon")
+        , client(testRuntime().io())
+        , target(testRuntime().io(), { "127.0.0.1", 0 }, HttpLimits {}, [](const HttpRequest&, ResponseWriter& writer) {
+            writer.begin(200, { { "content-type", "text/event-stream" }, { callHeader, "t1" } });
+            writer.write("data: one\n\n");
+            writer.end(); })
+        , format(testFormat())
+        , storeClient(store, nullptr, {}, clock, log, metrics)
+        , selector(1)
+        , forwarder(client, directory, selector, format, clock, log, metrics)
+        , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
+        , writer(storeClient, ledger, clock, log)
+        , journal(client, 0, clock, log)
+        , accounts(storeClient, ledger, writer, journal, client, true, clock, log)
+        , controller(forwarder, storeClient, ledger, writer, journal, accounts, clock, log, metrics)
+        , table(testTable())
+    {
+        target.start();
+        directory.put({ TargetId("i-1"), ServiceId("models"), target.endpoint(), {}, 1, 4 });
+        accounts.entered({});
+    }
+
+    /// Serves the turn "t1".
+    std::optional<TurnController::Refusal> serve(ResponseWriter& response, Milliseconds timeLeft)
+    {
+        HttpRequest request { "POST", "/stream/x", { { "host", "h.example" } }, "in" };
+        CallAttributes attributes;
+        attributes.call = CallId("t1");
+        attributes.program = ProgramId("p");
+        ForwardedCall call { request, attributes, table, *table->match("h.example", "/stream/x"), clock.now(), clock.now() + timeLeft };
+        return controller.serve(call, response);
+    }
+
+    /// Ends the fibers, so that the runtime can stop.
+    void stop()
+    {
+        store.release();
+        target.stop();
+        client.closeIdle(lifetimeOf(*directory.find(TargetId("i-1"))));
+    }
+
+    SystemClock clock;
+    Metrics metrics;
+    JsonLog log;
+    HttpClient client;
+    HttpServer target;
+    WireFormat format;
+    HeldStore store;
+    StoreClient storeClient;
+    TargetDirectory directory;
+    TargetSelector selector;
+    Forwarder forwarder;
+    TurnLedger ledger;
+    LedgerWriter writer;
+    TurnJournalClient journal;
+    AccountPeers accounts;
+    TurnController controller;
+    std::shared_ptr<const RouteTable> table;
+};
+
+constexpr Milliseconds longerThanFallbackDelay { 400 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TurnControllerTest)
+
+BOOST_AUTO_TEST_CASE(answerEndsOnceTheTurnIsStoredAfterTheKeepersFailedToKeepIt)
+{
+    testRuntime().run([] {
+        // Never deleted, since fibers use it until the process ends.
+        auto& daemon = *new Daemon;
+        auto& response = *new RecordingWriter;
+        bool hasReturned = false;
+        std::optional<TurnController::Refusal> refusal;
+        spawnFiber([&] {
+            refusal = daemon.serve(response, Milliseconds(3'000));
+            hasReturned = true;
+        });
+        BOOST_TEST(waitUntil([&] { return response.body == "data: one\n\n"; }));
+        pause(longerThanFallbackDelay);
+        // Neither the store nor the keepers have the turn.
+        BOOST_TEST(!response.isEnded);
+        BOOST_TEST(!hasReturned);
+        daemon.store.release();
+        BOOST_TEST(waitUntil([&] { return hasReturned; }));
+        BOOST_TEST(daemon.store.commits == 1);
+        BOOST_TEST(!refusal.has_value());
+        BOOST_TEST(response.isEnded);
+        daemon.stop();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(answerOfTurnThatIsNotStoredNorKeptBreaksOffAtTheDeadline)
+{
+    testRuntime().run([] {
+        auto& daemon = *new Daemon;
+        RecordingWriter response;
+        auto refusal = daemon.serve(response, Milliseconds(500));
+        BOOST_REQUIRE(refusal.has_value());
+        BOOST_TEST(refusal->isBrokenOff);
+        BOOST_TEST(response.body == "data: one\n\n");
+        BOOST_TEST(!response.isEnded);
+        daemon.stop();
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
