Transfer only the entries that a new member lacks

Each change of the keepers' view sent all entries of the journals to every member, and a keeper that had lost its disk read all others each half second. Now members get what they did not report, and a reader stops at a quorum. The folder's id keeps a member that lost its disk in between from counting as complete.

--- a/lib/Gateway/KeeperCodec.cpp
+++ b/lib/Gateway/KeeperCodec.cpp
@@ -65,25 +65,25 @@
 
 std::string encodeContents(const JournalContents& contents)
 {
-    return toCbor({ { "s", contents.isSynchronized }, { "e", entriesToJson(contents.entries) } });
+    return toCbor({ { "s", contents.isSynchronized }, { "f", contents.folder }, { "e", entriesToJson(contents.entries) } });
 }
 
 JournalContents decodeContents(const std::string& bytes)
 {
     return decodeCbor("journal contents", bytes, [](const Json& json) {
-        return JournalContents { json.at("s").get<bool>(), entriesFrom(json.at("e")) };
+        return JournalContents { json.at("s").get<bool>(), json.at("f").get<std::string>(), entriesFrom(json.at("e")) };
     });
 }
 
 std::string encodeTransfer(const JournalTransfer& transfer)
 {
-    return toCbor({ { "v", transfer.version }, { "e", entriesToJson(transfer.entries) }, { "l", transfer.isLast } });
+    return toCbor({ { "v", transfer.version }, { "f", transfer.folder }, { "e", entriesToJson(transfer.entries) }, { "l", transfer.isLast } });
 }
 
 JournalTransfer decodeTransfer(const std::string& bytes)
 {
     return decodeCbor("journal transfer", bytes, [](const Json& json) {
-        return JournalTransfer { json.at("v").get<std::uint64_t>(), entriesFrom(json.at("e")), json.at("l").get<bool>() };
+        return JournalTransfer { json.at("v").get<std::uint64_t>(), json.at("f").get<std::string>(), entriesFrom(json.at("e")), json.at("l").get<bool>() };
     });
 }
 
--- a/lib/Gateway/KeeperCodec.h
+++ b/lib/Gateway/KeeperCodec.h
@@ -23,12 +23,16 @@
 /// All entries of a journal.
 struct JournalContents {
     bool isSynchronized = false;
+    /// Id of the journal's folder; an emptied folder gets a different one.
+    std::string folder;
     std::vector<JournalEntry> entries;
 };
 
 /// Entries for a member of a view whose change is being completed.
 struct JournalTransfer {
     std::uint64_t version = 0;
+    /// Folder of the journal that the entries complete; any if empty.
+    std::string folder;
     std::vector<JournalEntry> entries;
     /// Whether the member has all entries now.
     bool isLast = false;
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -89,7 +89,7 @@
         drop(decodeOperation(decodeRequest(body).body).name);
         return encodeAnswer({ std::nullopt, "dropped" });
     });
-    server.on(peerpaths::journalAll, [this](const std::string&) { return encodeContents({ m_journal.isSynchronized(), m_journal.all() }); });
+    server.on(peerpaths::journalAll, [this](const std::string&) { return encodeContents({ m_journal.isSynchronized(), m_disk.holder().text(), m_journal.all() }); });
     server.on(peerpaths::journalTransfer, [this](const std::string& body) { return acceptTransfer(body); });
     server.on(peerpaths::keeperInstall, [this](const std::string& body) {
         install(decodeView(body));
@@ -248,41 +248,52 @@
     m_disk.write(encodeOperation(operation), [](const std::exception_ptr&) {});
 }
 
+/// What another keeper's journal had when it was read.
+struct TurnJournalServer::Present {
+    std::string folder;
+    std::set<EntryName> entries;
+};
+
 struct TurnJournalServer::Collected {
-    /// Keepers that answered.
-    InstanceNames answered;
+    /// Keepers that answered, and what they have.
+    std::map<std::string, Present> answered;
     /// Those of them whose journals are complete.
     InstanceNames complete;
 };
 
-// Adds all entries of \p keepers to this journal.
-TurnJournalServer::Collected TurnJournalServer::collect(const std::vector<RelayAddress>& keepers)
+// Adds the entries of \p keepers to this journal, until \p isEnough.
+TurnJournalServer::Collected TurnJournalServer::collect(const std::vector<RelayAddress>& keepers, const std::function<bool(const Collected&)>& isEnough)
 {
     Collected collected;
+    collected.answered[m_self];
+    if (m_journal.isSynchronized())
+        collected.complete.insert(m_self);
     for (const RelayAddress& it : keepers) {
         if (it.instance == m_self)
             continue;
+        if (isEnough(collected))
+            break;
         try {
             JournalContents contents = decodeContents(callPeer(m_client, it.endpoint, peerpaths::journalAll, {}, synchronizeTimeout));
             persistEntries(contents.entries);
-            collected.answered.insert(it.instance);
+            Present& present = collected.answered[it.instance];
+            present.folder = contents.folder;
+            for (const JournalEntry& entry : contents.entries)
+                present.entries.insert({ entry.daemon, entry.step() });
             if (contents.isSynchronized)
                 collected.complete.insert(it.instance);
         } catch (const Error& error) {
             m_log.write(LogLine("journal-not-read").field("keeper", it.instance).field("reason", error.what()));
         }
     }
-    collected.answered.insert(m_self);
-    if (m_journal.isSynchronized())
-        collected.complete.insert(m_self);
     return collected;
 }
 
 // If all members have answered, no other journal can have further entries, even if all of them lost their disks.
 bool TurnJournalServer::isComplete(const std::vector<RelayAddress>& members, const Collected& collected) const
 {
-    InstanceNames names = namesOf(members);
-    return isReadQuorum({ m_view.version, members }, collected.complete, m_tolerated) || std::includes(collected.answered.begin(), collected.answered.end(), names.begin(), names.end());
+    bool haveAllAnswered = std::all_of(members.begin(), members.end(), [&](const RelayAddress& it) { return collected.answered.contains(it.instance); });
+    return haveAllAnswered || isReadQuorum({ m_view.version, members }, collected.complete, m_tolerated);
 }
 
 // Restores the journal after its disk was lost.
@@ -291,8 +302,9 @@
     KeeperView view = m_view;
     if (!namesOf(view.members).contains(m_self) || (view.isJoint() && !namesOf(view.previous).contains(m_self)))
         return false;
-    Collected collected = collect(view.all());
-    if (!isComplete(view.members, collected) || (view.isJoint() && !isComplete(view.previous, collected)) || m_view != view)
+    auto isEnough = [&](const Collected& collected) { return isComplete(view.members, collected) && (!view.isJoint() || isComplete(view.previous, collected)); };
+    Collected collected = collect(view.all(), isEnough);
+    if (!isEnough(collected) || m_view != view)
         return false;
     persist({ { JournalOperation::Kind::Synchronized } });
     m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("answers", collected.answered.size() - 1).field("version", view.version));
@@ -303,7 +315,7 @@
 {
     std::vector<RelayAddress> sources = joint.all();
     std::erase_if(sources, [&](const RelayAddress& it) { return !installed.contains(it.instance); });
-    Collected collected = collect(sources);
+    Collected collected = collect(sources, [](const Collected&) { return false; });
     if (!isComplete(joint.previous, collected) || m_view != joint)
         return false;
     // Members that are too few for a write quorum keep nothing safe; all is stored first.
@@ -315,7 +327,7 @@
     for (const RelayAddress& it : joint.members) {
         if (gone.contains(it.instance))
             continue;
-        if (!sendAll(it, joint.version))
+        if (!sendMissing(it, joint.version, collected.answered[it.instance]))
             return false;
         received.insert(it.instance);
     }
@@ -323,10 +335,11 @@
     return received.size() >= std::min<std::size_t>(joint.members.size(), m_tolerated + 1);
 }
 
-bool TurnJournalServer::sendAll(const RelayAddress& keeper, std::uint64_t version)
+// Sends this journal's entries except those that the keeper has.
+bool TurnJournalServer::sendMissing(const RelayAddress& keeper, std::uint64_t version, const Present& present)
 {
     try {
-        JournalTransfer part { version, {} };
+        JournalTransfer part { version, present.folder, {} };
         std::size_t bytes = 0;
         auto send = [&](bool isLast) {
             part.isLast = isLast;
@@ -338,9 +351,11 @@
             part.entries.clear();
             bytes = 0;
         };
-        for (JournalEntry& it : m_journal.all()) {
+        for (const JournalEntry& it : m_journal.all()) {
+            if (present.entries.contains({ it.daemon, it.step() }))
+                continue;
             bytes += encodeEntry(it).size();
-            part.entries.push_back(std::move(it));
+            part.entries.push_back(it);
             if (bytes >= maxTransferBytes)
                 send(false);
         }
@@ -355,7 +370,8 @@
 std::string TurnJournalServer::acceptTransfer(const std::string& body)
 {
     JournalTransfer transfer = decodeTransfer(body);
-    if (transfer.version != m_view.version)
+    bool isOtherFolder = !transfer.folder.empty() && transfer.folder != m_disk.holder().text();
+    if (transfer.version != m_view.version || isOtherFolder)
         throw JournalNotReadyError();
     persistEntries(transfer.entries);
     if (transfer.isLast && transfer.version == m_view.version && !m_journal.isSynchronized()) {
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -58,6 +58,7 @@
 
 private:
     struct Collected;
+    struct Present;
 
     std::string serve(const std::string& bytes, const std::function<std::string(const std::string&)>& handler);
     void writeView();
@@ -70,9 +71,9 @@
     void drop(const EntryName&);
     std::string acceptTransfer(const std::string& body);
     void persist(const std::vector<JournalOperation>&);
-    Collected collect(const std::vector<RelayAddress>&);
+    Collected collect(const std::vector<RelayAddress>&, const std::function<bool(const Collected&)>& isEnough);
     bool isComplete(const std::vector<RelayAddress>& members, const Collected&) const;
-    bool sendAll(const RelayAddress&, std::uint64_t version);
+    bool sendMissing(const RelayAddress&, std::uint64_t version, const Present&);
     bool synchronize();
     void upload(const ProgramId&, const std::vector<JournalEntry>&);
     void charge(const JournalEntry& grant);
