Install the view before a transfer is taken, and count only keepers that confirm it

Found by reading (review). No test: the first needs a disk write to be held between two calls, the second another program at a keeper's address. GatewayTests pass.

--- a/lib/Gateway/KeeperViewController.cpp
+++ b/lib/Gateway/KeeperViewController.cpp
@@ -131,11 +131,12 @@
     std::string body = encodeView(view);
     forEachKeeper(keepers, [&](const RelayAddress& it) {
         try {
-            if (it.instance == m_self.instance)
+            bool isSelf = it.instance == m_self.instance;
+            if (isSelf)
                 m_journal.install(view);
-            else
-                callPeer(m_peers, it.endpoint, peerpaths::keeperInstall, body, installTimeout);
-            installed.insert(it.instance);
+            // Another program may have the address now and answer that it does not know the call.
+            if (isSelf || !callPeer(m_peers, it.endpoint, peerpaths::keeperInstall, body, installTimeout).empty())
+                installed.insert(it.instance);
         } catch (const Error& error) {
             m_log.write(LogLine("peer-failed").field("peer", it.instance).field("call", peerpaths::keeperInstall).field("reason", error.what()));
         }
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -373,6 +373,8 @@
     bool isOtherFolder = !transfer.folder.empty() && transfer.folder != m_disk.holder().text();
     if (transfer.version != m_view.version || isOtherFolder)
         throw JournalNotReadyError();
+    // Installing the view may remove entries that would be taken for present.
+    install(m_view);
     persistEntries(transfer.entries);
     if (transfer.isLast && transfer.version == m_view.version && !m_journal.isSynchronized()) {
         persist({ { JournalOperation::Kind::Synchronized } });
