Let a keeper that leaves store and drop its own entries

What would be seen: an instance that is to be emptied is never reported empty, and the view of the keepers stays joint, so that no standby can join and nothing is kept in an outage, until the keeper loses its entry in another way.

Evidence: found by reading; KeeperQuorumTest/leavingKeeperIsNotHeldBackByTurnsThatAnotherKeeperHasStored failed before (no transfer in 10 s). Now members of the previous view store theirs too while the change lasts, since they still get all entries. GatewayTests pass.

--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -447,9 +447,8 @@
 
 void TurnJournalServer::uploadOverdue()
 {
-    // Others have the entries of a keeper that is no member, and may know more of them.
-    bool isMember = namesOf(m_view.members).contains(m_self);
-    if (m_store.health().failingSince() || !isMember || !m_journal.isSynchronized())
+    // Others have the entries of a keeper that has left, and may know more of them. One that is leaving still gets all.
+    if (m_store.health().failingSince() || !m_view.contains(m_self) || !m_journal.isSynchronized())
         return;
     std::map<ProgramId, std::vector<JournalEntry>> old;
     for (const auto& [name, entry] : m_journal.entries())
--- a/unittests/Gateway/KeeperQuorumTest.cpp
+++ b/unittests/Gateway/KeeperQuorumTest.cpp
@@ -275,4 +275,25 @@
     });
 }
 
+// A keeper that stores a turn removes it from its own journal only.
+BOOST_AUTO_TEST_CASE(leavingKeeperIsNotHeldBackByTurnsThatAnotherKeeperHasStored)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b" })
+            deployment.start(it);
+        KeeperView old { 1, deployment.addresses("ab") };
+        deployment.install(old, "ab");
+        TestGateway& gateway = deployment.gateway(old);
+        BOOST_REQUIRE(gateway.append("t1", 1));
+        KeeperView joint = beginChange(old, deployment.addresses("a"));
+        deployment.install(joint, "ab");
+        TurnJournalServer& leaving = deployment.keepers["b"]->journal;
+        for (const char* it : { "a", "b" })
+            spawnFiber([&journal = deployment.keepers[it]->journal] { journal.run(); });
+        BOOST_TEST(waitUntil([&] { return leaving.transfer(joint, deployment.names("ab"), {}); }));
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
