Keep one member of the keepers' view where no disk may be lost

What would be seen: in a deployment that tolerates no lost disk, turns are refused with "grants not known" while either of two keepers restarts, and the view can't change while one of them is away.

Cause: with t tolerated losses a read needs all members but t, so with t = 0 every member. max(t + 2, 2t + 1) wanted two there, which only adds to what must answer; for t of 1 and more it equals 2t + 1.

Evidence: found by reading; KeeperMembershipTest/oneMemberWhereNoDiskMayBeLost failed before (2 members). It also shows that an emptied only member is still replaced. GatewayTests pass.

--- a/lib/Gateway/KeeperMembership.h
+++ b/lib/Gateway/KeeperMembership.h
@@ -4,7 +4,6 @@
 
 #include "basilpoint/Gateway/KeeperView.h"
 
-#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -67,9 +66,9 @@
     /// Whether this keeper is the first member that answers.
     bool isFirstMember() const { return isFirstOf(m_view.members); }
 
-    /// Number of members to keep. While one restarts, the others still form a write quorum; while as many as may be lost
-    /// do not answer, the others can change the view.
-    std::size_t wantedMembers() const { return std::max(m_tolerated + 2, 2 * m_tolerated + 1); }
+    /// Number of members to keep. While as many as may be lost do not answer, the others still form quorums of readers and
+    /// writers and can change the view.
+    std::size_t wantedMembers() const { return 2 * m_tolerated + 1; }
 
 private:
     Step nextOfJoint(const InstanceNames& gone) const;
--- a/unittests/Gateway/KeeperMembershipTest.cpp
+++ b/unittests/Gateway/KeeperMembershipTest.cpp
@@ -108,6 +108,18 @@
     BOOST_TEST(startedFleet(2).members().size() == 5U);
 }
 
+// Reads need the answers of all members then, so each further member that restarts would interrupt them.
+BOOST_AUTO_TEST_CASE(oneMemberWhereNoDiskMayBeLost)
+{
+    Fleet fleet = startedFleet(0);
+    BOOST_TEST(fleet.members().size() == 1U);
+    std::string first = *fleet.members().begin();
+    fleet.keeper(first).empty(first);
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members().size() == 1U);
+    BOOST_TEST(!fleet.members().contains(first));
+}
+
 BOOST_AUTO_TEST_CASE(fewerDataCentresThanWantedMembersStillFormAQuorum)
 {
     Fleet fleet(2);
