Record ends of grants at keepers that are too few to take new ones

What would be seen: after a change of the keepers' view to no more members than may be lost has begun, a turn that runs under a grant stays outstanding although its tokens are in the account. The change waits for it until the grant expires; then a keeper charges the grant in full once more, and the program is refused with 402 too early.

Cause: GrantEnd and GrantStored were appended like turns, and an append is not sent at all where no write quorum can be formed. They only release tokens, so they are sent to all members then.

Evidence: found by reading; KeeperQuorumTest/grantIsSettledWhileTooFewKeepersRemainToTakeNewOnes failed before (20 tokens outstanding for 10 s). GatewayTests pass. The double charge follows from charge() and has no test.

--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -123,6 +123,18 @@
     return askQuorum(peerpaths::journalAppend, encodeEntries(entries), deadline, isWriteQuorum, [](const Answers&) { return false; });
 }
 
+// Ends of grants only release tokens, so members that are too few for a write quorum take them as well.
+static bool isQuorumForEnds(const KeeperView& view, const InstanceNames& keepers, unsigned tolerated)
+{
+    InstanceNames all = namesOf(view.all());
+    return isWriteQuorum(view, keepers, tolerated) || std::includes(keepers.begin(), keepers.end(), all.begin(), all.end());
+}
+
+void TurnJournalClient::appendEnd(const JournalEntry& end, TimePoint deadline)
+{
+    askQuorum(peerpaths::journalAppend, encodeEntries({ end }), deadline, isQuorumForEnds, [](const Answers&) { return false; });
+}
+
 std::optional<std::vector<JournalEntry>> TurnJournalClient::find(const CallId& turn, TimePoint deadline)
 {
     std::vector<JournalEntry> found;
@@ -189,7 +201,7 @@
 
 void TurnJournalClient::grantStored(const ProgramId& program, const DaemonLifetime& daemon, std::uint64_t grant, WallTimePoint keepUntil)
 {
-    spawnFiber([this, entry = grantStoredEntry(program, daemon, grant, keepUntil)] { append({ entry }, m_clock.now() + dropTimeout); });
+    spawnFiber([this, entry = grantStoredEntry(program, daemon, grant, keepUntil)] { appendEnd(entry, m_clock.now() + dropTimeout); });
 }
 
 // The grant is written before the total is checked against the allowance, so of two concurrent grants at least the
@@ -226,7 +238,7 @@
 
 void TurnJournalClient::endGrant(const GrantRequest& request, TokenCount used, TimePoint deadline)
 {
-    append({ grantEnd(request, used) }, deadline);
+    appendEnd(grantEnd(request, used), deadline);
 }
 
 void TurnJournalClient::drop(const EntryName& name)
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -69,6 +69,8 @@
 
     /// Suspends until a quorum has answered. \returns false if none does before \p deadline.
     bool askQuorum(const char* path, const std::string& body, TimePoint deadline, const Quorum&, const AnswerHook&);
+    /// Appends an entry that ends a grant or records that its tokens are in the account.
+    void appendEnd(const JournalEntry&, TimePoint deadline);
     /// Answers of a read quorum; not set if too few keepers answer.
     std::optional<Answers> readAll(const char* path, const std::string& body, TimePoint deadline);
     std::optional<std::vector<JournalEntry>> grantsOf(const ProgramId&, TimePoint deadline);
--- a/unittests/Gateway/KeeperQuorumTest.cpp
+++ b/unittests/Gateway/KeeperQuorumTest.cpp
@@ -296,4 +296,25 @@
     });
 }
 
+// The account includes the tokens already, so a keeper that charged the grant later would count them twice.
+BOOST_AUTO_TEST_CASE(grantIsSettledWhileTooFewKeepersRemainToTakeNewOnes)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        for (const char* it : { "a", "b" })
+            deployment.start(it);
+        KeeperView old { 1, deployment.addresses("ab") };
+        deployment.install(old, "ab");
+        TestGateway& gateway = deployment.gateway(old);
+        WallTimePoint keepUntil = gateway.clock.wallNow() + std::chrono::minutes(1);
+        BOOST_REQUIRE(gateway.journal.grant({ ProgramId("p"), DaemonLifetime("d"), 1, 20, 20, keepUntil }, gateway.deadline(), [] { return TokenCount(20); }));
+        KeeperView joint = beginChange(old, deployment.addresses("a"));
+        deployment.install(joint, "ab");
+        gateway.journal.setView(joint);
+        gateway.journal.grantStored(ProgramId("p"), DaemonLifetime("d"), 1, keepUntil);
+        BOOST_TEST(waitUntil([&] { return gateway.journal.outstanding(ProgramId("p"), gateway.deadline()) == std::optional<TokenCount>(0); }));
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
