--- a/lib/Gateway/KeeperMembership.cpp
+++ b/lib/Gateway/KeeperMembership.cpp
@@ -114,16 +114,16 @@
     return m_view.contains(m_self.instance) ? removeEmptied(staying, gone, now) : join(staying, gone, now);
 }
 
-// The keeper that joins completes its change, since it began it. If it or another member is gone, the change continues
-// without that one.
+// A keeper that joins completes the change, since it began it; without one, a keeper that leaves does, else the first
+// member. If a member is gone, the change continues without it.
 KeeperMembership::Step KeeperMembership::nextOfJoint(const InstanceNames& gone) const
 {
     std::vector<RelayAddress> joining = without(without(m_view.members, namesOf(m_view.previous)), gone);
     std::vector<RelayAddress> leaving = without(without(m_view.previous, namesOf(m_view.members)), gone);
-    if (!isFirstOf(!joining.empty() ? joining : !leaving.empty() ? leaving
-                                                                 : without(m_view.members, gone)))
-        return {};
     std::vector<RelayAddress> members = without(m_view.members, gone);
+    const std::vector<RelayAddress>& withoutJoining = leaving.empty() ? members : leaving;
+    if (!isFirstOf(joining.empty() ? withoutJoining : joining))
+        return {};
     if (members.size() == m_view.members.size())
         return { Action::Complete };
     return { Action::Begin, beginChange(m_view, members.empty() ? m_view.previous : members) };
@@ -133,8 +133,8 @@
 {
     if (isLeaving() || !m_shortSince)
         return {};
-    bool hasOneHere = std::any_of(staying.begin(), staying.end(), [&](const RelayAddress& it) { return it.dataCentre == m_self.dataCentre; });
-    if (hasOneHere && now - *m_shortSince < joinDelay)
+    bool hasMemberHere = std::any_of(staying.begin(), staying.end(), [&](const RelayAddress& it) { return it.dataCentre == m_self.dataCentre; });
+    if (hasMemberHere && now - *m_shortSince < joinDelay)
         return {};
     std::vector<RelayAddress> members = without(m_view.members, gone);
     members.push_back(m_self);
--- a/lib/Gateway/KeeperMembership.h
+++ b/lib/Gateway/KeeperMembership.h
@@ -23,8 +23,8 @@
 /// Decides when the view of the keepers changes.
 ///
 /// Every instance with a disk runs a keeper, but only as many are members of the view as are needed for quorums; the
-/// others stand by. A standby joins in place of a member that leaves or is gone. A member that
-/// leaves waits for that, so that fewer members remain only if no instance stands by.
+/// others stand by. A standby joins in place of a member that leaves or is gone. A member that leaves waits for that, so
+/// that fewer members remain only if no instance stands by.
 class KeeperMembership {
 public:
     /// \param tolerated number of keepers' disks that may be lost at once.
--- a/lib/Gateway/KeeperViewController.cpp
+++ b/lib/Gateway/KeeperViewController.cpp
@@ -13,6 +13,7 @@
 static constexpr Milliseconds probeInterval { 1'000 };
 static constexpr Milliseconds probeTimeout { 300 };
 static constexpr Milliseconds installTimeout { 500 };
+// Steps that follow each other without a pause; each change of the view has two.
 static constexpr int maxSteps = 6;
 
 KeeperViewController::KeeperViewController(StoreClient& store, PeerServer& server, HttpClient& peers, TurnJournalServer& journal, const RelayAddress& self, unsigned tolerated, std::string emptiedKey, RemoveHook removeDaemon, const Clock& clock, JsonLog& log)
@@ -42,7 +43,7 @@
         m_left.erase(it.instance);
 }
 
-// Repeated until it succeeds.
+// Called in each round, since the store may fail.
 void KeeperViewController::removeLeft()
 {
     if (!m_membership.isFirstMember() || view().isJoint())
@@ -107,8 +108,8 @@
     return stored.version == view().version;
 }
 
-// \returns whether the next step may follow at once, which may be another one after a race.
-// A standby must not join once its instance has been reported to be empty.
+// A standby must not join once its instance has been reported to be empty. \returns whether the next step may follow at
+// once; if another keeper has changed the view meanwhile, that step is a different one.
 bool KeeperViewController::begin(const KeeperView& next)
 {
     std::uint64_t before = view().version;
@@ -153,8 +154,8 @@
     InstanceNames installed = install(joint, joint.all());
     InstanceNames sealed = m_membership.assumedSealed(m_clock.now());
     sealed.insert(installed.begin(), installed.end());
-    bool isPossible = isSealed(joint, sealed, m_tolerated) && m_journal.transfer(joint, installed, gone);
-    if (!isPossible) {
+    bool isTransferred = isSealed(joint, sealed, m_tolerated) && m_journal.transfer(joint, installed, gone);
+    if (!isTransferred) {
         m_log.write(LogLine("keepers-change-pending").field("version", joint.version).field("installed", installed.size()).field("gone", gone.size()));
         return false;
     }
