--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -477,19 +477,23 @@
     m_disk.compact(std::move(snapshot), [](const std::exception_ptr&) {});
 }
 
-void TurnJournalServer::run()
+void TurnJournalServer::work()
 {
-    for (;; sleepFiber(workInterval)) {
-        try {
-            if (!m_journal.isSynchronized())
-                synchronize();
-            uploadOverdue();
-            compactIfLarge();
-        } catch (const Error& error) {
-            // The entries remain and are retried in the next interval.
-            m_log.write(LogLine("journal-work-failed").field("reason", error.what()));
-        }
+    try {
+        if (!m_journal.isSynchronized())
+            synchronize();
+        uploadOverdue();
+        compactIfLarge();
+    } catch (const Error& error) {
+        // The entries remain and are retried in the next interval.
+        m_log.write(LogLine("journal-work-failed").field("reason", error.what()));
     }
 }
 
+void TurnJournalServer::run()
+{
+    for (;; sleepFiber(workInterval))
+        work();
+}
+
 } // namespace basilpoint
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -53,7 +53,10 @@
     /// \returns false if too few answer.
     bool transfer(const KeeperView& joint, const InstanceNames& installed, const InstanceNames& gone);
 
-    /// Runs for the life of the process.
+    /// Completes the journal if entries are missing, and stores overdue entries.
+    void work();
+
+    /// Calls work() at intervals for the life of the process.
     void run();
 
 private:
--- a/unittests/Gateway/KeeperQuorumTest.cpp
+++ b/unittests/Gateway/KeeperQuorumTest.cpp
@@ -289,9 +289,11 @@
         KeeperView joint = beginChange(old, deployment.addresses("a"));
         deployment.install(joint, "ab");
         TurnJournalServer& leaving = deployment.keepers["b"]->journal;
-        for (const char* it : { "a", "b" })
-            spawnFiber([&journal = deployment.keepers[it]->journal] { journal.run(); });
-        BOOST_TEST(waitUntil([&] { return leaving.transfer(joint, deployment.names("ab"), {}); }));
+        BOOST_TEST(waitUntil([&] {
+            for (const char* it : { "a", "b" })
+                deployment.keepers[it]->journal.work();
+            return leaving.transfer(joint, deployment.names("ab"), {});
+        }));
         deployment.end();
     });
 }
