Log the content and the kind of failure of each failed attempt

Change: TargetError says how a call failed (refused, unreachable, lost, timed out, cancelled, invalid); a failed attempt logs this and a digest of host, method, path, program and body, which the attempts of one request share. No logic depends on either yet.

Ruled out: deriving the kind from the text of the error, which is the library's.

--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -56,6 +56,7 @@
     // Shared, since the server may call the disconnect handler after this function has returned.
     auto call = std::make_shared<ForwardedCall>(ForwardedCall { request, std::move(attributes), table, route, arrivedAt, arrivedAt + limit });
     call->query.dataCentre = m_dataCentre;
+    call->content = contentOf(request, call->attributes);
     writer.notifyOnDisconnect([this, call] {
         call->isCallerGone = true;
         // A non-idempotent call cannot be repeated, so it runs to its end.
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -44,6 +44,7 @@
     ResponseAttributes attributes;
     bool isStream = false;
     bool isUnreachable = false;
+    std::optional<TargetFailure> failure;
     EventStreamSplitter splitter;
     std::string reason;
     TimePoint sentAt;
@@ -132,6 +133,15 @@
     return request;
 }
 
+Digest contentOf(const HttpRequest& request, const CallAttributes& attributes)
+{
+    // Lengths are included, so that no two lists of parts have the same bytes.
+    std::string head;
+    for (std::string_view part : { request.header("host"), std::string_view(request.method), std::string_view(request.target), std::string_view(attributes.program.text()) })
+        head.append(fmt::format("{}:{},", part.size(), part));
+    return extendDigest(digestOf(head), request.body);
+}
+
 std::string lifetimeOf(const Registration& target)
 {
     return fmt::format("{}/{}", target.id.text(), target.startedAt);
@@ -242,6 +252,7 @@
         end = deliver(call, attempt, chosen);
     } catch (const TargetError& error) {
         attempt.reason = error.what();
+        attempt.failure = error.failure();
         attempt.isUnreachable = error.executed() == Executed::No;
         end = attempt.isUnreachable ? ForwardEnd::NotRun : ForwardEnd::MayHaveRun;
     } catch (const StreamRejectedError& error) {
@@ -317,6 +328,10 @@
     line.field("target", target.id.text()).field("startedAt", target.startedAt).field("inFlight", m_selector.inFlight(target.id));
     line.field("end", toString(end)).field("status", attempt.response.status).field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - call.arrivedAt));
     line.field("timeLeftMs", std::chrono::duration_cast<Milliseconds>(call.deadline - m_clock.now()));
+    if (end != ForwardEnd::Delivered)
+        line.field("content", call.content.text());
+    if (attempt.failure)
+        line.field("failure", toString(*attempt.failure));
     if (!attempt.reason.empty())
         line.field("reason", attempt.reason);
     m_log.write(line);
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -8,6 +8,7 @@
 #include "basilpoint/Gateway/WireFormat.h"
 #include "basilpoint/Net/HttpClient.h"
 #include "basilpoint/Net/HttpServer.h"
+#include "basilpoint/Support/Hash.h"
 #include "basilpoint/Support/Metrics.h"
 
 #include <memory>
@@ -27,6 +28,8 @@
     /// Request body for the target, if it differs from the caller's.
     std::optional<std::string> body {};
     TargetQuery query {};
+    /// Identifies the request across its caller's attempts, each of which has a call id of its own.
+    Digest content {};
     bool isCallerGone = false;
     HttpCancellation cancellation {};
 };
@@ -53,6 +56,9 @@
     BrokenOff,
 };
 
+/// Digest of what a caller sends again when it repeats a request: host, method, path, program and body.
+Digest contentOf(const HttpRequest&, const CallAttributes&);
+
 /// Identifies one lifetime of a target; connections are pooled per lifetime.
 std::string lifetimeOf(const Registration&);
 
--- a/lib/Net/Errors.cpp
+++ b/lib/Net/Errors.cpp
@@ -1,5 +1,6 @@
 #include "basilpoint/Net/Errors.h"
 
+#include <cassert>
 #include <nlohmann/json.hpp>
 
 namespace basilpoint {
@@ -26,6 +27,32 @@
 {
 }
 
+TargetError::TargetError(const Endpoint& endpoint, Executed executed, const std::string& reason, TargetFailure failure)
+    : TargetError(endpoint, executed, reason)
+{
+    m_failure = failure;
+}
+
+const char* toString(TargetFailure failure)
+{
+    switch (failure) {
+    case TargetFailure::ConnectionRefused:
+        return "connection-refused";
+    case TargetFailure::Unreachable:
+        return "unreachable";
+    case TargetFailure::ConnectionLost:
+        return "connection-lost";
+    case TargetFailure::TimedOut:
+        return "timed-out";
+    case TargetFailure::Cancelled:
+        return "cancelled";
+    case TargetFailure::InvalidResponse:
+        return "invalid-response";
+    }
+    assert(false && "unhandled enumerator");
+    return "";
+}
+
 TooLargeError::TooLargeError(std::string what, std::size_t limitBytes)
     : Error({ "too-large", statusTooLarge, Executed::No }, { { "what", std::move(what) }, { "limitBytes", std::to_string(limitBytes) } })
 {
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -125,18 +125,29 @@
     stream.expires_at(options.deadline ? std::min(end, *options.deadline) : end);
 }
 
+static TargetFailure failureOf(const boost::system::error_code& ec)
+{
+    if (ec == beast::error::timeout || ec == asio::error::timed_out || ec == asio::error::host_unreachable)
+        return TargetFailure::TimedOut;
+    if (ec == asio::error::operation_aborted)
+        return TargetFailure::Cancelled;
+    if (ec == http::error::end_of_stream || ec == http::error::partial_message || ec == asio::error::eof || ec == asio::error::connection_reset || ec == asio::error::broken_pipe)
+        return TargetFailure::ConnectionLost;
+    return TargetFailure::InvalidResponse;
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::connect(const Endpoint& endpoint, const HttpCallOptions& options)
 {
     auto connection = std::make_unique<Connection>(m_state->io);
     boost::system::error_code ec;
     auto address = asio::ip::make_address(endpoint.host, ec);
     if (ec)
-        throw TargetError(endpoint, Executed::No, ec.message());
+        throw TargetError(endpoint, Executed::No, ec.message(), TargetFailure::Unreachable);
     expireAfter(connection->stream, options.connectTimeout, options);
     ++m_state->opened;
     auto result = awaitIo([&](auto handler) { connection->stream.async_connect(Tcp::endpoint(address, endpoint.port), std::move(handler)); });
     if (result.ec)
-        throw TargetError(endpoint, Executed::No, result.ec.message());
+        throw TargetError(endpoint, Executed::No, result.ec.message(), result.ec == asio::error::connection_refused ? TargetFailure::ConnectionRefused : TargetFailure::Unreachable);
     setSocketOptions(connection->stream.socket());
     return connection;
 }
@@ -192,7 +203,7 @@
     expireAfter(connection.stream, options.readTimeout, options);
     auto result = awaitIo([&](auto handler) { http::async_write(connection.stream, message, std::move(handler)); });
     if (result.ec)
-        throw TargetError(endpoint, Executed::Unknown, result.ec.message());
+        throw TargetError(endpoint, Executed::Unknown, result.ec.message(), failureOf(result.ec));
 }
 
 HttpResponse HttpClient::call(const Endpoint& endpoint, const HttpRequest& request, const HttpCallOptions& options)
@@ -235,7 +246,7 @@
         auto header = awaitIo([&](auto handler) { http::async_read_header(connection.stream, connection.buffer, parser, std::move(handler)); });
         if (header.ec) {
             isStale = !parser.got_some();
-            throw TargetError(endpoint, Executed::Unknown, header.ec.message());
+            throw TargetError(endpoint, Executed::Unknown, header.ec.message(), failureOf(header.ec));
         }
         HttpResponse response { static_cast<int>(parser.get().result_int()), lowerCaseHeaders(parser.get()), {} };
         bool matches = !isInterim(response) && (!options.matchesRequest || options.matchesRequest(response));
@@ -248,7 +259,7 @@
             expireAfter(connection.stream, options.readTimeout, options);
             auto result = awaitIo([&](auto handler) { http::async_read_some(connection.stream, connection.buffer, parser, std::move(handler)); });
             if (result.ec && result.ec != http::error::need_buffer)
-                throw TargetError(endpoint, Executed::Unknown, result.ec.message());
+                throw TargetError(endpoint, Executed::Unknown, result.ec.message(), failureOf(result.ec));
             std::string_view chunk(buf.data(), buf.size() - parser.get().body().size);
             if (!matches) {
                 discardedBytes += chunk.size();
@@ -282,7 +293,7 @@
         connection = connect(endpoint, options);
     if (cancellation) {
         if (cancellation->m_cancelled)
-            throw TargetError(endpoint, Executed::No, "cancelled");
+            throw TargetError(endpoint, Executed::No, "cancelled", TargetFailure::Cancelled);
         cancellation->m_close = [stream = &connection->stream] { stream->cancel(); };
     }
     struct ResetOnExit {
@@ -315,7 +326,7 @@
         return stream(endpoint, request, onChunk, retryOptions, cancellation);
     } catch (const TargetError& error) {
         // The target may have received the request on the first connection before that one failed.
-        throw TargetError(endpoint, Executed::Unknown, error.what());
+        throw TargetError(endpoint, Executed::Unknown, error.what(), error.failure());
     }
 }
 
