--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -157,7 +157,7 @@
     std::string call(request.header("x-basilpoint-request-id"));
     if (request.header("x-basilpoint-expect-instance") != m_id)
         return writer.send({ 421, { { "x-basilpoint-instance-id", m_id } }, {} });
-    runs.push_back({ call, request.body, request.headers });
+    runs.push_back({ call, request.body, request.headers, std::chrono::steady_clock::now() });
     if (!crashesOn.empty() && request.body.ends_with(crashesOn))
         crash();
     unsigned lifetime = m_lifetime;
@@ -173,6 +173,7 @@
         failIfDown();
     }
     HttpHeaders headers { { "x-basilpoint-request-id", call }, { "x-basilpoint-server-stamp", "stamp-" + m_id } };
+    headers.insert(answerHeaders.begin(), answerHeaders.end());
     if (request.target.find("/stream/") == std::string::npos)
         return writer.send({ 200, headers, "done " + call });
     headers["content-type"] = "text/event-stream";
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -71,12 +71,15 @@
         std::string call;
         std::string body;
         HttpHeaders headers;
+        std::chrono::steady_clock::time_point at;
     };
     std::vector<Run> runs;
     /// While set, the target crashes after it has run a call: its answer is lost.
     bool losesAnswers = false;
     /// The target crashes as soon as it runs a call with this body; empty if it never does.
     std::string crashesOn;
+    /// Headers of all answers.
+    HttpHeaders answerHeaders;
     /// Time that each call takes.
     std::chrono::milliseconds delay { 0 };
 
