Keep the rate limits that targets name, for all gateways together

Cause: no gateway read the limit; one that each kept for itself would be exceeded by as many gateways as there are.

Ruled out: a share for each gateway (0.02 a second at 259, unused); asking one gateway for each call (a call between gateways each, and one point of failure); expiry of a limit without notice (hundreds of gateways would find out at once).

Change: RateLimits divides each limit among as many gateways as it has whole calls a second, chosen by a hash that all compute alike; the others send nothing. Limits and their ends travel as notices. What no target can take is refused at once, first turns first.

Why it works: the sum of the shares is the limit, whoever is reachable; it needs neither store nor answers from others.

The engines serve past their limits, so keeping these costs what the others cannot take; calls that wait at the overloaded ones are not refused early yet.

--- a/include/basilpoint/Fleet/NoticeGossip.h
+++ b/include/basilpoint/Fleet/NoticeGossip.h
@@ -19,6 +19,8 @@
     LeavingTarget,
     /// Digest of a request that was in flight when a target crashed; it runs only alone on a target.
     SuspectedRequest,
+    /// Target that limits the rate of calls from all daemons together, and the limit.
+    LimitedTarget,
 };
 
 struct NoticeSubject {
--- a/include/basilpoint/Gateway/WireFormat.h
+++ b/include/basilpoint/Gateway/WireFormat.h
@@ -57,6 +57,10 @@
     bool isNotRun = false;
     /// Whether the response carries the target's signature.
     bool isSigned = false;
+    /// Whether the response describes the target's state below: it is the target's own answer or refusal.
+    bool describesTarget = false;
+    /// Calls per second that the target takes from all daemons together; empty if it does not limit them.
+    std::optional<double> callsPerSecond;
 
     bool operator==(const ResponseAttributes&) const = default;
 };
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -209,6 +209,9 @@
         else
             readmit(TargetId(subject.text));
         return;
+    case NoticeKind::LimitedTarget:
+        // Only targets of gateways name limits.
+        return;
     }
 }
 
--- a/lib/Gateway/CrashTracker.cpp
+++ b/lib/Gateway/CrashTracker.cpp
@@ -112,8 +112,6 @@
 
 void CrashTracker::apply(const NoticeSubject& subject, bool inForce)
 {
-    if (subject.kind != NoticeKind::SuspectedRequest && subject.kind != NoticeKind::QuarantinedRequest)
-        return;
     std::string_view text = subject.text;
     auto separator = std::min(text.find('/'), text.size());
     Digest content;
--- a/lib/Gateway/CrashTracker.h
+++ b/lib/Gateway/CrashTracker.h
@@ -37,7 +37,7 @@
     /// Records that a lifetime of a target has ended without a planned stop.
     void targetEnded(const Registration&);
 
-    /// Handles a notice of this or another gateway.
+    /// Handles a notice about a suspected or quarantined request, of this or another gateway.
     void apply(const NoticeSubject&, bool inForce);
 
     void sweep() { m_quarantine.sweep(m_clock.now()); }
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -69,11 +69,12 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, CrashTracker& crashes, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, CrashTracker& crashes, RateLimitTracker& limits, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
     , m_crashes(crashes)
+    , m_limits(limits)
     , m_receiveBudget(receiveBudget)
     , m_format(format)
     , m_clock(clock)
@@ -107,7 +108,9 @@
     // All gateways send a suspected request to the same target, which bounds the targets that its copies crash.
     if (m_crashes.statusOf(call.content) == Quarantine::Status::Suspect)
         call.query.placement = call.content.low;
-    return m_selector.choose(m_directory.usable(call.query.service), call.query, m_clock.now());
+    std::vector<const Registration*> targets = m_directory.usable(call.query.service);
+    m_limits.removeExhausted(targets, call.route.keepsTurns() && call.attributes.previousTurn.empty());
+    return m_selector.choose(targets, call.query, m_clock.now());
 }
 
 static bool isHopHeader(std::string_view name)
@@ -196,6 +199,8 @@
         attempt.response = response;
         dropHopHeaders(attempt.response.headers);
         attempt.attributes = m_format.readResponse(response);
+        if (attempt.attributes.describesTarget)
+            m_limits.answered(target, attempt.attributes.callsPerSecond, attempt.sentAt);
         attempt.isStream = call.route.kind == CallKind::Stream && response.status == 200 && attempt.attributes.isSigned && !attempt.attributes.call.empty();
     };
     HttpResponse response = m_client.stream(
@@ -252,6 +257,7 @@
     attempt.target = chosen.id;
     m_selector.sent(chosen.id);
     m_crashes.dispatched(call.content);
+    m_limits.sent(chosen);
     try {
         receive(call, attempt, chosen, optionsFor(call, chosen, isLast));
         end = deliver(call, attempt, chosen);
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashTracker.h"
+#include "RateLimitTracker.h"
 
 #include "basilpoint/Forwarding/RouteTable.h"
 #include "basilpoint/Forwarding/TargetSelector.h"
@@ -70,7 +71,7 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, CrashTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, CrashTracker&, RateLimitTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
 
     /// Whether the request is refused, since it has crashed several targets.
     bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
@@ -97,6 +98,7 @@
     TargetDirectory& m_directory;
     TargetSelector& m_selector;
     CrashTracker& m_crashes;
+    RateLimitTracker& m_limits;
     ReceiveBudget& m_receiveBudget;
     const WireFormat& m_format;
     const Clock& m_clock;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -11,6 +11,7 @@
 #include "basilpoint/Support/Random.h"
 
 #include <algorithm>
+#include <cassert>
 #include <csignal>
 #include <fmt/format.h>
 
@@ -67,6 +68,7 @@
         std::uint64_t peerRank(const RelayAddress&) const;
         void applyRelays(const std::vector<RelayAddress>&);
         void sendNotices(const InstanceId&, const std::string& body);
+        void applyNotice(const NoticeSubject&, bool inForce);
         std::string receiveNotices(const std::string& body);
         void logReadinessChange();
         void logSummary();
@@ -88,6 +90,7 @@
         TargetSelector m_selector;
         NoticeController m_notices;
         CrashTracker m_crashes;
+        RateLimitTracker m_limits;
         ReceiveBudget m_receiveBudget;
         TurnLedger m_ledger;
         LedgerWriter m_writer;
@@ -125,10 +128,11 @@
     , m_selector(m_random())
     , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
     , m_crashes(client, m_notices, clock, m_log, m_metrics)
+    , m_limits(settings.instance, m_notices, clock, m_log, m_metrics)
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
-    , m_forwarder(client, m_directory, m_selector, m_crashes, m_receiveBudget, m_format, clock, m_log, m_metrics)
+    , m_forwarder(client, m_directory, m_selector, m_crashes, m_limits, m_receiveBudget, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
@@ -194,6 +198,7 @@
     m_log.write(LogLine("target-gone").field("target", target.id.text()).field("startedAt", target.startedAt));
     m_selector.forget(target.id);
     m_client.closeIdle(lifetimeOf(target));
+    m_limits.forget(target);
     if (!target.isLeaving)
         m_crashes.targetEnded(target);
 }
@@ -203,6 +208,10 @@
 {
     m_accounts.setRelays(relays);
     std::vector<RelayAddress> peers = filterRelays(relays, false);
+    std::vector<std::string> gateways { m_settings.instance };
+    for (const RelayAddress& it : peers)
+        gateways.push_back(it.instance);
+    m_limits.setDaemons(std::move(gateways));
     std::sort(peers.begin(), peers.end(), [&](const RelayAddress& a, const RelayAddress& b) { return peerRank(a) < peerRank(b); });
     peers.resize(std::min(peers.size(), maxNoticePeers));
     std::vector<InstanceId> ids;
@@ -232,6 +241,23 @@
     });
 }
 
+void Gateway::applyNotice(const NoticeSubject& subject, bool inForce)
+{
+    switch (subject.kind) {
+    case NoticeKind::QuarantinedRequest:
+    case NoticeKind::SuspectedRequest:
+        m_crashes.apply(subject, inForce);
+        return;
+    case NoticeKind::LimitedTarget:
+        m_limits.apply(subject, inForce);
+        return;
+    case NoticeKind::LeavingTarget:
+        // Gateways learn this from registrations.
+        return;
+    }
+    assert(false && "unhandled enumerator");
+}
+
 std::string Gateway::receiveNotices(const std::string& body)
 {
     m_notices.received(body);
@@ -327,6 +353,7 @@
     m_writer.startWrites();
     m_accounts.refreshOutstandingGrants();
     m_crashes.sweep();
+    m_limits.sweep();
     logReadinessChange();
     m_log.flush();
 }
@@ -347,7 +374,7 @@
     m_relays.onKeeperView([this](const KeeperView& view) { m_journal.setView(view); });
     m_relays.onAnnounce([this](const std::string& instance) { m_accounts.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
-    m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { m_crashes.apply(subject, inForce); });
+    m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { applyNotice(subject, inForce); });
     m_notices.start();
     m_peers.on(peerpaths::notices, [this](const std::string& body) { return receiveNotices(body); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -63,7 +63,10 @@
     format.writeTargetCall = [](HttpRequest&, const TargetCallAttributes&) {};
     format.readResponse = [](const HttpResponse& response) {
         auto call = response.headers.find(callHeader);
-        return ResponseAttributes { CallId(call == response.headers.end() ? "" : call->second), false, true };
+        ResponseAttributes attributes;
+        attributes.call = CallId(call == response.headers.end() ? "" : call->second);
+        attributes.isSigned = true;
+        return attributes;
     };
     return format;
 }
@@ -98,7 +101,8 @@
         , selector(1)
         , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
         , crashes(client, notices, clock, log, metrics)
-        , forwarder(client, directory, selector, crashes, receiveBudget, format, clock, log, metrics)
+        , limits("g", notices, clock, log, metrics)
+        , forwarder(client, directory, selector, crashes, limits, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -144,6 +148,7 @@
     ReceiveBudget receiveBudget { 1024 * 1024 };
     NoticeController notices;
     CrashTracker crashes;
+    RateLimitTracker limits;
     Forwarder forwarder;
     TurnLedger ledger;
     LedgerWriter writer;
--- a/unittests/Platform/CallFormatTest.cpp
+++ b/unittests/Platform/CallFormatTest.cpp
@@ -51,4 +51,15 @@
     BOOST_TEST(read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "x-basilpoint-request-id", "r" } }, {} }).isSigned);
 }
 
+BOOST_AUTO_TEST_CASE(limitIsReadFromTheTargetsOwnAnswersAndRefusals)
+{
+    auto read = platform::callFormat().readResponse;
+    BOOST_TEST(*read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "server-limit", "5.9" } }, {} }).callsPerSecond == 5.9);
+    BOOST_TEST(*read({ 503, { { "x-basilpoint-not-run", "1" }, { "server-limit", "2" } }, {} }).callsPerSecond == 2);
+    BOOST_TEST(!read({ 421, { { "x-basilpoint-instance-id", "i-2" }, { "server-limit", "2" } }, {} }).callsPerSecond);
+    BOOST_TEST(!read({ 421, { { "x-basilpoint-instance-id", "i-2" } }, {} }).describesTarget);
+    for (const char* it : { "", "-1", "many", "nan" })
+        BOOST_TEST(!read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "server-limit", it } }, {} }).callsPerSecond);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
