Send nothing to a target after an answer in which it says that it leaves

A target that leaves says so in all its answers, and a call sent to it long after may be cut off when it ends (DRAIN).

Cause: only registrations were read. They may stay "ready", expire and be renewed, or not arrive while the store is away.

Ruled out: LeavingTargetTracker, which admits a target again once it is listed anew; here a lifetime's registration may expire in an outage and come back.

Change: TargetDirectory marks the lifetime (id and start) that said so; registrations of that lifetime or of earlier ones count as leaving. Read from the target's own answers and refusals only, not from another target at its address.

--- a/include/basilpoint/Forwarding/TargetDirectory.h
+++ b/include/basilpoint/Forwarding/TargetDirectory.h
@@ -45,6 +45,10 @@
     /// Adds or updates a registration.
     PutResult put(const Registration&);
 
+    /// Records that a lifetime of a target has announced in an answer that it leaves. Its registrations do not undo this, since
+    /// they may be older, or expire and be renewed. \returns whether this was not known.
+    bool markLeaving(const TargetId&, std::int64_t startedAt, TimePoint now);
+
     /// Handles the removal of a registration.
     void remove(const TargetId&, TimePoint now);
 
@@ -70,6 +74,9 @@
     /// Time within which targets renew expired registrations, as the platform specifies.
     static constexpr Milliseconds renewalGrace { 2'000 };
 
+    /// How long a lifetime that has announced that it leaves is remembered without a registration.
+    static constexpr std::chrono::hours leavingRetention { 1 };
+
 private:
     struct Entry {
         Registration registration;
@@ -77,9 +84,16 @@
         TimePoint dropAt = TimePoint::max();
     };
 
+    struct LeavingMark {
+        std::int64_t startedAt = 0;
+        TimePoint markedAt;
+    };
+
     bool isExpiryLikely(TimePoint now) const;
+    bool isMarkedLeaving(const Registration&) const;
 
     std::map<TargetId, Entry> m_entries;
+    std::map<TargetId, LeavingMark> m_leaving;
     bool m_isSourceLost = true;
     TimePoint m_sourceRegainedAt = TimePoint::min();
 };
--- a/include/basilpoint/Gateway/WireFormat.h
+++ b/include/basilpoint/Gateway/WireFormat.h
@@ -59,6 +59,8 @@
     bool isSigned = false;
     /// Whether the response describes the target's state below: it is the target's own answer or refusal.
     bool describesTarget = false;
+    /// Whether the target announces that it shuts down.
+    bool isLeaving = false;
     /// Calls per second that the target takes from all daemons together; empty if it does not limit them.
     std::optional<double> callsPerSecond;
 
--- a/lib/Forwarding/TargetDirectory.cpp
+++ b/lib/Forwarding/TargetDirectory.cpp
@@ -9,13 +9,33 @@
 {
     auto [it, isNew] = m_entries.try_emplace(registration.id);
     Registration before = std::exchange(it->second.registration, registration);
+    Registration& after = it->second.registration;
+    after.isLeaving = after.isLeaving || isMarkedLeaving(after);
     // Also for an unchanged registration, which may have expired and been renewed.
     it->second.dropAt = TimePoint::max();
     if (isNew)
         return PutResult::New;
-    if (before == registration)
+    if (before == after)
         return PutResult::None;
-    return before.startedAt == registration.startedAt ? PutResult::Changed : PutResult::Restarted;
+    return before.startedAt == after.startedAt ? PutResult::Changed : PutResult::Restarted;
+}
+
+bool TargetDirectory::isMarkedLeaving(const Registration& registration) const
+{
+    auto mark = m_leaving.find(registration.id);
+    return mark != m_leaving.end() && registration.startedAt <= mark->second.startedAt;
+}
+
+bool TargetDirectory::markLeaving(const TargetId& id, std::int64_t startedAt, TimePoint now)
+{
+    auto [mark, isNew] = m_leaving.try_emplace(id, LeavingMark { startedAt, now });
+    if (!isNew && startedAt <= mark->second.startedAt)
+        return false;
+    mark->second = { startedAt, now };
+    auto it = m_entries.find(id);
+    if (it != m_entries.end())
+        it->second.registration.isLeaving = it->second.registration.isLeaving || isMarkedLeaving(it->second.registration);
+    return true;
 }
 
 // Right after an outage, a removal may be due to a lease that expired during the outage.
@@ -63,6 +83,7 @@
 std::vector<Registration> TargetDirectory::sweep(TimePoint now)
 {
     std::vector<Registration> dropped;
+    std::erase_if(m_leaving, [&](const auto& it) { return now - it.second.markedAt > leavingRetention && !m_entries.contains(it.first); });
     if (m_isSourceLost)
         return dropped;
     for (auto it = m_entries.begin(); it != m_entries.end();) {
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -199,6 +199,8 @@
         attempt.response = response;
         dropHopHeaders(attempt.response.headers);
         attempt.attributes = m_format.readResponse(response);
+        if (attempt.attributes.isLeaving && m_directory.markLeaving(target.id, target.startedAt, m_clock.now()))
+            m_log.write(LogLine("target-leaving").field("target", target.id.text()).field("startedAt", target.startedAt));
         if (attempt.attributes.describesTarget)
             m_limits.answered(target, attempt.attributes.callsPerSecond, attempt.sentAt);
         attempt.isStream = call.route.kind == CallKind::Stream && response.status == 200 && attempt.attributes.isSigned && !attempt.attributes.call.empty();
--- a/unittests/Forwarding/TargetDirectoryTest.cpp
+++ b/unittests/Forwarding/TargetDirectoryTest.cpp
@@ -30,6 +30,27 @@
     BOOST_TEST(usable() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(renewedRegistrationDoesNotUndoThatALifetimeLeaves)
+{
+    directory.replaceAll({ target("1") }, now);
+    BOOST_TEST(directory.markLeaving(TargetId("1"), 1, now));
+    BOOST_TEST(!directory.markLeaving(TargetId("1"), 1, now));
+    BOOST_TEST(usable() == 0U);
+    BOOST_TEST((directory.put(target("1")) == TargetDirectory::PutResult::None));
+    BOOST_TEST(usable() == 0U);
+    directory.remove(TargetId("1"), now);
+    BOOST_TEST(directory.sweep(now).size() == 1U);
+    directory.put(target("1"));
+    BOOST_TEST(usable() == 0U);
+    Registration restarted = target("1");
+    restarted.startedAt = 2;
+    BOOST_TEST((directory.put(restarted) == TargetDirectory::PutResult::Restarted));
+    BOOST_TEST(usable() == 1U);
+    // An old answer of the earlier lifetime.
+    BOOST_TEST(!directory.markLeaving(TargetId("1"), 1, now));
+    BOOST_TEST(usable() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(leavingTargetTakesNoNewCallsButCanBeFound)
 {
     directory.replaceAll({ target("1") }, now);
--- a/unittests/Platform/CallFormatTest.cpp
+++ b/unittests/Platform/CallFormatTest.cpp
@@ -62,4 +62,13 @@
         BOOST_TEST(!read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "server-limit", it } }, {} }).callsPerSecond);
 }
 
+BOOST_AUTO_TEST_CASE(shutdownIsReadFromTheTargetsOwnAnswersAndRefusals)
+{
+    auto read = platform::callFormat().readResponse;
+    BOOST_TEST(read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "server-leaving", "1" } }, {} }).isLeaving);
+    BOOST_TEST(read({ 503, { { "x-basilpoint-not-run", "1" }, { "server-leaving", "1" } }, {} }).isLeaving);
+    BOOST_TEST(!read({ 200, { { "x-basilpoint-server-stamp", "s" }, { "server-leaving", "0" } }, {} }).isLeaving);
+    BOOST_TEST(!read({ 421, { { "x-basilpoint-instance-id", "i-2" }, { "server-leaving", "1" } }, {} }).isLeaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -50,6 +50,11 @@
     m_items[key] = { encodeBase64(value), ++m_revision, true };
 }
 
+void FakeStore::remove(const std::string& key)
+{
+    m_items[key] = { {}, ++m_revision, false };
+}
+
 std::string FakeStore::valueOf(const std::string& key) const
 {
     return decodeBase64(m_items.at(key).encoded);
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -18,6 +18,7 @@
 
     /// Writes a key, as the operator or a target does.
     void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
     bool has(const std::string& key) const { return m_items.contains(key) && m_items.at(key).exists; }
     /// Value of a key that exists.
     std::string valueOf(const std::string& key) const;
