--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -415,8 +415,9 @@
 {
     // Never deleted, since fibers use the gateway until the process ends.
     auto& gateway = *new Gateway(io, settings, format, targets, store, clock);
-    gateway.start();
+    // Before callers are accepted, whose requests a stop must not cut off.
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    gateway.start();
     while (awaitSignal(signals) == SIGHUP)
         gateway.log().write(LogLine("reload").field("settings", reload()));
     gateway.drain();
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -211,8 +211,8 @@
 {
     // Not deleted, since fibers use the keeper until the process ends.
     auto& keeper = *new Keeper(io, settings, format, peers, store, clock);
-    keeper.start();
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    keeper.start();
     while (awaitSignal(signals) == SIGHUP)
         keeper.log().write(LogLine("reload").field("role", "keeper"));
     keeper.stop();
