Leave descriptors for targets and the store when callers keep many connections

What callers saw: with as many idle connections of callers as a gateway has descriptors, it reached neither targets nor the store: calls on connections already open were refused, and its readiness probe failed.

Cause: connections of callers were limited to 4,096 whatever the process may use.

Ruled out: descriptors that leak (18 in use once the callers are gone).

Change: callers' connections take half of limits.maxFds at most. Beyond that they are closed before a request is read, which callers may repeat.

Fixture: test calls close their connections, and child processes no longer inherit the test's sockets, which kept crashed fake targets' ports open.

--- a/include/basilpoint/Gateway/Gateway.h
+++ b/include/basilpoint/Gateway/Gateway.h
@@ -26,6 +26,8 @@
     Milliseconds stopLimit { 8'000 };
     /// Memory that the process may use.
     std::size_t memoryBytes = 64 * 1024 * 1024;
+    /// File descriptors that the process may use. Callers' connections take half of them at most.
+    std::size_t maxDescriptors = 1'024;
     /// File descriptor of the log.
     int logDescriptor = 1;
 };
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -41,6 +41,8 @@
 // Other gateways that this one sends notices to.
 static constexpr std::size_t maxNoticePeers = 8;
 static constexpr Milliseconds noticeTimeout { 500 };
+// Part of the descriptors that connections of callers may use; the others are for targets, the store and other daemons.
+static constexpr std::size_t callerConnectionsDivisor = 2;
 // Shorter outages do not let registrations expire.
 static constexpr Milliseconds minOutageForExpiry { 400 };
 
@@ -106,6 +108,13 @@
 
 } // namespace
 
+static HttpLimits callerLimits(const GatewaySettings& settings)
+{
+    HttpLimits limits;
+    limits.maxConnections = std::max<std::size_t>(1, settings.maxDescriptors / callerConnectionsDivisor);
+    return limits;
+}
+
 static LedgerSettings ledgerSettingsOf(const GatewaySettings& settings)
 {
     LedgerSettings ledger;
@@ -136,7 +145,7 @@
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
-    , m_callers(io, settings.callers, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
+    , m_callers(io, settings.callers, callerLimits(settings), [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
     , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
 {
 }
@@ -166,7 +175,7 @@
     if (!m_configuration.offer(std::move(*configuration)))
         return;
     const CallerLimits& caller = m_configuration.current()->configuration().limits;
-    HttpLimits limits;
+    HttpLimits limits = callerLimits(m_settings);
     limits.maxHeaderBytes = caller.maxHeaderBytes;
     limits.maxBodyBytes = caller.maxBodyBytes;
     limits.idleTimeout = caller.idleTimeout;
--- a/unittests/EndToEnd/Process.cpp
+++ b/unittests/EndToEnd/Process.cpp
@@ -21,6 +21,8 @@
     int fd = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
+    // A listening socket of the test process would otherwise stay open in the child after the test closes it.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(path.c_str(), argv.data());
     _exit(127);
 }
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
+#include <sys/resource.h>
 
 namespace basilpoint::test {
 
@@ -14,7 +15,6 @@
 Deployment::Deployment(unsigned toleratedLosses, unsigned moreToolCount)
     : folder(std::filesystem::temp_directory_path() / ("basilpoint-day-" + std::to_string(::getpid()) + "-" + std::to_string(++count)))
     , tolerated(toleratedLosses)
-    , client(testRuntime().io())
     , store(testRuntime().io())
     , engine(testRuntime().io(), "i-engine", "models")
     , spare(testRuntime().io(), "i-spare", "models")
@@ -66,7 +66,7 @@
     }
     std::ofstream settings(folder / (name + ".conf"));
     settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << store.endpoint().text() << "\nportRange=" << instance.peers << "," << instance.peers
-             << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
+             << "\nlimits.maxFds=" << descriptors << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
     if (isGateway)
         settings << "listen.front=127.0.0.1:" << instance.callers << "\nlisten.ready=127.0.0.1:" << instance.readiness << "\n";
     else
@@ -75,6 +75,30 @@
     processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
 }
 
+// Whether the process's main function has begun, which decides about SIGHUP before anything else.
+static bool hasBegun(pid_t process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::uint64_t handled = 0;
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("SigIgn:") || line.starts_with("SigCgt:"))
+            handled |= std::strtoull(line.c_str() + std::string_view("SigIgn:").size(), nullptr, 16);
+    return (handled >> (SIGHUP - 1)) & 1U;
+}
+
+bool Deployment::awaitBegin(const std::string& name)
+{
+    return eventually([&] { return hasBegun(processes[name]->id()); });
+}
+
+void Deployment::limitDescriptors(const std::string& name)
+{
+    // Until it executes its own program, the child has the test's descriptors.
+    awaitBegin(name);
+    rlimit limit { descriptors, descriptors };
+    prlimit(processes[name]->id(), RLIMIT_NOFILE, &limit, nullptr);
+}
+
 bool Deployment::kill(const std::string& name)
 {
     processes[name]->signal(SIGKILL);
@@ -89,6 +113,8 @@
     options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
     headers["host"] = "h.example";
     headers.emplace("x-basilpoint-request-id", "call-" + std::to_string(++calls));
+    // Closes its connection at the end.
+    HttpClient client(testRuntime().io());
     try {
         return client.call({ "127.0.0.1", static_cast<std::uint16_t>(port) }, { method, target, headers, body }, options);
     } catch (const TargetError&) {
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -32,6 +32,12 @@
     /// Starts a process, again with the same addresses and disk if it has run before.
     void start(const std::string& name, bool isGateway, const std::string& zone = defaultZone);
 
+    /// Waits until a process has begun to run its own program and handles signals. \returns whether it has.
+    bool awaitBegin(const std::string& name);
+
+    /// Limits the descriptors of a running process to \ref descriptors.
+    void limitDescriptors(const std::string& name);
+
     /// Kills a process. \returns whether it has ended.
     bool kill(const std::string& name);
 
@@ -56,7 +62,8 @@
 
     std::filesystem::path folder;
     unsigned tolerated;
-    HttpClient client;
+    /// Descriptors that processes may use, as their settings say; see limitDescriptors().
+    unsigned descriptors = 4'096;
     FakeStore store;
     FakeTarget engine;
     FakeTarget spare;
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -1,6 +1,7 @@
 #include "Deployment.h"
 
 #include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 
@@ -261,4 +262,32 @@
     });
 }
 
+// Clients that keep connections open took all descriptors, so that the gateway reached neither targets nor the store.
+BOOST_AUTO_TEST_CASE(idleConnectionsOfCallersLeaveDescriptorsForTargetsAndTheStore)
+{
+    inFiber([] {
+        // Never deleted, since fibers of the fakes use them until the process ends.
+        auto& deployment = *new Deployment;
+        deployment.descriptors = 96;
+        startAll(deployment, { { "keeper", defaultZone } });
+        deployment.limitDescriptors("a");
+        HttpClient client(testRuntime().io());
+        HttpCallOptions options;
+        options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        Endpoint gateway { "127.0.0.1", static_cast<std::uint16_t>(deployment.instances["a"].callers) };
+        auto pay = [&](const std::string& id) { return client.call(gateway, { "POST", "/pay/1", { { "host", "h.example" }, { "x-basilpoint-request-id", id } }, "12" }, options).status; };
+        // Keeps a connection open, without one to a target yet.
+        BOOST_TEST(client.call(gateway, { "POST", "/none/1", { { "host", "h.example" }, { "x-basilpoint-request-id", "n" } }, "" }, options).status == 404);
+        std::vector<boost::asio::ip::tcp::socket> idle;
+        for (unsigned n = 0; n < 2 * deployment.descriptors; ++n) {
+            auto& socket = idle.emplace_back(testRuntime().io());
+            awaitIo([&](auto handler) { socket.async_connect({ boost::asio::ip::make_address(gateway.host), gateway.port }, std::move(handler)); });
+        }
+        pause(std::chrono::milliseconds(300));
+        BOOST_TEST(pay("payout-1") == 200);
+        BOOST_TEST(deployment.isReady("a"));
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Platform/SettingsTest.cpp
+++ b/unittests/Platform/SettingsTest.cpp
@@ -23,6 +23,7 @@
     BOOST_TEST(settings.tolerated == 1U);
     BOOST_TEST(settings.memoryBytes == 64'000'000U);
     BOOST_TEST(parseSettings(frontText + "limits.memoryMb=88\n").memoryBytes == 88'000'000U);
+    BOOST_TEST(parseSettings(frontText + "limits.maxFds=4100\n").maxDescriptors == 4'100U);
     BOOST_TEST(settings.isFirstStart);
     BOOST_TEST(settings.dataFolder.empty());
 }
