Soak: tell a process that ended by itself from one that another signal ended

The check now asks which signal ended a process: it must have been killed or told to stop. That is stricter than before, which looked after SIGHUP only: any end of its own counts, at any time. Calls that an engine's new start cuts off are excused like those of a crash.

--- a/unittests/EndToEnd/Process.cpp
+++ b/unittests/EndToEnd/Process.cpp
@@ -65,6 +65,7 @@
         return true;
     m_ended = true;
     m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    m_signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     return false;
 }
 
--- a/unittests/EndToEnd/Process.h
+++ b/unittests/EndToEnd/Process.h
@@ -23,6 +23,8 @@
 
     /// Exit status after running() has returned false; -1 if a signal ended the process.
     int exitStatus() const { return m_status; }
+    /// Signal that ended the process; 0 if none did.
+    int endingSignal() const { return m_signal; }
 
     std::string log() const;
     pid_t id() const { return m_id; }
@@ -30,6 +32,7 @@
 private:
     pid_t m_id = 0;
     int m_status = -1;
+    int m_signal = 0;
     bool m_ended = false;
     std::string m_logFile;
 };
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -70,7 +70,7 @@
     FakeTarget tool;
     std::vector<std::unique_ptr<FakeTarget>> moreTools;
     std::map<std::string, Instance> instances;
-    std::map<std::string, std::unique_ptr<Process>> processes;
+    std::map<std::string, std::shared_ptr<Process>> processes;
     std::string answer;
     HttpHeaders answerHeaders;
     int calls = 0;
--- a/unittests/Platform/SoakTest.cpp
+++ b/unittests/Platform/SoakTest.cpp
@@ -258,59 +258,71 @@
         while (!m_isOver) {
             wait(1'500ms);
             std::string name(1, static_cast<char>('a' + draw(3)));
-            Process& process = *m_deployment.processes[name];
-            if (!process.running())
+            // Another fiber may start the gateway anew meanwhile.
+            std::shared_ptr<Process> process = m_deployment.processes[name];
+            if (!process->running())
                 continue;
             switch (draw(6)) {
             case 0:
             case 1:
-                process.signal(SIGTERM);
+                process->signal(SIGTERM);
+                m_stopping.insert(process->id());
                 if (draw(2) == 0)
-                    process.signal(SIGHUP);
+                    process->signal(SIGHUP);
                 if (draw(3) == 0)
-                    process.signal(SIGTERM);
+                    process->signal(SIGTERM);
                 restartOnceEnded(name);
                 break;
             case 2:
                 m_disturbedAt[name] = std::chrono::steady_clock::now() + 1h;
-                process.signal(SIGKILL);
+                process->signal(SIGKILL);
                 restartOnceEnded(name);
                 m_disturbedAt[name] = std::chrono::steady_clock::now();
                 break;
             case 3:
                 m_disturbedAt[name] = std::chrono::steady_clock::now() + 1h;
-                process.signal(SIGSTOP);
+                process->signal(SIGSTOP);
                 pause(std::chrono::milliseconds(100 + draw(1'500)));
-                process.signal(SIGCONT);
+                process->signal(SIGCONT);
                 m_disturbedAt[name] = std::chrono::steady_clock::now() + 500ms;
                 break;
             case 4:
             case 5:
                 for (std::size_t n = 1 + draw(5); n > 0; --n) {
-                    process.signal(SIGHUP);
+                    process->signal(SIGHUP);
                     pause(std::chrono::milliseconds(draw(30)));
                 }
-                if (!process.running())
-                    violation(fmt::format("gateway {} ended when its settings were to be read again", name));
+                checkEnd(name, *process);
                 break;
             }
         }
     }
 
+    /// Checks that a process which has ended was killed or told to stop. A signal may follow the one that stopped it.
+    void checkEnd(const std::string& name, Process& process)
+    {
+        if (process.running() || process.endingSignal() == SIGKILL)
+            return;
+        bool isLateSignal = process.endingSignal() == SIGTERM || process.endingSignal() == SIGHUP;
+        bool isStop = m_stopping.contains(process.id()) && (process.exitStatus() == 0 || isLateSignal);
+        if (!isStop)
+            violation(fmt::format("gateway {} ended by itself: signal {}, status {}", name, process.endingSignal(), process.exitStatus()));
+    }
+
     void restartOnceEnded(const std::string& name)
     {
-        Process* ending = m_deployment.processes[name].get();
-        bool hasEnded = eventually([&] { return m_deployment.processes[name].get() != ending || !ending->running(); }, 12s);
+        std::shared_ptr<Process> ending = m_deployment.processes[name];
+        bool hasEnded = eventually([&] { return m_deployment.processes[name] != ending || !ending->running(); }, 12s);
         if (!hasEnded)
             violation(fmt::format("gateway {} has not ended within 12 s of the signal", name));
-        if (m_deployment.processes[name].get() != ending || !hasEnded)
+        if (m_deployment.processes[name] != ending || !hasEnded)
             return;
+        checkEnd(name, *ending);
         startGateway(name);
         if (draw(2) == 0 && m_deployment.awaitBegin(name)) {
             m_deployment.processes[name]->signal(SIGHUP);
             pause(200ms);
-            if (!m_deployment.processes[name]->running())
-                violation(fmt::format("gateway {} ended when its settings were to be read again just after its start", name));
+            checkEnd(name, *m_deployment.processes[name]);
         }
     }
 
@@ -359,6 +371,8 @@
                 m_deployment.put(target, "draining");
                 pause(std::chrono::milliseconds(300 + draw(700)));
                 target.restart();
+                // Calls under way at the target are cut off by its restart.
+                m_targetsDisturbedAt = std::chrono::steady_clock::now();
                 m_deployment.put(target);
                 break;
             case 2:
@@ -424,6 +438,8 @@
     /// Bodies that targets must get, by turn.
     std::map<std::string, std::string> m_histories;
     std::vector<std::string> m_violations;
+    /// Processes that were told to stop.
+    std::set<pid_t> m_stopping;
     /// Time up to which a gateway's calls may be cut off.
     std::map<std::string, Time> m_disturbedAt;
     Time m_targetsDisturbedAt = Time::min();
