--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -86,15 +86,15 @@
     return (handled >> (SIGHUP - 1)) & 1U;
 }
 
-bool Deployment::awaitBegin(const std::string& name)
+bool Deployment::awaitBegin(const Process& process)
 {
-    return eventually([&] { return hasBegun(processes[name]->id()); });
+    return eventually([&] { return hasBegun(process.id()); });
 }
 
 void Deployment::limitDescriptors(const std::string& name)
 {
     // Until it executes its own program, the child has the test's descriptors.
-    awaitBegin(name);
+    awaitBegin(*processes[name]);
     rlimit limit { descriptors, descriptors };
     prlimit(processes[name]->id(), RLIMIT_NOFILE, &limit, nullptr);
 }
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -33,7 +33,7 @@
     void start(const std::string& name, bool isGateway, const std::string& zone = defaultZone);
 
     /// Waits until a process has begun to run its own program and handles signals. \returns whether it has.
-    bool awaitBegin(const std::string& name);
+    static bool awaitBegin(const Process&);
 
     /// Limits the descriptors of a running process to \ref descriptors.
     void limitDescriptors(const std::string& name);
--- a/unittests/Platform/SoakTest.cpp
+++ b/unittests/Platform/SoakTest.cpp
@@ -260,7 +260,8 @@
             std::string name(1, static_cast<char>('a' + draw(3)));
             // Another fiber may start the gateway anew meanwhile.
             std::shared_ptr<Process> process = m_deployment.processes[name];
-            if (!process->running())
+            // Before its main function begins, a process cannot decide what a signal does.
+            if (!process->running() || !Deployment::awaitBegin(*process))
                 continue;
             switch (draw(6)) {
             case 0:
@@ -319,7 +320,7 @@
             return;
         checkEnd(name, *ending);
         startGateway(name);
-        if (draw(2) == 0 && m_deployment.awaitBegin(name)) {
+        if (draw(2) == 0 && Deployment::awaitBegin(*m_deployment.processes[name])) {
             m_deployment.processes[name]->signal(SIGHUP);
             pause(200ms);
             checkEnd(name, *m_deployment.processes[name]);
