Wait for the log to be written before a test reads it

Found by reading: the log is flushed every 200 ms, and the test read it right after the last call. It was not seen to fail. The check is the same, made until it holds; that nothing was suspected is now checked after the probe was logged, which is stricter.

--- a/unittests/Platform/CrashingRequestTest.cpp
+++ b/unittests/Platform/CrashingRequestTest.cpp
@@ -212,7 +212,7 @@
             it->losesAnswers = false;
         for (const char* it : { "a", "b" })
             BOOST_TEST(work(it) == 200);
-        BOOST_TEST(day.deployment.processes["a"]->log().find("target-probed") != std::string::npos);
+        BOOST_TEST(eventually([&] { return day.deployment.processes["a"]->log().find("target-probed") != std::string::npos; }));
         BOOST_TEST(day.deployment.processes["a"]->log().find("request-suspected") == std::string::npos);
         day.end();
     });
