--- /dev/null
+++ b/unittests/Platform/CrashingRequestTest.cpp
@@ -0,0 +1,200 @@
+#include "Deployment.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <set>
+
+using namespace basilpoint;
+using namespace basilpoint::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char* const deadlyBody = "deadly";
+// Targets that one request may crash, and retries that may still reach a target later than propagationLimit after that.
+constexpr unsigned maxCrashes = 3;
+constexpr auto propagationLimit = 3s;
+constexpr auto restartDelay = 400ms;
+
+/// Two gateways before seven tool services that restart after a crash, with sound calls beside a request that crashes each
+/// service that runs it.
+class CrashDay {
+public:
+    CrashDay()
+        : deployment(*new Deployment(0, 6))
+    {
+        deployment.putConfiguration(5, { "/work/" });
+        for (FakeTarget* it : tools()) {
+            it->crashesOn = deadlyBody;
+            it->delay = 20ms;
+        }
+        startAll(deployment, { { "keeper", defaultZone } });
+        BOOST_REQUIRE(eventually([&] { return deployment.statusAt(deployment.instances["a"].callers, "POST", "/work/x", {}, "first") == 200; }));
+    }
+
+    std::vector<FakeTarget*> tools()
+    {
+        std::vector<FakeTarget*> all { &deployment.tool };
+        for (const auto& it : deployment.moreTools)
+            all.push_back(it.get());
+        return all;
+    }
+
+    /// One attempt of the request's caller. Its id differs from those of earlier attempts.
+    int tryDeadly(const std::string& gateway)
+    {
+        return deployment.call(deployment.instances[gateway].callers, "POST", "/work/x", { { "x-basilpoint-program-id", "p" }, { "x-basilpoint-deadline-ms", "900" } }, deadlyBody).status;
+    }
+
+    /// Starts a caller of sound requests that tries each twice more, as callers do. Ends with the day.
+    void startSoundCaller(const std::string& name)
+    {
+        spawnFiber([this, name] {
+            ++soundCallers;
+            for (unsigned n = 0; !isOver; ++n) {
+                int status = 0;
+                for (unsigned tries = 0; status != 200 && tries < 3 && !isOver; ++tries) {
+                    status = deployment.call(deployment.instances[n % 2 ? "a" : "b"].callers, "POST", "/work/x", { { "x-basilpoint-program-id", name }, { "x-basilpoint-deadline-ms", "1200" } }, name + std::to_string(n)).status;
+                    denied += status >= 400 && status < 500 ? 1 : 0;
+                }
+                ++sound;
+                soundServed += status == 200 ? 1 : 0;
+            }
+            --soundCallers;
+        });
+    }
+
+    /// Restarts crashed services after some time, as their supervisor does.
+    void startSupervisor()
+    {
+        for (FakeTarget* it : tools())
+            spawnFiber([this, it] {
+                ++soundCallers;
+                while (!isOver) {
+                    unsigned before = it->crashes();
+                    pause(20ms);
+                    if (it->crashes() == before)
+                        continue;
+                    pause(restartDelay);
+                    it->restart();
+                    deployment.put(*it);
+                }
+                --soundCallers;
+            });
+    }
+
+    unsigned crashes()
+    {
+        unsigned n = 0;
+        for (FakeTarget* it : tools())
+            n += it->crashes();
+        return n;
+    }
+
+    unsigned deadlyRuns()
+    {
+        std::ptrdiff_t n = 0;
+        for (FakeTarget* it : tools())
+            n += std::count_if(it->runs.begin(), it->runs.end(), [](const auto& run) { return run.body == deadlyBody; });
+        return static_cast<unsigned>(n);
+    }
+
+    /// Whether a target ran the same attempt of the request that crashes targets more than once.
+    bool hasRepeatedAttempt()
+    {
+        std::set<std::string> ids;
+        for (FakeTarget* it : tools())
+            for (const auto& run : it->runs)
+                if (run.body == deadlyBody && !ids.insert(run.call).second)
+                    return true;
+        return false;
+    }
+
+    void end()
+    {
+        isOver = true;
+        BOOST_TEST(eventually([&] { return soundCallers == 0; }));
+        deployment.end();
+    }
+
+    // Never deleted, since fibers of the fakes use it until the process ends.
+    Deployment& deployment;
+    bool isOver = false;
+    unsigned soundCallers = 0;
+    unsigned sound = 0;
+    unsigned soundServed = 0;
+    unsigned denied = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashingRequestTest)
+
+// Each attempt of its caller has another id and reaches another gateway, one of which restarts while the store is down.
+BOOST_AUTO_TEST_CASE(requestThatCrashesTargetsReachesFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.startSupervisor();
+        for (const char* it : { "s1", "s2", "s3" })
+            day.startSoundCaller(it);
+        unsigned attempts = 0;
+        auto end = std::chrono::steady_clock::now() + 20s;
+        while (day.crashes() < maxCrashes && std::chrono::steady_clock::now() < end) {
+            day.tryDeadly(attempts++ % 2 ? "a" : "b");
+            pause(300ms);
+        }
+        BOOST_REQUIRE(day.crashes() >= maxCrashes);
+        day.deployment.store.isDown = true;
+        BOOST_REQUIRE(day.deployment.kill("b"));
+        auto deadline = std::chrono::steady_clock::now() + propagationLimit;
+        while (std::chrono::steady_clock::now() < deadline) {
+            day.tryDeadly("a");
+            pause(300ms);
+        }
+        day.deployment.store.isDown = false;
+        day.deployment.start("b", true);
+        unsigned before = day.deadlyRuns();
+        BOOST_REQUIRE(eventually([&] { return day.deployment.isReady("b"); }));
+        int status = 0;
+        for (unsigned n = 0; n < 12; ++n) {
+            status = day.tryDeadly(n % 2 ? "a" : "b");
+            pause(200ms);
+        }
+        BOOST_TEST(day.deadlyRuns() - before <= 3U);
+        BOOST_TEST(!day.hasRepeatedAttempt());
+        // Callers retry after 502 and 503, but not after 400.
+        BOOST_TEST(status == 400);
+        BOOST_TEST(day.denied == 0U);
+        BOOST_TEST(day.sound > 100U);
+        BOOST_TEST(day.soundServed >= day.sound - day.sound / 20);
+        day.end();
+    });
+}
+
+// Sound calls lose their targets several times, but to no fault of theirs.
+BOOST_AUTO_TEST_CASE(soundRequestsAreServedAfterAllTargetsHaveEndedAtOnceAgainAndAgain)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.startSupervisor();
+        for (const char* it : { "s1", "s2", "s3", "s4" })
+            day.startSoundCaller(it);
+        for (unsigned n = 0; n < 4; ++n) {
+            pause(700ms);
+            for (FakeTarget* it : day.tools())
+                it->crash();
+        }
+        pause(700ms);
+        BOOST_TEST(day.denied == 0U);
+        unsigned served = day.soundServed;
+        pause(1s);
+        BOOST_TEST(day.soundServed > served + 20);
+        day.end();
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Platform/Deployment.cpp
@@ -0,0 +1,132 @@
+#include "Deployment.h"
+
+#include "basilpoint/Net/Errors.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+
+namespace basilpoint::test {
+
+using Json = nlohmann::json;
+
+Deployment::Deployment(unsigned toleratedLosses, unsigned moreToolCount)
+    : folder(std::filesystem::temp_directory_path() / ("basilpoint-day-" + std::to_string(::getpid()) + "-" + std::to_string(++count)))
+    , tolerated(toleratedLosses)
+    , client(testRuntime().io())
+    , store(testRuntime().io())
+    , engine(testRuntime().io(), "i-engine", "models")
+    , spare(testRuntime().io(), "i-spare", "models")
+    , tool(testRuntime().io(), "i-tool", "tools")
+{
+    std::filesystem::create_directories(folder);
+    putConfiguration(3, {});
+    for (const FakeTarget* it : { &engine, &tool })
+        put(*it);
+    for (unsigned n = 1; n <= moreToolCount; ++n)
+        put(*moreTools.emplace_back(std::make_unique<FakeTarget>(testRuntime().io(), "i-tool-" + std::to_string(n), "tools")));
+}
+
+void Deployment::end()
+{
+    processes.clear();
+    std::filesystem::remove_all(folder);
+    // The runtime stops only once no fiber is left.
+    store.stop();
+    for (FakeTarget* it : { &engine, &spare, &tool })
+        it->stop();
+    for (const auto& it : moreTools)
+        it->stop();
+    pause(std::chrono::milliseconds(1'500));
+}
+
+void Deployment::put(const FakeTarget& target, const char* state)
+{
+    store.put("servers/" + target.id(), target.registration(state));
+}
+
+void Deployment::putConfiguration(int version, const std::vector<std::string>& morePrefixes)
+{
+    Json routes = Json::array({ { { "name", "turns" }, { "host", "h.example" }, { "prefix", "/stream/" }, { "kind", "stream" }, { "timeoutMs", 4000 }, { "targetLatencyMs", 250 }, { "priority", 0 }, { "service", "models" }, { "maxAttempts", 2 }, { "stateful", true }, { "retainS", 60.0 } },
+        { { "name", "pay" }, { "host", "h.example" }, { "prefix", "/pay/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "service", "tools" }, { "maxAttempts", 1 } } });
+    for (const std::string& prefix : morePrefixes)
+        routes.push_back({ { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "kind", "idempotent" }, { "timeoutMs", 1000 }, { "service", "tools" } });
+    Json services = Json::array({ { { "name", "models" }, { "healthPath", "/health" }, { "engine", { { "slots", 4 }, { "kvTokens", 1000 }, { "stride", 10 } } } }, { { "name", "tools" } } });
+    store.put("op/config", Json { { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }.dump());
+}
+
+void Deployment::start(const std::string& name, bool isGateway, const std::string& zone)
+{
+    Instance& instance = instances[name];
+    if (instance.callers == 0) {
+        instance.callers = freePort();
+        instance.readiness = freePort();
+        instance.peers = freePort();
+    }
+    std::ofstream settings(folder / (name + ".conf"));
+    settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << store.endpoint().text() << "\nportRange=" << instance.peers << "," << instance.peers
+             << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
+    if (isGateway)
+        settings << "listen.front=127.0.0.1:" << instance.callers << "\nlisten.ready=127.0.0.1:" << instance.readiness << "\n";
+    else
+        settings << "dataDir=" << (folder / name).string() << "\n";
+    settings.close();
+    processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
+}
+
+bool Deployment::kill(const std::string& name)
+{
+    processes[name]->signal(SIGKILL);
+    return eventually([&] { return !processes[name]->running(); });
+}
+
+HttpResponse Deployment::call(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers, const std::string& body)
+{
+    HttpCallOptions options;
+    options.reuseConnection = false;
+    options.readTimeout = std::chrono::seconds(4);
+    options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    headers["host"] = "h.example";
+    headers.emplace("x-basilpoint-request-id", "call-" + std::to_string(++calls));
+    try {
+        return client.call({ "127.0.0.1", static_cast<std::uint16_t>(port) }, { method, target, headers, body }, options);
+    } catch (const TargetError&) {
+        return { 0, {}, {} };
+    }
+}
+
+int Deployment::statusAt(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers, const std::string& body)
+{
+    HttpResponse response = call(port, method, target, std::move(headers), body);
+    answer = response.body;
+    answerHeaders = response.headers;
+    return response.status;
+}
+
+int Deployment::turn(const std::string& at, const std::string& id, const std::string& previous, const std::string& input, const std::string& program, int budget)
+{
+    HttpHeaders headers { { "x-basilpoint-request-id", id }, { "x-basilpoint-deadline-ms", "3000" }, { "x-basilpoint-program-id", program }, { "x-basilpoint-session-id", "s" }, { "x-basilpoint-token-budget", std::to_string(budget) }, { "x-basilpoint-token-count", "50,40" } };
+    if (!previous.empty())
+        headers["x-basilpoint-previous-turn"] = previous;
+    return statusAt(instances[at].callers, "POST", "/stream/x", headers, input);
+}
+
+void startAll(Deployment& deployment, const std::map<std::string, std::string>& zonesOfKeepers)
+{
+    for (const auto& [keeper, zone] : zonesOfKeepers)
+        deployment.start(keeper, false, zone);
+    deployment.start("a", true);
+    deployment.start("b", true);
+    BOOST_REQUIRE(eventually([&] {
+        return deployment.isReady("a") && deployment.isReady("b") && deployment.store.has("daemons/a") && deployment.store.has("daemons/b")
+            && std::all_of(zonesOfKeepers.begin(), zonesOfKeepers.end(), [&](const auto& it) { return deployment.store.has("daemons/" + it.first); });
+    }));
+}
+
+void inFiber(const std::function<void()>& body)
+{
+    testRuntime().run(body);
+}
+
+} // namespace basilpoint::test
--- /dev/null
+++ b/unittests/Platform/Deployment.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "FakePlatform.h"
+
+#include "../EndToEnd/Process.h"
+#include "../Net/TestRuntime.h"
+
+#include "basilpoint/Net/HttpClient.h"
+
+#include <filesystem>
+#include <functional>
+
+namespace basilpoint::test {
+
+inline const char* const defaultZone = "z";
+
+/// A small deployment: gateways and keepers as separate processes, with a fake store and fake targets.
+class Deployment {
+public:
+    /// \param toleratedLosses number of machines that may be lost, as the settings files specify it.
+    /// \param moreTools tool services beside the first one; their ids are "i-tool-1" and so on.
+    explicit Deployment(unsigned toleratedLosses = 0, unsigned moreTools = 0);
+
+    void end();
+
+    /// \param morePrefixes prefixes of further idempotent routes to the tool services.
+    void putConfiguration(int version, const std::vector<std::string>& morePrefixes);
+
+    /// Writes the registration of a target to the store.
+    void put(const FakeTarget&, const char* state = "ready");
+
+    /// Starts a process, again with the same addresses and disk if it has run before.
+    void start(const std::string& name, bool isGateway, const std::string& zone = defaultZone);
+
+    /// Kills a process. \returns whether it has ended.
+    bool kill(const std::string& name);
+
+    /// Makes one call on a new connection. \returns status 0 if no answer arrives.
+    HttpResponse call(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers = {}, const std::string& body = {});
+
+    /// As call(); keeps the answer in \ref answer.
+    int statusAt(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers = {}, const std::string& body = {});
+
+    bool isReady(const std::string& name) { return statusAt(instances[name].readiness, "GET", "/-/ready") == 200; }
+
+    int turn(const std::string& at, const std::string& id, const std::string& previous, const std::string& input, const std::string& program = "p1", int budget = 1000);
+
+    struct Instance {
+        unsigned callers = 0;
+        unsigned readiness = 0;
+        unsigned peers = 0;
+        int starts = 0;
+    };
+
+    static inline int count = 0;
+
+    std::filesystem::path folder;
+    unsigned tolerated;
+    HttpClient client;
+    FakeStore store;
+    FakeTarget engine;
+    FakeTarget spare;
+    FakeTarget tool;
+    std::vector<std::unique_ptr<FakeTarget>> moreTools;
+    std::map<std::string, Instance> instances;
+    std::map<std::string, std::unique_ptr<Process>> processes;
+    std::string answer;
+    HttpHeaders answerHeaders;
+    int calls = 0;
+};
+
+/// Polls until \p condition holds, for \p limit at most.
+template <typename Condition>
+bool eventually(Condition condition, std::chrono::seconds limit = std::chrono::seconds(10))
+{
+    auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        pause(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+/// Starts the gateways "a" and "b" and the keepers, and waits until all are in the list of daemons.
+void startAll(Deployment&, const std::map<std::string, std::string>& zonesOfKeepers);
+
+/// Runs \p body in a fiber of the test's event loop.
+void inFiber(const std::function<void()>& body);
+
+} // namespace basilpoint::test
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -125,16 +125,31 @@
 }
 
 FakeTarget::FakeTarget(boost::asio::io_context& io, std::string id, std::string service)
-    : m_id(std::move(id))
+    : m_io(io)
+    , m_id(std::move(id))
     , m_service(std::move(service))
-    , m_server(io, { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
 {
-    m_server.start();
+    restart();
+}
+
+void FakeTarget::crash()
+{
+    ++m_crashes;
+    m_isDown = true;
+    m_server->stop();
+}
+
+void FakeTarget::restart()
+{
+    ++m_lifetime;
+    m_isDown = false;
+    m_server = std::make_unique<HttpServer>(m_io, Endpoint { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); });
+    m_server->start();
 }
 
 std::string FakeTarget::registration(const char* state) const
 {
-    return Json { { "service", m_service }, { "addr", m_server.endpoint().text() }, { "zone", "z" }, { "slots", 4 }, { "state", state }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1'700'000'000'000 } }.dump();
+    return Json { { "service", m_service }, { "addr", m_server->endpoint().text() }, { "zone", "z" }, { "slots", 4 }, { "state", state }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1'700'000'000'000 + m_lifetime } }.dump();
 }
 
 void FakeTarget::handle(const HttpRequest& request, ResponseWriter& writer)
@@ -143,8 +158,20 @@
     if (request.header("x-basilpoint-expect-instance") != m_id)
         return writer.send({ 421, { { "x-basilpoint-instance-id", m_id } }, {} });
     runs.push_back({ call, request.body, request.headers });
+    if (!crashesOn.empty() && request.body.ends_with(crashesOn))
+        crash();
+    unsigned lifetime = m_lifetime;
+    auto failIfDown = [&] {
+        if (m_isDown || lifetime != m_lifetime)
+            throw ConnectionLostError("crashed");
+    };
+    failIfDown();
     if (losesAnswers)
         throw ConnectionLostError("answer lost");
+    if (delay.count() > 0) {
+        pause(delay);
+        failIfDown();
+    }
     HttpHeaders headers { { "x-basilpoint-request-id", call }, { "x-basilpoint-server-stamp", "stamp-" + m_id } };
     if (request.target.find("/stream/") == std::string::npos)
         return writer.send({ 200, headers, "done " + call });
@@ -153,6 +180,7 @@
     for (const char* word : { "one", "two" }) {
         writer.write(std::string("id: ") + word + "\ndata: " + word + "-" + call + "\n\n");
         pause(std::chrono::milliseconds(pollMilliseconds));
+        failIfDown();
     }
     writer.end();
 }
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -59,7 +59,13 @@
     std::string registration(const char* state) const;
     const std::string& id() const { return m_id; }
 
-    void stop() { m_server.stop(); }
+    void stop() { m_server->stop(); }
+
+    /// Ends the process: all its calls are lost, and nothing listens at its address.
+    void crash();
+    /// Starts a new lifetime at another address.
+    void restart();
+    unsigned crashes() const { return m_crashes; }
 
     struct Run {
         std::string call;
@@ -69,13 +75,22 @@
     std::vector<Run> runs;
     /// While set, the target crashes after it has run a call: its answer is lost.
     bool losesAnswers = false;
+    /// The target crashes as soon as it runs a call with this body; empty if it never does.
+    std::string crashesOn;
+    /// Time that each call takes.
+    std::chrono::milliseconds delay { 0 };
 
 private:
     void handle(const HttpRequest&, ResponseWriter&);
 
+    boost::asio::io_context& m_io;
     std::string m_id;
     std::string m_service;
-    HttpServer m_server;
+    /// Incremented with each start.
+    unsigned m_lifetime = 0;
+    unsigned m_crashes = 0;
+    bool m_isDown = false;
+    std::unique_ptr<HttpServer> m_server;
 };
 
 } // namespace basilpoint::test
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -1,16 +1,8 @@
-#include "FakePlatform.h"
-
-#include "../EndToEnd/Process.h"
-#include "../Net/TestRuntime.h"
-
-#include "basilpoint/Net/Errors.h"
-#include "basilpoint/Net/HttpClient.h"
+#include "Deployment.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 
 using namespace basilpoint;
 using namespace basilpoint::test;
@@ -20,154 +12,6 @@
 
 // Time in which turns must be served again once all processes have restarted.
 constexpr auto recoveryLimit = std::chrono::seconds(15);
-const char* const defaultZone = "z";
-
-/// A small deployment: gateways and keepers as separate processes, with a fake store and fake targets.
-class Deployment {
-public:
-    /// \param toleratedLosses number of machines that may be lost, as the settings files specify it.
-    explicit Deployment(unsigned toleratedLosses = 0)
-        : folder(std::filesystem::temp_directory_path() / ("basilpoint-day-" + std::to_string(::getpid()) + "-" + std::to_string(++count)))
-        , tolerated(toleratedLosses)
-        , client(testRuntime().io())
-        , store(testRuntime().io())
-        , engine(testRuntime().io(), "i-engine", "models")
-        , spare(testRuntime().io(), "i-spare", "models")
-        , tool(testRuntime().io(), "i-tool", "tools")
-    {
-        std::filesystem::create_directories(folder);
-        putConfiguration(3, {});
-        for (const FakeTarget* it : { &engine, &tool })
-            store.put("servers/" + it->id(), it->registration("ready"));
-    }
-
-    void end()
-    {
-        processes.clear();
-        std::filesystem::remove_all(folder);
-        // The runtime stops only once no fiber is left.
-        store.stop();
-        for (FakeTarget* it : { &engine, &spare, &tool })
-            it->stop();
-        pause(std::chrono::milliseconds(1'500));
-    }
-
-    void putConfiguration(int version, const std::vector<std::string>& morePrefixes)
-    {
-        Json routes = Json::array({ { { "name", "turns" }, { "host", "h.example" }, { "prefix", "/stream/" }, { "kind", "stream" }, { "timeoutMs", 4000 }, { "targetLatencyMs", 250 }, { "priority", 0 }, { "service", "models" }, { "maxAttempts", 2 }, { "stateful", true }, { "retainS", 60.0 } },
-            { { "name", "pay" }, { "host", "h.example" }, { "prefix", "/pay/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "service", "tools" }, { "maxAttempts", 1 } } });
-        for (const std::string& prefix : morePrefixes)
-            routes.push_back({ { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "kind", "idempotent" }, { "timeoutMs", 1000 }, { "service", "tools" } });
-        Json services = Json::array({ { { "name", "models" }, { "healthPath", "/health" }, { "engine", { { "slots", 4 }, { "kvTokens", 1000 }, { "stride", 10 } } } }, { { "name", "tools" } } });
-        store.put("op/config", Json { { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }.dump());
-    }
-
-    /// Starts a process, again with the same addresses and disk if it has run before.
-    void start(const std::string& name, bool isGateway, const std::string& zone = defaultZone)
-    {
-        Instance& instance = instances[name];
-        if (instance.callers == 0) {
-            instance.callers = freePort();
-            instance.readiness = freePort();
-            instance.peers = freePort();
-        }
-        std::ofstream settings(folder / (name + ".conf"));
-        settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << store.endpoint().text() << "\nportRange=" << instance.peers << "," << instance.peers
-                 << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
-        if (isGateway)
-            settings << "listen.front=127.0.0.1:" << instance.callers << "\nlisten.ready=127.0.0.1:" << instance.readiness << "\n";
-        else
-            settings << "dataDir=" << (folder / name).string() << "\n";
-        settings.close();
-        processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
-    }
-
-    /// Kills a process. \returns whether it has ended.
-    bool kill(const std::string& name);
-
-    int statusAt(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers = {}, const std::string& body = {})
-    {
-        answer.clear();
-        HttpCallOptions options;
-        options.reuseConnection = false;
-        options.readTimeout = std::chrono::seconds(4);
-        options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
-        headers["host"] = "h.example";
-        headers.emplace("x-basilpoint-request-id", "call-" + std::to_string(++calls));
-        try {
-            HttpResponse response = client.call({ "127.0.0.1", static_cast<std::uint16_t>(port) }, { method, target, headers, body }, options);
-            answer = response.body;
-            answerHeaders = response.headers;
-            return response.status;
-        } catch (const TargetError&) {
-            return 0;
-        }
-    }
-
-    bool isReady(const std::string& name) { return statusAt(instances[name].readiness, "GET", "/-/ready") == 200; }
-
-    int turn(const std::string& at, const std::string& id, const std::string& previous, const std::string& input, const std::string& program = "p1", int budget = 1000)
-    {
-        HttpHeaders headers { { "x-basilpoint-request-id", id }, { "x-basilpoint-deadline-ms", "3000" }, { "x-basilpoint-program-id", program }, { "x-basilpoint-session-id", "s" }, { "x-basilpoint-token-budget", std::to_string(budget) }, { "x-basilpoint-token-count", "50,40" } };
-        if (!previous.empty())
-            headers["x-basilpoint-previous-turn"] = previous;
-        return statusAt(instances[at].callers, "POST", "/stream/x", headers, input);
-    }
-
-    struct Instance {
-        unsigned callers = 0;
-        unsigned readiness = 0;
-        unsigned peers = 0;
-        int starts = 0;
-    };
-
-    static inline int count = 0;
-
-    std::filesystem::path folder;
-    unsigned tolerated;
-    HttpClient client;
-    FakeStore store;
-    FakeTarget engine;
-    FakeTarget spare;
-    FakeTarget tool;
-    std::map<std::string, Instance> instances;
-    std::map<std::string, std::unique_ptr<Process>> processes;
-    std::string answer;
-    HttpHeaders answerHeaders;
-    int calls = 0;
-};
-
-/// Polls until \p condition holds, for \p limit at most.
-template <typename Condition>
-bool eventually(Condition condition, std::chrono::seconds limit = std::chrono::seconds(10))
-{
-    auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end)
-            return false;
-        pause(std::chrono::milliseconds(20));
-    }
-    return true;
-}
-
-bool Deployment::kill(const std::string& name)
-{
-    processes[name]->signal(SIGKILL);
-    return eventually([&] { return !processes[name]->running(); });
-}
-
-/// Starts the gateways "a" and "b" and the keepers, and waits until all are in the list of daemons.
-void startAll(Deployment& deployment, const std::map<std::string, std::string>& zonesOfKeepers)
-{
-    for (const auto& [keeper, zone] : zonesOfKeepers)
-        deployment.start(keeper, false, zone);
-    deployment.start("a", true);
-    deployment.start("b", true);
-    BOOST_REQUIRE(eventually([&] {
-        return deployment.isReady("a") && deployment.isReady("b") && deployment.store.has("daemons/a") && deployment.store.has("daemons/b")
-            && std::all_of(zonesOfKeepers.begin(), zonesOfKeepers.end(), [&](const auto& it) { return deployment.store.has("daemons/" + it.first); });
-    }));
-}
 
 /// Has the operator empty a keeper, then removes it together with its disk.
 void emptyAndRemove(Deployment& deployment, const std::string& keeper)
@@ -210,11 +54,6 @@
     BOOST_TEST(std::any_of(deployment.engine.runs.begin(), deployment.engine.runs.end(), [](const auto& it) { return it.body == "in1;one-t1\ntwo-t1\nin2;one-t2\ntwo-t2\nin3;one-t3\ntwo-t3\nin4;"; }));
 }
 
-void inFiber(const std::function<void()>& body)
-{
-    testRuntime().run(body);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(PlatformDayTest)
