--- a/lib/Daemon/NoticeController.h
+++ b/include/basilpoint/Fleet/NoticeController.h
@@ -20,12 +20,16 @@
     /// Called with each notice that takes effect or is lifted, whichever daemon raised it.
     void onChange(ChangeHandler hook) { m_onChange = std::move(hook); }
 
-    void raise(const NoticeSubject&);
+    /// Puts notices into force, or extends them.
+    void raise(const std::vector<NoticeSubject>&, Milliseconds lifetime = defaultLifetime);
+    void raise(const NoticeSubject& subject) { raise(std::vector { subject }); }
     void lift(const NoticeSubject&);
     void received(const std::string& body);
 
     bool inForce(const NoticeSubject&) const;
 
+    static constexpr Milliseconds defaultLifetime = std::chrono::hours(24);
+
 private:
     void perform(const NoticeActions&);
 
--- a/include/basilpoint/Fleet/NoticeGossip.h
+++ b/include/basilpoint/Fleet/NoticeGossip.h
@@ -88,6 +88,10 @@
     NoticeActions tick(TimePoint now);
 
     bool inForce(const NoticeSubject&, TimePoint now) const;
+    std::size_t size() const { return m_entries.size(); }
+
+    /// Maximum number of notices. Beyond it, further suspected requests are not noted.
+    static constexpr std::size_t maxEntries = 10'000;
 
 private:
     struct Entry {
@@ -108,6 +112,8 @@
     std::vector<InstanceId> m_peers;
     std::map<NoticeSubject, Entry> m_entries;
     TimePoint m_nextPeriod;
+    /// Periods left in which peers are asked for notices although this daemon has none.
+    unsigned m_startPeriodsLeft = 0;
 };
 
 } // namespace basilpoint
--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -45,6 +45,8 @@
     TokenCount cachedTokens = 0;
     /// Targets to which this call has already been sent.
     std::set<TargetId> tried;
+    /// If set, the target is chosen by a hash of this value and not by its cost, so that all daemons choose the same one.
+    std::optional<std::uint64_t> placement {};
 };
 
 /// Chooses a target by this daemon's own calls there, the cached prompt, and the data centre.
--- a/include/basilpoint/Net/HttpClient.h
+++ b/include/basilpoint/Net/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "basilpoint/Net/Errors.h"
 #include "basilpoint/Net/HttpTypes.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,9 @@
     /// \throws TargetError as call() does, and if the body is incomplete.
     HttpResponse stream(const Endpoint&, const HttpRequest& request, const ChunkHandler& onChunk, const HttpCallOptions& = {}, HttpCancellation* = nullptr);
 
+    /// Opens a connection and closes it again. \returns why none was established; empty if it was.
+    std::optional<TargetFailure> probe(const Endpoint&, Milliseconds timeout);
+
     /// Closes the idle connections of \p group.
     void closeIdle(const std::string& group);
 
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -1,10 +1,10 @@
 #include "basilpoint/Daemon/Daemon.h"
+#include "basilpoint/Fleet/NoticeController.h"
 
 #include "ConfigurationController.h"
 #include "FleetController.h"
 #include "GovernedKeyValueStore.h"
 #include "JsonBody.h"
-#include "NoticeController.h"
 #include "Operations.h"
 #include "OperatorApi.h"
 #include "OwnerFilter.h"
--- a/lib/Daemon/NoticeController.cpp
+++ b/lib/Fleet/NoticeController.cpp
@@ -1,4 +1,4 @@
-#include "NoticeController.h"
+#include "basilpoint/Fleet/NoticeController.h"
 
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Net/FiberSignal.h"
@@ -6,7 +6,6 @@
 namespace basilpoint {
 
 static constexpr Milliseconds tickInterval { 200 };
-static constexpr Milliseconds noticeLifetime = std::chrono::hours(24);
 
 NoticeController::NoticeController(const Clock& clock, InstanceId self, RandomEngine::result_type seed, Sender send)
     : m_clock(clock)
@@ -31,12 +30,13 @@
     m_gossip.setPeers(std::move(peers));
 }
 
-void NoticeController::raise(const NoticeSubject& subject)
+void NoticeController::raise(const std::vector<NoticeSubject>& subjects, Milliseconds lifetime)
 {
-    perform(m_gossip.raise(subject, noticeLifetime, m_clock.now()));
+    for (const NoticeSubject& it : subjects)
+        perform(m_gossip.raise(it, lifetime, m_clock.now()));
     NoticeActions actions = m_gossip.tick(m_clock.now());
     perform(actions);
-    // The notice is sent to all peers at once, since the request may be sent to any of them next. Gossip repairs
+    // The notices are sent to all peers at once, since the request may be sent to any of them next. Gossip repairs
     // lost messages.
     for (const NoticeAction& action : actions) {
         const auto* send = std::get_if<SendNoticeAction>(&action);
--- a/lib/Fleet/NoticeGossip.cpp
+++ b/lib/Fleet/NoticeGossip.cpp
@@ -14,7 +14,9 @@
 /// Ticks in which a change is sent to random peers.
 static constexpr unsigned burstsPerChange = 2;
 /// Limits the size of a message; other notices follow in later periods.
-static constexpr std::size_t maxNotices = 64;
+static constexpr std::size_t maxNotices = 128;
+/// Periods after the start in which peers are asked for notices, since some of them may not answer.
+static constexpr unsigned startPeriods = 3;
 /// Lifted notices are kept this long, so that a peer's old copy does not put them into force again.
 static constexpr auto liftedLifetime = std::chrono::minutes(10);
 static constexpr auto messageName = "notice message";
@@ -51,6 +53,8 @@
 void NoticeGossip::setPeers(std::vector<InstanceId> peers)
 {
     std::erase(peers, m_self);
+    if (m_peers.empty() && !peers.empty())
+        m_startPeriodsLeft = startPeriods;
     m_peers = std::move(peers);
 }
 
@@ -75,6 +79,9 @@
 {
     if (notice.remaining <= Milliseconds::zero())
         return;
+    bool isFull = m_entries.size() >= maxEntries && notice.subject.kind == NoticeKind::SuspectedRequest;
+    if (isFull && !m_entries.contains(notice.subject))
+        return;
     Entry& entry = m_entries[notice.subject];
     if (std::tie(notice.revision, notice.lifted) <= std::tie(entry.revision, entry.lifted))
         return;
@@ -105,10 +112,13 @@
     bool periodDue = now >= m_nextPeriod;
     if (periodDue)
         m_nextPeriod = now + gossipPeriod;
-    if (hasUnsentChanges || (periodDue && !m_entries.empty())) {
-        for (const InstanceId& peer : randomPeers(hasUnsentChanges ? fanOut : 1))
+    bool isStarting = periodDue && m_startPeriodsLeft > 0;
+    if (hasUnsentChanges || isStarting || (periodDue && !m_entries.empty())) {
+        for (const InstanceId& peer : randomPeers(hasUnsentChanges || isStarting ? fanOut : 1))
             actions.emplace_back(SendNoticeAction { peer, makeMessage(now, true) });
     }
+    if (isStarting)
+        --m_startPeriodsLeft;
     for (auto& [subject, entry] : m_entries)
         entry.burstsLeft -= std::min(entry.burstsLeft, 1U);
     return actions;
@@ -133,8 +143,12 @@
             notices.push_back(toNotice(subject, entry, now));
     }
     NoticeMessage message { m_self, summary(), {}, false };
-    // A new random sample each time, so that all notices are sent within a few periods.
-    std::sample(notices.begin(), notices.end(), std::back_inserter(message.notices), maxNotices, m_random);
+    // A new random order each time, so that all notices are sent within a few periods. A crash can leave many suspects,
+    // which must not delay the notices that all daemons act on at once.
+    std::shuffle(notices.begin(), notices.end(), m_random);
+    std::stable_partition(notices.begin(), notices.end(), [](const Notice& it) { return it.subject.kind != NoticeKind::SuspectedRequest; });
+    notices.resize(std::min(notices.size(), maxNotices));
+    message.notices = std::move(notices);
     return message;
 }
 
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -1,5 +1,7 @@
 #include "basilpoint/Forwarding/TargetSelector.h"
 
+#include "basilpoint/Support/Hash.h"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -103,7 +105,7 @@
         auto load = m_targets.find(target->id);
         // Suspended targets come last rather than being excluded, so that calls still have a target if all are suspended.
         bool suspended = load != m_targets.end() && now < load->second.suspendedUntil;
-        double total = cost(*target, query, now) + jitter(m_random);
+        double total = query.placement ? static_cast<double>(hash64(target->id.text(), *query.placement)) : cost(*target, query, now) + jitter(m_random);
         if (!best || std::pair(suspended, total) < std::pair(isBestSuspended, least)) {
             best = target;
             least = total;
--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -15,6 +15,8 @@
 static constexpr Milliseconds maxRetryAfter { 1'300 };
 // Guarantees that the call has not run.
 static constexpr int statusNotRun = 503;
+// Callers do not repeat a request after this status.
+static constexpr int statusQuarantined = 400;
 
 CallController::CallController(const ConfigurationHolder& configuration, Forwarder& forwarder, TurnController& turns, LedgerWriter& writer, const WireFormat& format, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_configuration(configuration)
@@ -57,6 +59,8 @@
     auto call = std::make_shared<ForwardedCall>(ForwardedCall { request, std::move(attributes), table, route, arrivedAt, arrivedAt + limit });
     call->query.dataCentre = m_dataCentre;
     call->content = contentOf(request, call->attributes);
+    if (m_forwarder.isQuarantined(call->content))
+        return refuse(call->attributes, { statusQuarantined, "request-quarantined", "not run: this request has repeatedly crashed the targets that ran it" }, limit, arrivedAt, writer);
     writer.notifyOnDisconnect([this, call] {
         call->isCallerGone = true;
         // A non-idempotent call cannot be repeated, so it runs to its end.
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -69,10 +69,11 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, CrashTracker& crashes, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
+    , m_crashes(crashes)
     , m_receiveBudget(receiveBudget)
     , m_format(format)
     , m_clock(clock)
@@ -103,6 +104,9 @@
 
 const Registration* Forwarder::chooseTarget(ForwardedCall& call)
 {
+    // All gateways send a suspected request to the same target, which bounds the targets that its copies crash.
+    if (m_crashes.statusOf(call.content) == Quarantine::Status::Suspect)
+        call.query.placement = call.content.low;
     return m_selector.choose(m_directory.usable(call.query.service), call.query, m_clock.now());
 }
 
@@ -247,6 +251,7 @@
     attempt.sentAt = m_clock.now();
     attempt.target = chosen.id;
     m_selector.sent(chosen.id);
+    m_crashes.dispatched(call.content);
     try {
         receive(call, attempt, chosen, optionsFor(call, chosen, isLast));
         end = deliver(call, attempt, chosen);
@@ -263,6 +268,13 @@
     }
     if (writer.started() && end == ForwardEnd::MayHaveRun)
         end = ForwardEnd::BrokenOff;
+    m_crashes.ended(call.content, end == ForwardEnd::Delivered);
+    if (attempt.failure == TargetFailure::ConnectionLost && !call.isCallerGone) {
+        m_crashes.connectionLost(chosen, call.content);
+        // Another attempt depends on whether the request crashed the target.
+        if (!isLast && call.route.kind == CallKind::Idempotent)
+            m_crashes.awaitOutcome(chosen);
+    }
     m_selector.ended(chosen.id, outcomeOf(call, end, attempt.isUnreachable), m_clock.now());
     if (auto timing = timingOf(call, attempt, end))
         m_selector.recordTiming(chosen.id, *timing, m_clock.now());
@@ -344,7 +356,7 @@
     unsigned runs = 0;
     unsigned refusals = 0;
     ForwardEnd end = ForwardEnd::NotRun;
-    while (!call.isCallerGone && m_clock.now() < call.deadline) {
+    while (!call.isCallerGone && m_clock.now() < call.deadline && m_crashes.mayDispatch(call.content)) {
         const Registration* target = chooseTarget(call);
         if (!target)
             break;
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "CrashTracker.h"
+
 #include "basilpoint/Forwarding/RouteTable.h"
 #include "basilpoint/Forwarding/TargetSelector.h"
 #include "basilpoint/Gateway/EventStream.h"
@@ -68,7 +70,10 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, CrashTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+
+    /// Whether the request is refused, since it has crashed several targets.
+    bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
 
     /// Sends the call to one target after another, as far as its kind allows.
     ForwardEnd forward(ForwardedCall&, ResponseWriter&, const StreamHooks&);
@@ -91,6 +96,7 @@
     HttpClient& m_client;
     TargetDirectory& m_directory;
     TargetSelector& m_selector;
+    CrashTracker& m_crashes;
     ReceiveBudget& m_receiveBudget;
     const WireFormat& m_format;
     const Clock& m_clock;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -37,6 +37,9 @@
 static constexpr Milliseconds notReadyAfterOutage { 1'000 };
 // Part of the process's memory that answers being received may use together.
 static constexpr std::size_t receiveBudgetDivisor = 4;
+// Other gateways that this one sends notices to.
+static constexpr std::size_t maxNoticePeers = 8;
+static constexpr Milliseconds noticeTimeout { 500 };
 // Shorter outages do not let registrations expire.
 static constexpr Milliseconds minOutageForExpiry { 400 };
 
@@ -61,6 +64,10 @@
         void applyConfiguration(const std::string& bytes);
         std::optional<Registration> applyRegistration(const KeyValue&);
         void dropTarget(const Registration&);
+        std::uint64_t peerRank(const RelayAddress&) const;
+        void applyRelays(const std::vector<RelayAddress>&);
+        void sendNotices(const InstanceId&, const std::string& body);
+        std::string receiveNotices(const std::string& body);
         void logReadinessChange();
         void logSummary();
 
@@ -79,6 +86,8 @@
         ConfigurationHolder m_configuration;
         TargetDirectory m_directory;
         TargetSelector m_selector;
+        NoticeController m_notices;
+        CrashTracker m_crashes;
         ReceiveBudget m_receiveBudget;
         TurnLedger m_ledger;
         LedgerWriter m_writer;
@@ -111,13 +120,15 @@
     , m_store(store, &client, settings.dataCentre, clock, m_log, m_metrics, hash64(settings.instance))
     , m_journal(client, settings.tolerated, clock, m_log)
     , m_peers(io, settings.peers)
-    , m_relays(m_store, m_peers, client, { settings.instance, settings.dataCentre, settings.peers, false }, clock, m_log, [this](const std::vector<RelayAddress>& relays, bool) { m_accounts.setRelays(relays); })
+    , m_relays(m_store, m_peers, client, { settings.instance, settings.dataCentre, settings.peers, false }, clock, m_log, [this](const std::vector<RelayAddress>& relays, bool) { applyRelays(relays); })
     , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
     , m_selector(m_random())
+    , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
+    , m_crashes(client, m_notices, clock, m_log, m_metrics)
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
-    , m_forwarder(client, m_directory, m_selector, m_receiveBudget, m_format, clock, m_log, m_metrics)
+    , m_forwarder(client, m_directory, m_selector, m_crashes, m_receiveBudget, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
@@ -183,6 +194,48 @@
     m_log.write(LogLine("target-gone").field("target", target.id.text()).field("startedAt", target.startedAt));
     m_selector.forget(target.id);
     m_client.closeIdle(lifetimeOf(target));
+    if (!target.isLeaving)
+        m_crashes.targetEnded(target);
+}
+
+// Each gateway sends notices to a few others only, so that hundreds do not keep connections to each other.
+void Gateway::applyRelays(const std::vector<RelayAddress>& relays)
+{
+    m_accounts.setRelays(relays);
+    std::vector<RelayAddress> peers = filterRelays(relays, false);
+    std::sort(peers.begin(), peers.end(), [&](const RelayAddress& a, const RelayAddress& b) { return peerRank(a) < peerRank(b); });
+    peers.resize(std::min(peers.size(), maxNoticePeers));
+    std::vector<InstanceId> ids;
+    for (const RelayAddress& it : peers)
+        ids.emplace_back(it.instance);
+    m_notices.setPeers(std::move(ids));
+}
+
+std::uint64_t Gateway::peerRank(const RelayAddress& peer) const
+{
+    return hash64(peer.instance, hash64(m_settings.instance));
+}
+
+void Gateway::sendNotices(const InstanceId& to, const std::string& body)
+{
+    auto relays = m_relays.relays();
+    auto peer = std::find_if(relays.begin(), relays.end(), [&](const RelayAddress& it) { return it.instance == to.text(); });
+    if (peer == relays.end())
+        return;
+    spawnFiber([this, endpoint = peer->endpoint, to, body] {
+        try {
+            callPeer(m_client, endpoint, peerpaths::notices, body, noticeTimeout);
+        } catch (const PeerUnavailableError& error) {
+            // Gossip reaches the peer through others.
+            m_log.write(LogLine("peer-failed").field("peer", to.text()).field("call", peerpaths::notices).field("reason", error.what()));
+        }
+    });
+}
+
+std::string Gateway::receiveNotices(const std::string& body)
+{
+    m_notices.received(body);
+    return "ok";
 }
 
 void Gateway::watchConfiguration()
@@ -273,6 +326,7 @@
         dropTarget(it);
     m_writer.startWrites();
     m_accounts.refreshOutstandingGrants();
+    m_crashes.sweep();
     logReadinessChange();
     m_log.flush();
 }
@@ -293,6 +347,9 @@
     m_relays.onKeeperView([this](const KeeperView& view) { m_journal.setView(view); });
     m_relays.onAnnounce([this](const std::string& instance) { m_accounts.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
+    m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { m_crashes.apply(subject, inForce); });
+    m_notices.start();
+    m_peers.on(peerpaths::notices, [this](const std::string& body) { return receiveNotices(body); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
     m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_accounts.releaseHold(program); });
     m_peers.on(peerpaths::handOver, [this](const std::string& body) { return m_accounts.acceptHandover(body); });
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -152,6 +152,18 @@
     return connection;
 }
 
+std::optional<TargetFailure> HttpClient::probe(const Endpoint& endpoint, Milliseconds timeout)
+{
+    HttpCallOptions options;
+    options.connectTimeout = timeout;
+    try {
+        connect(endpoint, options);
+        return std::nullopt;
+    } catch (const TargetError& error) {
+        return error.failure();
+    }
+}
+
 // Pending input on an idle connection is a close or an unsolicited response; such a connection must not be reused.
 static bool hasNoPendingInput(beast::tcp_stream& stream)
 {
--- a/lib/Policy/Quarantine.cpp
+++ b/lib/Policy/Quarantine.cpp
@@ -1,6 +1,7 @@
 #include "basilpoint/Policy/Quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilpoint {
 
@@ -57,40 +58,80 @@
         m_knownGood[digest] = now;
 }
 
-Quarantine::Status Quarantine::crashed(const Digest& digest, ReplicaIndex replica, TimePoint dispatchedAt, TimePoint now)
+Quarantine::Status Quarantine::crashed(const Digest& digest, LifetimeId replica, TimePoint dispatchedAt, TimePoint now)
 {
     ended(digest, false, now);
-    m_knownGood.erase(digest);
-    if (m_quarantined.contains(digest))
-        return Status::Quarantined;
+    return addCrash(digest, replica, { now, now - dispatchedAt }, now);
+}
+
+Quarantine::Status Quarantine::suspect(const Digest& digest, std::optional<LifetimeId> replica, TimePoint now)
+{
+    return addCrash(digest, replica, { now, std::chrono::nanoseconds(0) }, now);
+}
+
+Quarantine::Status Quarantine::addCrash(const Digest& digest, std::optional<LifetimeId> replica, const SuspectRank& rank, TimePoint now)
+{
+    if (m_quarantined.contains(digest) || (replica && m_attributedCrashes.contains(*replica)))
+        return statusOf(digest);
+    bool wasKnownGood = m_knownGood.erase(digest) > 0;
+    if (wasKnownGood && m_settings.sparesKnownGood)
+        return statusOf(digest);
     auto it = m_suspects.find(digest);
-    // Two copies lost with the same replica count as one crash.
-    if (it != m_suspects.end() && it->second.replica == replica)
-        return Status::Suspect;
-    if (it != m_suspects.end()) {
-        std::optional<ReplicaIndex> first = it->second.replica;
-        quarantine(digest, now);
-        attributeCrash(replica, now);
-        if (first)
-            attributeCrash(*first, now);
-        return Status::Quarantined;
+    if (it == m_suspects.end()) {
+        makeRoom();
+        it = m_suspects.emplace(digest, Suspicion { {}, rank }).first;
     }
-    if (m_attributedCrashes.contains(replica))
-        return Status::Clear;
-    m_suspects[digest] = { replica, { now, now - dispatchedAt } };
-    return Status::Suspect;
+    auto& replicas = it->second.replicas;
+    // Several copies lost with one replica count as one crash, and a replica that is not named may be one of the others.
+    if (!replicas.empty() && (!replica || std::find(replicas.begin(), replicas.end(), replica) != replicas.end()))
+        return Status::Suspect;
+    replicas.push_back(replica);
+    if (replicas.size() < m_settings.crashes)
+        return Status::Suspect;
+    auto crashes = std::exchange(replicas, {});
+    quarantine(digest, now);
+    for (const auto& crash : crashes)
+        if (crash)
+            attributeCrash(*crash, now);
+    return Status::Quarantined;
+}
+
+void Quarantine::makeRoom()
+{
+    if (m_suspects.size() < m_settings.maxSuspects)
+        return;
+    m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.second.replicas.size(), a.second.rank.crashedAt) < std::pair(b.second.replicas.size(), b.second.rank.crashedAt);
+    }));
 }
 
-void Quarantine::attributeCrash(ReplicaIndex replica, TimePoint now)
+void Quarantine::attributeCrash(LifetimeId replica, TimePoint now)
 {
     m_attributedCrashes[replica] = now;
-    std::erase_if(m_suspects, [&](const auto& entry) { return entry.second.replica == replica; });
+    for (auto& [digest, suspicion] : m_suspects)
+        std::erase(suspicion.replicas, std::optional(replica));
+    std::erase_if(m_suspects, [](const auto& entry) { return entry.second.replicas.empty(); });
 }
 
-void Quarantine::suspect(const Digest& digest, TimePoint now)
+void Quarantine::withdraw(const Digest& digest, LifetimeId replica)
 {
-    if (!m_quarantined.contains(digest))
-        m_suspects.try_emplace(digest, Suspicion { std::nullopt, { now, std::chrono::nanoseconds(0) } });
+    auto it = m_suspects.find(digest);
+    if (it == m_suspects.end())
+        return;
+    std::erase(it->second.replicas, std::optional(replica));
+    if (it->second.replicas.empty())
+        m_suspects.erase(it);
+}
+
+std::vector<LifetimeId> Quarantine::crashesOf(const Digest& digest) const
+{
+    std::vector<LifetimeId> crashes;
+    auto it = m_suspects.find(digest);
+    if (it != m_suspects.end())
+        for (const auto& replica : it->second.replicas)
+            if (replica)
+                crashes.push_back(*replica);
+    return crashes;
 }
 
 void Quarantine::quarantine(const Digest& digest, TimePoint now)
--- a/lib/Policy/SchedulerSuspects.cpp
+++ b/lib/Policy/SchedulerSuspects.cpp
@@ -91,7 +91,7 @@
 
 void SchedulerState::suspected(const Digest& content, TimePoint now)
 {
-    m_quarantine.suspect(content, now);
+    m_quarantine.suspect(content, std::nullopt, now);
 }
 
 void SchedulerState::quarantined(const Digest& content, TimePoint now)
--- a/unittests/Fleet/LeavingTest.cpp
+++ b/unittests/Fleet/LeavingTest.cpp
@@ -134,6 +134,43 @@
     BOOST_TEST(fleet.inForce(subject) == 340);
 }
 
+// Each gateway sends notices to eight others, and a service has ended with hundreds of calls.
+BOOST_AUTO_TEST_CASE(quarantineReachesAllGatewaysWithinThreeSecondsAmongManySuspects)
+{
+    constexpr std::size_t count = 259;
+    constexpr std::size_t neighbours = 8;
+    NoticeFleet fleet(count);
+    for (NoticeGossip& daemon : fleet.daemons) {
+        std::vector<InstanceId> peers;
+        for (std::size_t n = 0; n < neighbours; ++n)
+            peers.emplace_back(std::to_string(std::uniform_int_distribution<std::size_t>(0, count - 1)(fleet.random)));
+        daemon.setPeers(peers);
+    }
+    for (std::size_t n = 0; n < 600; ++n)
+        fleet.perform(fleet.daemons[n % count].raise({ NoticeKind::SuspectedRequest, "sound-" + std::to_string(n) }, 10min, fleet.now));
+    fleet.run(400ms);
+    NoticeSubject subject { NoticeKind::QuarantinedRequest, "crashing" };
+    fleet.perform(fleet.daemons[17].raise(subject, 10min, fleet.now));
+    fleet.run(3s);
+    BOOST_TEST(fleet.inForce(subject) == count);
+    for (std::size_t n = 0; n < NoticeGossip::maxEntries + 1'000; ++n)
+        fleet.daemons[0].raise({ NoticeKind::SuspectedRequest, "flood-" + std::to_string(n) }, 10min, fleet.now);
+    BOOST_TEST(fleet.daemons[0].size() == NoticeGossip::maxEntries);
+}
+
+BOOST_AUTO_TEST_CASE(restartedDaemonThatKnowsNothingLearnsTheNoticesInForce)
+{
+    NoticeFleet fleet(7);
+    NoticeSubject subject { NoticeKind::QuarantinedRequest, "crashing" };
+    fleet.perform(fleet.daemons[3].raise(subject, 10min, fleet.now));
+    fleet.run(5s);
+    NoticeGossip restarted(InstanceId("5"), 77);
+    restarted.setPeers({ InstanceId("0"), InstanceId("1"), InstanceId("2") });
+    std::swap(fleet.daemons[5], restarted);
+    fleet.run(400ms);
+    BOOST_TEST(fleet.daemons[5].inForce(subject, fleet.now));
+}
+
 BOOST_AUTO_TEST_CASE(manyNoticesReachAllAndALiftedOneStaysLifted)
 {
     NoticeFleet fleet(20);
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -96,7 +96,9 @@
         , format(testFormat())
         , storeClient(store, nullptr, {}, clock, log, metrics)
         , selector(1)
-        , forwarder(client, directory, selector, receiveBudget, format, clock, log, metrics)
+        , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
+        , crashes(client, notices, clock, log, metrics)
+        , forwarder(client, directory, selector, crashes, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -140,6 +142,8 @@
     TargetDirectory directory;
     TargetSelector selector;
     ReceiveBudget receiveBudget { 1024 * 1024 };
+    NoticeController notices;
+    CrashTracker crashes;
     Forwarder forwarder;
     TurnLedger ledger;
     LedgerWriter writer;
--- a/unittests/Platform/CrashingRequestTest.cpp
+++ b/unittests/Platform/CrashingRequestTest.cpp
@@ -49,7 +49,8 @@
         return deployment.call(deployment.instances[gateway].callers, "POST", "/work/x", { { "x-basilpoint-program-id", "p" }, { "x-basilpoint-deadline-ms", "900" } }, deadlyBody).status;
     }
 
-    /// Starts a caller of sound requests that tries each twice more, as callers do. Ends with the day.
+    /// Starts a caller of sound requests that tries each twice more, through the other gateway, as callers do. Ends with the
+    /// day.
     void startSoundCaller(const std::string& name)
     {
         spawnFiber([this, name] {
@@ -57,7 +58,7 @@
             for (unsigned n = 0; !isOver; ++n) {
                 int status = 0;
                 for (unsigned tries = 0; status != 200 && tries < 3 && !isOver; ++tries) {
-                    status = deployment.call(deployment.instances[n % 2 ? "a" : "b"].callers, "POST", "/work/x", { { "x-basilpoint-program-id", name }, { "x-basilpoint-deadline-ms", "1200" } }, name + std::to_string(n)).status;
+                    status = deployment.call(deployment.instances[(n + tries) % 2 ? "a" : "b"].callers, "POST", "/work/x", { { "x-basilpoint-program-id", name }, { "x-basilpoint-deadline-ms", "1200" } }, name + std::to_string(n)).status;
                     denied += status >= 400 && status < 500 ? 1 : 0;
                 }
                 ++sound;
@@ -197,4 +198,48 @@
     });
 }
 
+// Targets that reset connections or lose answers have not ended, so the request is not the cause.
+BOOST_AUTO_TEST_CASE(requestWhoseAnswersWereLostIsServedOnceTheyAreNot)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        auto work = [&](const std::string& gateway) { return day.deployment.call(day.deployment.instances[gateway].callers, "POST", "/work/x", { { "x-basilpoint-program-id", "p" }, { "x-basilpoint-deadline-ms", "900" } }, "sound").status; };
+        for (FakeTarget* it : day.tools())
+            it->losesAnswers = true;
+        for (unsigned n = 0; n < 8; ++n)
+            BOOST_TEST(work(n % 2 ? "a" : "b") == 502);
+        for (FakeTarget* it : day.tools())
+            it->losesAnswers = false;
+        for (const char* it : { "a", "b" })
+            BOOST_TEST(work(it) == 200);
+        BOOST_TEST(day.deployment.processes["a"]->log().find("target-probed") != std::string::npos);
+        BOOST_TEST(day.deployment.processes["a"]->log().find("request-suspected") == std::string::npos);
+        day.end();
+    });
+}
+
+// A turn's body is only its new input, which its caller sends again with the turn.
+BOOST_AUTO_TEST_CASE(turnThatCrashesEnginesEndsItsProgramWithoutRunningAgain)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        Deployment& deployment = day.deployment;
+        BOOST_TEST(eventually([&] { return deployment.turn("a", "t0", "", "in;") == 200; }));
+        deployment.engine.crashesOn = deadlyBody;
+        for (unsigned n = 0; n < maxCrashes; ++n) {
+            BOOST_TEST(deployment.turn(n % 2 ? "a" : "b", "t1-" + std::to_string(n), "t0", deadlyBody) == 502);
+            pause(200ms);
+            deployment.engine.restart();
+            deployment.put(deployment.engine);
+            BOOST_TEST(eventually([&] { return deployment.turn("a", "sound-" + std::to_string(n), "t0", "more;") == 200; }));
+        }
+        BOOST_TEST(deployment.engine.crashes() == maxCrashes);
+        for (const char* it : { "a", "b" })
+            BOOST_TEST(eventually([&] { return deployment.turn(it, std::string("t2-") + it, "t0", deadlyBody) == 400; }));
+        BOOST_TEST(deployment.engine.crashes() == maxCrashes);
+        BOOST_TEST(deployment.turn("b", "t3", "t0", "more;") == 200);
+        day.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Policy/DecisionsTest.cpp
+++ b/unittests/Policy/DecisionsTest.cpp
@@ -6,6 +6,7 @@
 #include "basilpoint/Policy/OutlierEjection.h"
 #include "basilpoint/Policy/Quarantine.h"
 #include "basilpoint/Policy/RefusalBackoff.h"
+#include "basilpoint/Policy/ReplicaSet.h"
 #include "basilpoint/Policy/RetryBudget.h"
 
 #include <boost/test/unit_test.hpp>
@@ -181,4 +182,60 @@
     BOOST_TEST((quarantine.crashed(content, 1, start, start) == Quarantine::Status::Quarantined));
 }
 
+BOOST_AUTO_TEST_CASE(requestLostWithTheCrashingOneIsClearedWhenThatIsQuarantined)
+{
+    QuarantineSettings settings;
+    settings.crashes = 3;
+    Quarantine quarantine(settings);
+    Digest crashing { 1, 1 };
+    Digest sound { 2, 2 };
+    for (LifetimeId replica : { 1, 2 }) {
+        BOOST_TEST((quarantine.suspect(crashing, replica, start) == Quarantine::Status::Suspect));
+        BOOST_TEST((quarantine.suspect(sound, replica, start) == Quarantine::Status::Suspect));
+    }
+    // Reported by several gateways.
+    BOOST_TEST((quarantine.suspect(crashing, 2, start) == Quarantine::Status::Suspect));
+    BOOST_TEST((quarantine.suspect(crashing, 3, start) == Quarantine::Status::Quarantined));
+    BOOST_TEST((quarantine.statusOf(sound) == Quarantine::Status::Clear));
+    BOOST_TEST((quarantine.suspect(sound, 3, start) == Quarantine::Status::Clear));
+    BOOST_TEST((quarantine.suspect(sound, 4, start) == Quarantine::Status::Suspect));
+    BOOST_TEST(quarantine.crashesOf(sound).size() == 1U);
+    quarantine.withdraw(sound, 4);
+    BOOST_TEST((quarantine.statusOf(sound) == Quarantine::Status::Clear));
+}
+
+BOOST_AUTO_TEST_CASE(answeredRequestNeedsAllCrashesAgainAndOneMoreToBeQuarantined)
+{
+    QuarantineSettings settings;
+    settings.crashes = 2;
+    settings.sparesKnownGood = true;
+    Quarantine quarantine(settings);
+    Digest content { 1, 1 };
+    quarantine.suspect(content, 1, start);
+    quarantine.dispatched(content);
+    quarantine.ended(content, true, start);
+    BOOST_TEST((quarantine.suspect(content, 2, start) == Quarantine::Status::Clear));
+    BOOST_TEST((quarantine.suspect(content, 3, start) == Quarantine::Status::Suspect));
+    BOOST_TEST((quarantine.suspect(content, 4, start) == Quarantine::Status::Quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(anyNumberOfDistinctSuspectsTakesABoundedNumberOfEntries)
+{
+    QuarantineSettings settings;
+    settings.crashes = 3;
+    settings.maxSuspects = 100;
+    Quarantine quarantine(settings);
+    Digest crashing { 1, 1 };
+    quarantine.suspect(crashing, 1, start);
+    quarantine.suspect(crashing, 2, start);
+    for (std::uint64_t n = 0; n < 1'000; ++n)
+        quarantine.suspect({ 2, n }, 2, start);
+    std::size_t suspects = 0;
+    for (std::uint64_t n = 0; n < 1'000; ++n)
+        suspects += quarantine.statusOf({ 2, n }) == Quarantine::Status::Suspect ? 1 : 0;
+    BOOST_TEST(suspects == 99U);
+    // The one with the most crashes is kept.
+    BOOST_TEST((quarantine.suspect(crashing, 3, start) == Quarantine::Status::Quarantined));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
