--- a/lib/Gateway/CrashTracker.h
+++ b/lib/Gateway/CrashTracker.h
@@ -40,6 +40,7 @@
     /// Handles a notice about a suspected or quarantined request, of this or another gateway.
     void apply(const NoticeSubject&, bool inForce);
 
+    /// Drops what has expired.
     void sweep() { m_quarantine.sweep(m_clock.now()); }
 
 private:
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -218,12 +218,14 @@
     m_accounts.setRelays(relays);
     std::vector<RelayAddress> peers = filterRelays(relays, false);
     std::vector<std::string> gateways { m_settings.instance };
+    gateways.reserve(peers.size() + 1);
     for (const RelayAddress& it : peers)
         gateways.push_back(it.instance);
     m_limits.setDaemons(std::move(gateways));
     std::sort(peers.begin(), peers.end(), [&](const RelayAddress& a, const RelayAddress& b) { return peerRank(a) < peerRank(b); });
     peers.resize(std::min(peers.size(), maxNoticePeers));
     std::vector<InstanceId> ids;
+    ids.reserve(peers.size());
     for (const RelayAddress& it : peers)
         ids.emplace_back(it.instance);
     m_notices.setPeers(std::move(ids));
@@ -361,8 +363,6 @@
         dropTarget(it);
     m_writer.startWrites();
     m_accounts.refreshOutstandingGrants();
-    m_crashes.sweep();
-    m_limits.sweep();
     logReadinessChange();
     m_log.flush();
 }
@@ -395,8 +395,11 @@
             tick();
     });
     spawnFiber([this] {
-        for (;; logSummary())
+        for (;; logSummary()) {
             sleepFiber(summaryInterval);
+            m_crashes.sweep();
+            m_limits.sweep();
+        }
     });
     m_callers.start();
     m_readiness.start();
--- a/lib/Gateway/RateLimitTracker.h
+++ b/lib/Gateway/RateLimitTracker.h
@@ -29,6 +29,7 @@
 
     /// Forgets a target that is gone.
     void forget(const Registration&);
+    /// Drops limits that have expired.
     void sweep();
 
 private:
