Tests of gateways that are cut off from their targets, seen to fail

Each gateway of a test deployment finds the targets at links of its own (FakeLink), which a test cuts: silently, with resets, or so that only new connections are refused. The store shows each gateway its own links (FakeStore::addView).

A refused probe after a lost connection counts as the target's end, so a gateway that is cut off reports each request that it lost as the crash of three targets.

--- /dev/null
+++ b/unittests/Platform/CallRelayTest.cpp
@@ -0,0 +1,174 @@
+#include "CutDay.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <csignal>
+
+using namespace basilpoint;
+using namespace basilpoint::test;
+namespace data = boost::unit_test::data;
+
+// Time within which a call that cannot be served is refused.
+static constexpr auto refusalLimit = 400ms;
+
+BOOST_AUTO_TEST_SUITE(CallRelayTest)
+
+BOOST_AUTO_TEST_CASE(callsAreRefusedAtOnceWhenNoGatewayReachesATarget)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        for (const char* it : { "a", "b" })
+            day.cut(it, CutKind::Silent);
+        day.serveFor(detectionLimit);
+        unsigned runs = day.runs();
+        for (unsigned n = 0; n < 10; ++n)
+            for (const char* it : { "a", "b" }) {
+                auto start = std::chrono::steady_clock::now();
+                HttpResponse response = day.work(it);
+                BOOST_TEST(response.status == 503);
+                BOOST_TEST(!response.header("retry-after").empty());
+                BOOST_TEST(day.turn(it) == 503);
+                BOOST_TEST((std::chrono::steady_clock::now() - start < 2 * refusalLimit));
+                pause(100ms);
+            }
+        BOOST_TEST(day.runs() == runs);
+        for (const char* it : { "a", "b" })
+            BOOST_TEST(!day.deployment.isReady(it));
+        for (const char* it : { "a", "b" })
+            day.heal(it);
+        BOOST_TEST(eventually([&] { return day.deployment.isReady("a") && day.deployment.isReady("b"); }, 3s));
+        auto counts = day.serveFor(1s);
+        for (const char* it : { "a", "b" })
+            BOOST_TEST(counts[it].served == counts[it].tried);
+        day.checkRuns();
+        day.end();
+    });
+}
+
+// Its callers' history and budgets hold whichever way the turns go.
+BOOST_AUTO_TEST_CASE(turnsOfAGatewayThatIsCutOffKeepTheirHistoryAndBudget)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        Deployment& deployment = day.deployment;
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        std::string chain;
+        std::string previous;
+        const int turnsInBudget = 4;
+        const int budget = 20 * turnsInBudget + 20;
+        for (int n = 0; n < turnsInBudget; ++n) {
+            std::string id = fmt::format("chain-{}", n);
+            std::string input = fmt::format("in-{};", n);
+            BOOST_TEST(deployment.turn(n % 3 == 2 ? "b" : "a", id, previous, input, "chain", budget) == 200);
+            chain += input;
+            for (FakeTarget* it : { &deployment.engine, &deployment.spare })
+                for (const auto& run : it->runs)
+                    BOOST_TEST((run.call != id || run.body == chain), run.body);
+            chain += "one-" + id + "\ntwo-" + id + "\n";
+            previous = id;
+        }
+        BOOST_TEST(deployment.turn("a", "chain-over", previous, "in;", "chain", budget) == 402);
+        day.checkRuns();
+        day.end();
+    });
+}
+
+BOOST_DATA_TEST_CASE(nonIdempotentCallsRunOnceWhileCutsComeAndGo, data::make(allKinds), kind)
+{
+    inFiber([kind] {
+        auto& day = *new CutDay;
+        auto end = std::chrono::steady_clock::now() + 5s;
+        unsigned served = 0;
+        for (unsigned n = 0; n < 4; ++n)
+            day.startPayer("a", end, served);
+        for (bool isCut = false; std::chrono::steady_clock::now() < end; isCut = !isCut) {
+            isCut ? day.heal("a") : day.cut("a", kind);
+            pause(900ms);
+        }
+        day.awaitCallers();
+        BOOST_TEST(served > 50U);
+        day.checkRuns();
+        day.end();
+    });
+}
+
+// A relay that is killed may have run what it was given; the calls after that go through another one.
+BOOST_AUTO_TEST_CASE(callsGoThroughAnotherGatewayWhenTheirRelayIsKilled)
+{
+    inFiber([] {
+        auto& day = *new CutDay({ "a", "b", "c" });
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        auto end = std::chrono::steady_clock::now() + 4s;
+        CutDay::Count count;
+        for (bool isTurn : { false, true })
+            day.startCaller("a", isTurn, end, count);
+        pause(500ms);
+        BOOST_TEST(day.deployment.kill("b"));
+        pause(1s);
+        day.deployment.start("b", true);
+        day.awaitCallers();
+        BOOST_TEST(count.isServed(), count.served << " of " << count.tried);
+        BOOST_TEST(count.tried > 100U);
+        day.checkRuns();
+        day.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(plannedStopOfARelayCutsNothing)
+{
+    inFiber([] {
+        auto& day = *new CutDay({ "a", "b", "c" });
+        for (FakeTarget* it : day.targets())
+            it->delay = 150ms;
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        auto end = std::chrono::steady_clock::now() + 9s;
+        CutDay::Count count;
+        for (int n = 0; n < 3; ++n)
+            for (bool isTurn : { false, true })
+                day.startCaller("a", isTurn, end, count);
+        pause(500ms);
+        day.deployment.processes["b"]->signal(SIGTERM);
+        BOOST_TEST(eventually([&] { return !day.deployment.processes["b"]->running(); }));
+        BOOST_TEST(day.deployment.processes["b"]->exitStatus() == 0);
+        day.awaitCallers();
+        BOOST_TEST(count.served == count.tried);
+        day.checkRuns();
+        day.end();
+    });
+}
+
+// The gateway's connections are lost and new ones refused, as if its targets had ended again and again.
+BOOST_AUTO_TEST_CASE(soundRequestsAreNotQuarantinedByCuts)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        for (FakeTarget* it : day.targets())
+            it->delay = 200ms;
+        auto end = std::chrono::steady_clock::now() + 6s;
+        unsigned denied = 0;
+        for (unsigned n = 0; n < 6; ++n) {
+            ++day.callers;
+            spawnFiber([&] {
+                while (std::chrono::steady_clock::now() < end)
+                    denied += day.work("a", "sound").status == 400 ? 1 : 0;
+                --day.callers;
+            });
+        }
+        while (std::chrono::steady_clock::now() < end) {
+            pause(300ms);
+            day.cut("a", CutKind::Reset);
+            pause(500ms);
+            day.heal("a");
+        }
+        day.awaitCallers();
+        BOOST_TEST(denied == 0U);
+        for (const char* it : { "a", "b" })
+            BOOST_TEST(eventually([&] { return day.work(it, "sound").status == 200; }, 2s));
+        BOOST_TEST(!day.hasLogged("a", "request-suspected"));
+        day.end();
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -65,7 +65,7 @@
         instance.peers = freePort();
     }
     std::ofstream settings(folder / (name + ".conf"));
-    settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << store.endpoint().text() << "\nportRange=" << instance.peers << "," << instance.peers
+    settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << (storeAddresses.contains(name) ? storeAddresses[name] : store.endpoint()).text() << "\nportRange=" << instance.peers << "," << instance.peers
              << "\nlimits.maxFds=" << descriptors << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
     if (isGateway)
         settings << "listen.front=127.0.0.1:" << instance.callers << "\nlisten.ready=127.0.0.1:" << instance.readiness << "\n";
@@ -75,6 +75,25 @@
     processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
 }
 
+std::vector<std::shared_ptr<FakeLink>> Deployment::addLinks(const std::string& name, const std::vector<FakeTarget*>& targets)
+{
+    std::vector<std::shared_ptr<FakeLink>> links;
+    std::map<std::string, std::string> addresses;
+    for (const FakeTarget* it : targets) {
+        links.push_back(std::make_shared<FakeLink>(testRuntime().io(), it->endpoint()));
+        addresses[it->endpoint().text()] = links.back()->endpoint().text();
+    }
+    storeAddresses[name] = store.addView([addresses](const std::string& value) {
+        Json json = Json::parse(value, nullptr, false);
+        auto link = json.is_object() && json.contains("addr") ? addresses.find(json["addr"].get<std::string>()) : addresses.end();
+        if (link == addresses.end())
+            return value;
+        json["addr"] = link->second;
+        return json.dump();
+    });
+    return links;
+}
+
 // Whether the process's main function has begun, which decides about SIGHUP before anything else.
 static bool hasBegun(pid_t process)
 {
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FakeLink.h"
 #include "FakePlatform.h"
 
 #include "../EndToEnd/Process.h"
@@ -41,6 +42,9 @@
     /// Kills a process. \returns whether it has ended.
     bool kill(const std::string& name);
 
+    /// Makes the process find the targets at the ends of links of its own, which can be cut. Call before start().
+    std::vector<std::shared_ptr<FakeLink>> addLinks(const std::string& name, const std::vector<FakeTarget*>&);
+
     /// Makes one call on a new connection. \returns status 0 if no answer arrives.
     HttpResponse call(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers = {}, const std::string& body = {});
 
@@ -65,6 +69,8 @@
     /// Descriptors that processes may use, as their settings say; see limitDescriptors().
     unsigned descriptors = 4'096;
     FakeStore store;
+    /// Addresses at which processes find the store, if not at its own.
+    std::map<std::string, Endpoint> storeAddresses;
     FakeTarget engine;
     FakeTarget spare;
     FakeTarget tool;
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -40,11 +40,19 @@
 }
 
 FakeStore::FakeStore(boost::asio::io_context& io)
-    : m_server(io, { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); })
+    : m_io(io)
+    , m_server(io, { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer, nullptr); })
 {
     m_server.start();
 }
 
+Endpoint FakeStore::addView(const View& view)
+{
+    m_views.push_back(std::make_unique<HttpServer>(m_io, Endpoint { "127.0.0.1", 0 }, HttpLimits {}, [this, view](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer, view); }));
+    m_views.back()->start();
+    return m_views.back()->endpoint();
+}
+
 void FakeStore::put(const std::string& key, const std::string& value)
 {
     m_items[key] = { encodeBase64(value), ++m_revision, true };
@@ -60,23 +68,23 @@
     return decodeBase64(m_items.at(key).encoded);
 }
 
-Json FakeStore::itemOf(const std::string& key, const Item& item) const
+Json FakeStore::itemOf(const std::string& key, const Item& item, const View& view)
 {
     if (!item.exists)
         return { { "key", key }, { "rev", item.revision }, { "tombstone", true } };
-    return { { "key", key }, { "value", item.encoded }, { "rev", item.revision }, { "createdRev", item.revision }, { "lease", 0 } };
+    return { { "key", key }, { "value", view ? encodeBase64(view(decodeBase64(item.encoded))) : item.encoded }, { "rev", item.revision }, { "createdRev", item.revision }, { "lease", 0 } };
 }
 
-void FakeStore::range(const std::string& prefix, ResponseWriter& writer) const
+void FakeStore::range(const std::string& prefix, ResponseWriter& writer, const View& view) const
 {
     Json items = Json::array();
     for (const auto& [key, item] : m_items)
         if (item.exists && key.starts_with(prefix))
-            items.push_back(itemOf(key, item));
+            items.push_back(itemOf(key, item, view));
     sendJson(writer, 200, { { "items", std::move(items) }, { "hasMore", false }, { "at", m_revision } });
 }
 
-void FakeStore::changes(const std::string& prefix, std::int64_t after, int waitMs, ResponseWriter& writer)
+void FakeStore::changes(const std::string& prefix, std::int64_t after, int waitMs, ResponseWriter& writer, const View& view)
 {
     for (int waited = 0;; waited += pollMilliseconds) {
         if (isDown)
@@ -84,7 +92,7 @@
         Json events = Json::array();
         for (const auto& [key, item] : m_items)
             if (item.revision > after && key.starts_with(prefix))
-                events.push_back(itemOf(key, item));
+                events.push_back(itemOf(key, item, view));
         if (!events.empty() || waited >= waitMs)
             return sendJson(writer, 200, { { "events", std::move(events) }, { "at", m_revision } });
         pause(std::chrono::milliseconds(pollMilliseconds));
@@ -100,7 +108,7 @@
         std::int64_t revision = item.exists ? item.revision : 0;
         holds = holds && revision == it.at("rev").get<std::int64_t>();
         if (item.exists)
-            current.push_back(itemOf(it.at("key"), item));
+            current.push_back(itemOf(it.at("key"), item, nullptr));
     }
     if (!holds)
         return sendJson(writer, 412, { { "items", std::move(current) } });
@@ -112,21 +120,21 @@
     sendJson(writer, 200, { { "rev", m_revision } });
 }
 
-void FakeStore::handle(const HttpRequest& request, ResponseWriter& writer)
+void FakeStore::handle(const HttpRequest& request, ResponseWriter& writer, const View& view)
 {
     if (isDown)
         throw ConnectionLostError("outage");
     std::string_view path = request.path();
     if (path == "/-/kv-range")
-        return range(parameter(request, "prefix"), writer);
+        return range(parameter(request, "prefix"), writer, view);
     if (path == "/-/kv-watch")
-        return changes(parameter(request, "prefix"), std::stoll(parameter(request, "after")), std::stoi(parameter(request, "waitMs")), writer);
+        return changes(parameter(request, "prefix"), std::stoll(parameter(request, "after")), std::stoi(parameter(request, "waitMs")), writer, view);
     if (path == "/-/kv-txn")
         return transact(Json::parse(request.body), writer);
     std::string key = parameter(request, "key");
     if (!has(key))
         return sendJson(writer, 404, Json::object());
-    sendJson(writer, 200, itemOf(key, m_items.at(key)));
+    sendJson(writer, 200, itemOf(key, m_items.at(key), view));
 }
 
 FakeTarget::FakeTarget(boost::asio::io_context& io, std::string id, std::string service)
@@ -162,7 +170,7 @@
     std::string call(request.header("x-basilpoint-request-id"));
     if (request.header("x-basilpoint-expect-instance") != m_id)
         return writer.send({ 421, { { "x-basilpoint-instance-id", m_id } }, {} });
-    runs.push_back({ call, request.body, request.headers, std::chrono::steady_clock::now() });
+    runs.push_back({ call, request.body, request.headers, !request.target.starts_with("/stream/") && !request.target.starts_with("/pay/"), std::chrono::steady_clock::now() });
     if (!crashesOn.empty() && request.body.ends_with(crashesOn))
         crash();
     unsigned lifetime = m_lifetime;
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -2,6 +2,7 @@
 
 #include "basilpoint/Net/HttpServer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -23,6 +24,12 @@
     /// Value of a key that exists.
     std::string valueOf(const std::string& key) const;
 
+    /// Value of a key as one process sees it.
+    using View = std::function<std::string(const std::string& value)>;
+
+    /// Serves the store at a further address, with changed values. \returns the address.
+    Endpoint addView(const View&);
+
     /// While set, all calls fail with a lost connection.
     bool isDown = false;
 
@@ -31,6 +38,8 @@
     {
         isDown = true;
         m_server.stop();
+        for (const auto& it : m_views)
+            it->stop();
     }
 
 private:
@@ -40,15 +49,17 @@
         bool exists = false;
     };
 
-    void handle(const HttpRequest&, ResponseWriter&);
-    nlohmann::json itemOf(const std::string& key, const Item&) const;
-    void range(const std::string& prefix, ResponseWriter&) const;
-    void changes(const std::string& prefix, std::int64_t after, int waitMs, ResponseWriter&);
+    void handle(const HttpRequest&, ResponseWriter&, const View&);
+    static nlohmann::json itemOf(const std::string& key, const Item&, const View&);
+    void range(const std::string& prefix, ResponseWriter&, const View&) const;
+    void changes(const std::string& prefix, std::int64_t after, int waitMs, ResponseWriter&, const View&);
     void transact(const nlohmann::json&, ResponseWriter&);
 
     std::map<std::string, Item> m_items;
     std::int64_t m_revision = 5;
+    boost::asio::io_context& m_io;
     HttpServer m_server;
+    std::vector<std::unique_ptr<HttpServer>> m_views;
 };
 
 /// In-process fake of a target: streams events, or answers with a complete body.
@@ -59,6 +70,7 @@
     /// The registration that the target writes to the store.
     std::string registration(const char* state) const;
     const std::string& id() const { return m_id; }
+    Endpoint endpoint() const { return m_server->endpoint(); }
 
     void stop() { m_server->stop(); }
 
@@ -72,6 +84,8 @@
         std::string call;
         std::string body;
         HttpHeaders headers;
+        /// Whether the call came on a route of calls that may be repeated.
+        bool isIdempotent = false;
         std::chrono::steady_clock::time_point at;
     };
     std::vector<Run> runs;
