Conclude that a target has ended only if another target can be reached

What callers saw: while a gateway's connections to targets are reset and new ones refused, callers at all gateways get status 400 (not run, repeatedly crashed the targets) for sound requests, for 24 hours.

Cause: after a lost connection a gateway probes the target, and a refused probe counts as the target's end. A gateway that is cut off is refused by every target, so each request that it lost counts as the cause of several crashes, and the third one quarantines it in the whole fleet.

Ruled out: raising the number of crashes (the same cut supplies as many as there are targets), and probing longer (the cut may last longer still).

Change: a refused probe counts only if one of three other targets accepts a connection. If none does, the target's next registration decides, as it does for a target that ends silently.

--- a/include/basilpoint/Forwarding/TargetDirectory.h
+++ b/include/basilpoint/Forwarding/TargetDirectory.h
@@ -67,6 +67,9 @@
     /// Targets of \p service that accept new calls.
     std::vector<const Registration*> usable(const ServiceId& service) const;
 
+    /// Up to \p n other targets of any service, those that follow the target in the order of ids.
+    std::vector<Registration> othersThan(const TargetId&, std::size_t n) const;
+
     const Registration* find(const TargetId&) const;
     bool isEmpty() const { return m_entries.empty(); }
     std::size_t size() const { return m_entries.size(); }
--- a/lib/Forwarding/TargetDirectory.cpp
+++ b/lib/Forwarding/TargetDirectory.cpp
@@ -106,6 +106,20 @@
     return result;
 }
 
+std::vector<Registration> TargetDirectory::othersThan(const TargetId& id, std::size_t n) const
+{
+    std::vector<Registration> result;
+    auto it = m_entries.upper_bound(id);
+    for (std::size_t seen = 0; seen < m_entries.size() && result.size() < n; ++seen) {
+        if (it == m_entries.end())
+            it = m_entries.begin();
+        if (it->first != id)
+            result.push_back(it->second.registration);
+        ++it;
+    }
+    return result;
+}
+
 const Registration* TargetDirectory::find(const TargetId& id) const
 {
     auto it = m_entries.find(id);
--- a/lib/Gateway/CrashTracker.cpp
+++ b/lib/Gateway/CrashTracker.cpp
@@ -12,6 +12,8 @@
 
 // A process that has ended refuses a connection within a round trip. A target that is cut off does not answer.
 static constexpr Milliseconds probeTimeout { 150 };
+// Other targets that are asked whether this gateway reaches any.
+static constexpr std::size_t maxWitnesses = 3;
 // Suspects are not isolated from other calls, so a sound call can be lost together with a crashing one repeatedly.
 static constexpr unsigned crashesToQuarantine = 3;
 static constexpr std::size_t maxSuspects = 4'000;
@@ -27,8 +29,9 @@
     return settings;
 }
 
-CrashTracker::CrashTracker(HttpClient& targets, NoticeController& notices, const Clock& clock, JsonLog& log, Metrics& metrics)
+CrashTracker::CrashTracker(HttpClient& targets, const TargetDirectory& directory, NoticeController& notices, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_targets(targets)
+    , m_directory(directory)
     , m_notices(notices)
     , m_clock(clock)
     , m_log(log)
@@ -90,11 +93,21 @@
     m_probes.run(lifetime, [&] {
         auto failure = m_targets.probe(target.endpoint, probeTimeout);
         m_log.write(LogLine("target-probed").field("target", target.id.text()).field("startedAt", target.startedAt).field("failure", failure ? toString(*failure) : ""));
-        if (failure == TargetFailure::ConnectionRefused)
+        if (failure == TargetFailure::ConnectionRefused && reachesOthers(target))
             targetEnded(target);
     });
 }
 
+// A gateway that is cut off may be refused by all targets, none of which has ended.
+bool CrashTracker::reachesOthers(const Registration& target)
+{
+    for (const Registration& it : m_directory.othersThan(target.id, maxWitnesses))
+        if (!m_targets.probe(it.endpoint, probeTimeout))
+            return true;
+    m_log.write(LogLine("target-end-not-confirmed").field("target", target.id.text()).field("startedAt", target.startedAt));
+    return false;
+}
+
 void CrashTracker::targetEnded(const Registration& target)
 {
     std::vector<Digest> contents = m_lost.take(lifetimeOf(target), m_clock.now());
--- a/lib/Gateway/CrashTracker.h
+++ b/lib/Gateway/CrashTracker.h
@@ -18,7 +18,7 @@
 /// was running at the ends of several targets and has not been answered since is quarantined: no gateway runs it.
 class CrashTracker {
 public:
-    CrashTracker(HttpClient& targets, NoticeController&, const Clock&, JsonLog&, Metrics&);
+    CrashTracker(HttpClient& targets, const TargetDirectory&, NoticeController&, const Clock&, JsonLog&, Metrics&);
 
     Quarantine::Status statusOf(const Digest& content) const { return m_quarantine.statusOf(content); }
     /// Whether the request may be sent to a target now. A suspect runs once at a time on this gateway.
@@ -45,9 +45,11 @@
 
 private:
     void probe(const Registration&);
+    bool reachesOthers(const Registration&);
     void note(Quarantine::Status before, const Digest&);
 
     HttpClient& m_targets;
+    const TargetDirectory& m_directory;
     NoticeController& m_notices;
     const Clock& m_clock;
     JsonLog& m_log;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -136,7 +136,7 @@
     , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
     , m_selector(m_random())
     , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
-    , m_crashes(client, m_notices, clock, m_log, m_metrics)
+    , m_crashes(client, m_directory, m_notices, clock, m_log, m_metrics)
     , m_limits(settings.instance, m_notices, clock, m_log, m_metrics)
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -100,7 +100,7 @@
         , storeClient(store, nullptr, {}, clock, log, metrics)
         , selector(1)
         , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
-        , crashes(client, notices, clock, log, metrics)
+        , crashes(client, directory, notices, clock, log, metrics)
         , limits("g", notices, clock, log, metrics)
         , forwarder(client, directory, selector, crashes, limits, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
