Tell a lack of descriptors or ports from an unreachable target

A gateway without free descriptors or ports fails to connect to any target, and reported each as unreachable: its own fault taken for that of its peers.

Change: such errors of the kernel are TargetFailure::OutOfResources.

--- a/include/basilpoint/Net/Errors.h
+++ b/include/basilpoint/Net/Errors.h
@@ -23,6 +23,8 @@
     ConnectionRefused,
     /// No connection was established for another reason.
     Unreachable,
+    /// No connection was attempted, since this daemon lacks descriptors or ports.
+    OutOfResources,
     /// The connection was closed or reset during the call.
     ConnectionLost,
     /// The target did not send or acknowledge anything in time.
--- a/lib/Net/Errors.cpp
+++ b/lib/Net/Errors.cpp
@@ -40,6 +40,8 @@
         return "connection-refused";
     case TargetFailure::Unreachable:
         return "unreachable";
+    case TargetFailure::OutOfResources:
+        return "out-of-resources";
     case TargetFailure::ConnectionLost:
         return "connection-lost";
     case TargetFailure::TimedOut:
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -136,6 +136,16 @@
     return TargetFailure::InvalidResponse;
 }
 
+static TargetFailure failureToConnect(const boost::system::error_code& ec)
+{
+    if (ec == asio::error::connection_refused)
+        return TargetFailure::ConnectionRefused;
+    // Says nothing about the target.
+    if (ec == asio::error::no_descriptors || ec == boost::system::errc::too_many_files_open_in_system || ec == asio::error::no_buffer_space || ec == asio::error::no_memory || ec == boost::system::errc::address_not_available)
+        return TargetFailure::OutOfResources;
+    return TargetFailure::Unreachable;
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::connect(const Endpoint& endpoint, const HttpCallOptions& options)
 {
     auto connection = std::make_unique<Connection>(m_state->io);
@@ -147,7 +157,7 @@
     ++m_state->opened;
     auto result = awaitIo([&](auto handler) { connection->stream.async_connect(Tcp::endpoint(address, endpoint.port), std::move(handler)); });
     if (result.ec)
-        throw TargetError(endpoint, Executed::No, result.ec.message(), result.ec == asio::error::connection_refused ? TargetFailure::ConnectionRefused : TargetFailure::Unreachable);
+        throw TargetError(endpoint, Executed::No, result.ec.message(), failureToConnect(result.ec));
     setSocketOptions(connection->stream.socket());
     return connection;
 }
