Let a silent connection to a target live until several keep-alive probes are unanswered

What callers saw: a stream of a sound target that pauses for two seconds and is then silent for one, as the users' pages now allow, is cut.

Cause: TCP_USER_TIMEOUT is 3 s, and the first keep-alive probe is sent after 2 s. As on Linux, the user timeout ends the probes whatever their count, so it is the first unanswered probe that closes the connection and not, as the constants say, the second.

Change: three probes, and a user timeout that leaves time for all of them: 5 s instead of 3.

Evidence: HttpClientTest/streamThatPausesIsNotCutByOneUnansweredProbe reads the options of a real socket; before, 3,000 ms of user timeout against 4,000 ms of probes.

Ruled out elsewhere: PeerLink closes silent links by its own pings after 10 s and sets no option; HttpServer sets none, its read, write and idle timeouts end silent callers.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -32,11 +32,14 @@
 static constexpr Milliseconds idleMargin { 500 };
 // Keep-alive timeout of targets that do not state one.
 static constexpr Milliseconds defaultIdleLimit { 4'000 };
-// TCP_USER_TIMEOUT: closes a connection whose peer stops acknowledging data, which nothing else reports.
-static constexpr unsigned tcpUserTimeoutMilliseconds = 3'000;
+// Keep-alive probes of connections on which nothing arrives. Several must stay unanswered: a sound target may be silent for
+// a second or so.
 static constexpr int keepAliveIdleSeconds = 2;
 static constexpr int keepAliveIntervalSeconds = 1;
-static constexpr int keepAliveProbes = 2;
+static constexpr int keepAliveProbes = 3;
+// TCP_USER_TIMEOUT: closes a connection whose peer stops acknowledging data, which nothing else reports. It also ends the
+// probes, whatever their number, so it must leave time for all of them.
+static constexpr unsigned tcpUserTimeoutMilliseconds = 1'000 * (keepAliveIdleSeconds + keepAliveProbes * keepAliveIntervalSeconds);
 
 struct HttpClient::Connection {
     explicit Connection(asio::io_context& io)
--- a/unittests/Net/HttpClientTest.cpp
+++ b/unittests/Net/HttpClientTest.cpp
@@ -5,7 +5,10 @@
 
 #include <boost/test/unit_test.hpp>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace basilpoint;
@@ -31,6 +34,27 @@
     rlimit m_before {};
 };
 
+int option(int socket, int name)
+{
+    int value = 0;
+    socklen_t size = sizeof(value);
+    getsockopt(socket, IPPROTO_TCP, name, &value, &size);
+    return value;
+}
+
+/// Descriptor of this process's connection to the port; -1 if there is none.
+int connectionTo(std::uint16_t port)
+{
+    static constexpr int descriptors = 256;
+    for (int socket = 0; socket < descriptors; ++socket) {
+        sockaddr_in peer {};
+        socklen_t size = sizeof(peer);
+        if (getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && peer.sin_family == AF_INET && ntohs(peer.sin_port) == port)
+            return socket;
+    }
+    return -1;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpClientTest)
@@ -52,4 +76,23 @@
     });
 }
 
+// A target that is silent for a second acknowledges no probe meanwhile.
+BOOST_AUTO_TEST_CASE(streamThatPausesIsNotCutByOneUnansweredProbe)
+{
+    testRuntime().run([] {
+        HttpServer server(testRuntime().io(), { "127.0.0.1", 0 }, {}, [](const HttpRequest&, ResponseWriter& writer) { writer.send({}); });
+        server.start();
+        HttpClient client(testRuntime().io());
+        BOOST_REQUIRE(client.call(server.endpoint(), { "GET", "/", {}, {} }).status == 200);
+        int socket = connectionTo(server.endpoint().port);
+        BOOST_REQUIRE(socket >= 0);
+        int idle = 1'000 * option(socket, TCP_KEEPIDLE);
+        int interval = 1'000 * option(socket, TCP_KEEPINTVL);
+        int probes = option(socket, TCP_KEEPCNT);
+        BOOST_TEST(option(socket, TCP_USER_TIMEOUT) >= idle + probes * interval);
+        BOOST_TEST(probes * interval >= 2'000);
+        client.closeIdle({});
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
