Serve the callers of a gateway that is cut off from targets through other gateways

Refusals come after up to a second.

Cause: what a failed connection means was judged for each target alone. A gateway that reached none of them still tried up to four for each call, 250 ms each, and then refused it, although the other gateways could serve it. The class of fault: a process takes its own fault for that of its peers, and its callers pay for where they happened to connect.

Ruled out: - Readiness alone. With fewer than half of a zone in rotation all of its gateways get callers, and open connections stay. - Relaying single attempts to a target that the cut-off gateway chooses. It knows neither the load nor the limits, ends and quarantines as they are where the call is sent from, and each retry would be another hop. - A relay for whole calls, with turns. History, budget and at-most-once would be handled by two gateways for one call.

Change: - TargetReachability (pure) tells a target that fails alone from a cut: five targets of a service, or all if it has fewer, that fail without a sign of life from any in between. Targets that are silent while calls wait are checked beside the calls (TargetMonitor), and so is a sample of the others when one fails, so that no call waits for the conclusion. Two probes each 250 ms notice the end; it takes two signs of life, since a cut may come and go. - Targets that refuse new connections are used through open ones. - A call whose targets are out of reach, or busy with only some out of reach, goes to another gateway in one hop (RelayedCallController). That one chooses the target and counts its load, limit, end and quarantine; the gateway that the caller is connected to keeps history, budget, attempts and cancellation. The relay makes at most one attempt that may run the call and says which of three ends it had: not taken, not run, may have run. - Relays are chosen among eight by a hash, the least used first (RelaySelector). Gateways that are cut off say so by a notice; those that shut down refuse calls and close their connections, and finish what they have. - Without any path a call is refused at once, before its history is read, and the gateway reports that it is not ready.

Why it works: every call has a second way that does not share the fault of the first, and the choice is made before the call is sent rather than by its timeouts. What a target may run is still decided in one place for each call.

--- a/include/basilpoint/Fleet/NoticeGossip.h
+++ b/include/basilpoint/Fleet/NoticeGossip.h
@@ -21,6 +21,8 @@
     SuspectedRequest,
     /// Target that limits the rate of calls from all daemons together, and the limit.
     LimitedTarget,
+    /// Daemon that is cut off from all targets; others do not send calls through it.
+    CutOffDaemon,
 };
 
 struct NoticeSubject {
--- a/include/basilpoint/Forwarding/TargetDirectory.h
+++ b/include/basilpoint/Forwarding/TargetDirectory.h
@@ -4,6 +4,7 @@
 #include "basilpoint/Support/Endpoint.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace basilpoint {
@@ -67,6 +68,9 @@
     /// Targets of \p service that accept new calls.
     std::vector<const Registration*> usable(const ServiceId& service) const;
 
+    /// Services that have targets.
+    std::set<ServiceId> services() const;
+
     /// Up to \p n other targets of any service, those that follow the target in the order of ids.
     std::vector<Registration> othersThan(const TargetId&, std::size_t n) const;
 
--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -70,6 +70,7 @@
     void forget(const TargetId& id) { m_targets.erase(id); }
 
     unsigned inFlight(const TargetId&) const;
+    bool isSuspended(const TargetId&, TimePoint now) const;
 
 private:
     struct Load {
--- a/include/basilpoint/Net/HttpClient.h
+++ b/include/basilpoint/Net/HttpClient.h
@@ -38,6 +38,7 @@
 public:
     /// Aborts the call, now or as soon as it has a connection.
     void cancel();
+    bool isCancelled() const { return m_cancelled; }
 
 private:
     friend class HttpClient;
@@ -66,6 +67,12 @@
     /// Opens a connection and closes it again. \returns why none was established; empty if it was.
     std::optional<TargetFailure> probe(const Endpoint&, Milliseconds timeout);
 
+    /// Opens a connection and keeps it idle for calls of \p group. \returns why none was established; empty if it was.
+    std::optional<TargetFailure> openIdle(const Endpoint&, const std::string& group, Milliseconds timeout);
+
+    /// Whether an idle connection can be reused by calls of \p group.
+    bool hasIdle(const Endpoint&, const std::string& group) const;
+
     /// Closes the idle connections of \p group.
     void closeIdle(const std::string& group);
 
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -210,7 +210,8 @@
             readmit(TargetId(subject.text));
         return;
     case NoticeKind::LimitedTarget:
-        // Only targets of gateways name limits.
+    case NoticeKind::CutOffDaemon:
+        // Only gateways send these.
         return;
     }
 }
--- a/lib/Fleet/NoticeGossip.cpp
+++ b/lib/Fleet/NoticeGossip.cpp
@@ -28,7 +28,7 @@
 
 static Notice noticeFromJson(const Json& json)
 {
-    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::LimitedTarget, messageName), json.at(1).get<std::string>() };
+    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::CutOffDaemon, messageName), json.at(1).get<std::string>() };
     return { subject, json.at(2).get<std::uint64_t>(), json.at(3).get<bool>(), Milliseconds(json.at(4).get<Milliseconds::rep>()) };
 }
 
--- a/lib/Forwarding/TargetDirectory.cpp
+++ b/lib/Forwarding/TargetDirectory.cpp
@@ -106,6 +106,14 @@
     return result;
 }
 
+std::set<ServiceId> TargetDirectory::services() const
+{
+    std::set<ServiceId> result;
+    for (const auto& [id, entry] : m_entries)
+        result.insert(entry.registration.service);
+    return result;
+}
+
 std::vector<Registration> TargetDirectory::othersThan(const TargetId& id, std::size_t n) const
 {
     std::vector<Registration> result;
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -46,6 +46,12 @@
     return it == m_targets.end() ? 0 : it->second.inFlight;
 }
 
+bool TargetSelector::isSuspended(const TargetId& id, TimePoint now) const
+{
+    auto it = m_targets.find(id);
+    return it != m_targets.end() && now < it->second.suspendedUntil;
+}
+
 double TargetSelector::slownessOf(const Load& load, TimePoint now)
 {
     if (load.slownessAt == TimePoint::min())
@@ -102,9 +108,8 @@
     for (const Registration* target : candidates) {
         if (query.tried.contains(target->id))
             continue;
-        auto load = m_targets.find(target->id);
         // Suspended targets come last rather than being excluded, so that calls still have a target if all are suspended.
-        bool suspended = load != m_targets.end() && now < load->second.suspendedUntil;
+        bool suspended = isSuspended(target->id, now);
         double total = query.placement ? static_cast<double>(hash64(target->id.text(), *query.placement)) : cost(*target, query, now) + jitter(m_random);
         if (!best || std::pair(suspended, total) < std::pair(isBestSuspended, least)) {
             best = target;
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -1,5 +1,8 @@
 #include "Forwarder.h"
 
+#include "PeerCall.h"
+#include "RelayedCall.h"
+
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Hash.h"
 
@@ -15,6 +18,13 @@
 static constexpr Milliseconds responseGrace { 50 };
 // Attempts per call that targets refuse without running it; more would only delay the refusal to the caller.
 static constexpr unsigned maxRefusals = 4;
+// Gateways that are asked to take one call. Those that do not take it answer within a round trip.
+static constexpr unsigned maxRelays = 4;
+static constexpr Milliseconds relayConnectTimeout { 120 };
+static constexpr int statusOk = 200;
+static constexpr int statusBadRequest = 400;
+static constexpr int statusNotFound = 404;
+static constexpr int statusTooLarge = 413;
 // Timeout of an attempt at an idempotent call, as a multiple of the route's latency target, if another target may be
 // tried after it.
 static constexpr int attemptTimeoutFactor = 4;
@@ -52,6 +62,9 @@
     TimePoint lastEventAt;
     unsigned events = 0;
     TargetId target;
+    /// How the call ended at the gateway that it was handed to, if that one has no answer of a target.
+    std::string relayEnd;
+    bool isRelayed = false;
 
     double millisecondsBetweenEvents() const { return DoubleMilliseconds(lastEventAt - firstEventAt).count() / (events - 1); }
 };
@@ -69,10 +82,12 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, CrashTracker& crashes, RateLimitTracker& limits, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
+    , m_monitor(monitor)
+    , m_relays(relays)
     , m_crashes(crashes)
     , m_limits(limits)
     , m_receiveBudget(receiveBudget)
@@ -108,11 +123,26 @@
     // All gateways send a suspected request to the same target, which bounds the targets that its copies crash.
     if (m_crashes.statusOf(call.content) == Quarantine::Status::Suspect)
         call.query.placement = call.content.low;
-    std::vector<const Registration*> targets = m_directory.usable(call.query.service);
+    std::vector<const Registration*> targets = m_monitor.reachable(call.query.service);
     m_limits.removeExhausted(targets, call.route.keepsTurns() && call.attributes.previousTurn.empty());
     return m_selector.choose(targets, call.query, m_clock.now());
 }
 
+// Also if the targets within reach have no free slot, so that a partial cut does not overload these.
+std::optional<RelayAddress> Forwarder::chooseRelay(const ForwardedCall& call, const Registration* target)
+{
+    bool isBusy = !target || m_selector.inFlight(target->id) >= target->slots;
+    if (call.isRelayed || !isBusy || call.triedRelays.size() >= maxRelays || !m_monitor.hasUnreachable(call.query.service))
+        return std::nullopt;
+    return m_relays.choose(call.triedRelays, m_clock.now());
+}
+
+bool Forwarder::hasPath(const ForwardedCall& call) const
+{
+    ServiceId service = chooseService(call.route, call.attributes);
+    return !m_monitor.reachable(service).empty() || (!call.isRelayed && m_monitor.hasUnreachable(service) && m_relays.hasUsable(m_clock.now()));
+}
+
 static bool isHopHeader(std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> names { "connection", "keep-alive", "transfer-encoding", "content-length",
@@ -140,6 +170,18 @@
     return request;
 }
 
+HttpRequest Forwarder::relayRequestFor(const ForwardedCall& call) const
+{
+    RelayedCall message { call.request, call.route, call.query, std::chrono::duration_cast<Milliseconds>(call.deadline - m_clock.now()), call.content };
+    if (call.body)
+        message.request.body = *call.body;
+    // The other gateway may reach these.
+    for (const TargetId& it : call.unreachable)
+        message.query.tried.erase(it);
+    dropHopHeaders(message.request.headers);
+    return { "POST", peerpaths::forward, {}, encodeRelayedCall(message) };
+}
+
 Digest contentOf(const HttpRequest& request, const CallAttributes& attributes)
 {
     // Lengths are included, so that no two lists of parts have the same bytes.
@@ -154,7 +196,7 @@
     return fmt::format("{}/{}", target.id.text(), target.startedAt);
 }
 
-HttpCallOptions Forwarder::optionsFor(const ForwardedCall& call, const Registration& target, bool isLast) const
+HttpCallOptions Forwarder::optionsFor(const ForwardedCall& call, bool isLast) const
 {
     HttpCallOptions options;
     options.connectTimeout = connectTimeout;
@@ -163,7 +205,6 @@
     options.deadline = call.deadline + responseGrace;
     if (call.route.kind == CallKind::Idempotent && !isLast)
         options.deadline = std::min(*options.deadline, m_clock.now() + attemptTimeoutFactor * call.route.latencyTarget);
-    options.group = lifetimeOf(target);
     options.matchesRequest = [this, &call](const HttpResponse& response) {
         CallId answered = m_format.readResponse(response).call;
         return answered.empty() || answered == call.attributes.call;
@@ -178,12 +219,13 @@
         if (attempt.events++ == 0)
             attempt.firstEventAt = attempt.lastEventAt;
         // Recorded early, so that a slow target is detected before its streams end.
-        if (attempt.events == minEventsForTiming)
+        if (attempt.events == minEventsForTiming && !attempt.isRelayed)
             m_selector.recordTiming(attempt.target, { call.route.name, attempt.millisecondsBetweenEvents() }, m_clock.now());
         if (!attempt.writer.started()) {
             if (attempt.hooks.beforeFirstEvent && !attempt.hooks.beforeFirstEvent())
                 throw StreamRejectedError();
-            m_metrics.observe("first_event_seconds", m_clock.now() - call.arrivedAt);
+            if (!call.isRelayed)
+                m_metrics.observe("first_event_seconds", m_clock.now() - call.arrivedAt);
             attempt.writer.begin(attempt.response.status, attempt.response.headers);
         }
         if (attempt.hooks.onEvent && !attempt.hooks.onEvent(event))
@@ -192,38 +234,77 @@
     }
 }
 
-void Forwarder::receive(ForwardedCall& call, Attempt& attempt, const Registration& target, const HttpCallOptions& base)
+void Forwarder::receive(ForwardedCall& call, Attempt& attempt, const Endpoint& endpoint, const HttpRequest& request, const HttpCallOptions& base, const std::function<void()>& onAnswer)
 {
     HttpCallOptions options = base;
     options.onHeader = [&](const HttpResponse& response) {
         attempt.response = response;
         dropHopHeaders(attempt.response.headers);
         attempt.attributes = m_format.readResponse(response);
-        if (attempt.attributes.isLeaving && m_directory.markLeaving(target.id, target.startedAt, m_clock.now()))
-            m_log.write(LogLine("target-leaving").field("target", target.id.text()).field("startedAt", target.startedAt));
-        if (attempt.attributes.describesTarget)
-            m_limits.answered(target, attempt.attributes.callsPerSecond, attempt.sentAt);
-        attempt.isStream = call.route.kind == CallKind::Stream && response.status == 200 && attempt.attributes.isSigned && !attempt.attributes.call.empty();
+        onAnswer();
+        attempt.isStream = call.route.kind == CallKind::Stream && response.status == statusOk && attempt.attributes.isSigned && !attempt.attributes.call.empty();
     };
     HttpResponse response = m_client.stream(
-        target.endpoint, requestFor(call, target), [&](std::string_view chunk) {
+        endpoint, request, [&](std::string_view chunk) {
+            if (!attempt.isRelayed)
+                m_monitor.heard(attempt.target);
             if (!attempt.received.take(chunk.size()))
-                throw TargetError(target.endpoint, Executed::Unknown, fmt::format("answers being received exceed {} bytes", m_receiveBudget.limit()));
+                throw TargetError(endpoint, Executed::Unknown, fmt::format("answers being received exceed {} bytes", m_receiveBudget.limit()));
             if (!attempt.isStream) {
                 attempt.response.body.append(chunk);
                 return;
             }
             passEvents(call, attempt, chunk);
             if (attempt.splitter.partialBytes() > maxEventBytes)
-                throw TargetError(target.endpoint, Executed::Unknown, fmt::format("event exceeds {} bytes", maxEventBytes));
+                throw TargetError(endpoint, Executed::Unknown, fmt::format("event exceeds {} bytes", maxEventBytes));
         },
         options, &call.cancellation);
-    if (response.status != 200)
+    if (response.status != statusOk)
         attempt.response.body = std::move(response.body);
 }
 
-ForwardEnd Forwarder::deliver(ForwardedCall& call, Attempt& attempt, const Registration& target)
+void Forwarder::noteAnswer(const Registration& target, const Attempt& attempt)
+{
+    if (!attempt.isRelayed)
+        m_monitor.heard(target.id);
+    if (attempt.attributes.isLeaving && m_directory.markLeaving(target.id, target.startedAt, m_clock.now()))
+        m_log.write(LogLine("target-leaving").field("target", target.id.text()).field("startedAt", target.startedAt));
+    if (attempt.attributes.describesTarget && !attempt.isRelayed)
+        m_limits.answered(target, attempt.attributes.callsPerSecond, attempt.sentAt);
+}
+
+// Whether the other gateway cannot read the call: it has another version, or the call exceeds its limit.
+static bool isRejectedByServer(int status)
 {
+    return status == statusBadRequest || status == statusNotFound || status == statusTooLarge;
+}
+
+void Forwarder::readRelayHeaders(Attempt& attempt)
+{
+    auto take = [&](const char* name) {
+        auto node = attempt.response.headers.extract(name);
+        return node ? std::move(node.mapped()) : std::string();
+    };
+    attempt.relayEnd = take(relayheaders::end);
+    std::string lifetime = take(relayheaders::target);
+    if (lifetime.empty() && attempt.relayEnd.empty())
+        attempt.relayEnd = isRejectedByServer(attempt.response.status) ? relayends::notTaken : relayends::mayHaveRun;
+    attempt.target = TargetId(lifetime.substr(0, lifetime.rfind('/')));
+    const Registration* target = m_directory.find(attempt.target);
+    if (target && lifetimeOf(*target) == lifetime)
+        noteAnswer(*target, attempt);
+}
+
+ForwardEnd Forwarder::endOfRefusal(Attempt& attempt)
+{
+    attempt.reason = fmt::format("relay: {}", attempt.relayEnd);
+    return attempt.relayEnd == relayends::mayHaveRun ? ForwardEnd::MayHaveRun : ForwardEnd::NotRun;
+}
+
+ForwardEnd Forwarder::deliver(ForwardedCall& call, Attempt& attempt)
+{
+    if (!attempt.relayEnd.empty())
+        return endOfRefusal(attempt);
     if (!attempt.isStream) {
         if (attempt.attributes.isNotRun) {
             attempt.reason = "refused by the target";
@@ -241,7 +322,7 @@
         attempt.reason = "stream without a whole event at its end";
         return attempt.writer.started() ? ForwardEnd::BrokenOff : ForwardEnd::MayHaveRun;
     }
-    if (attempt.hooks.beforeEnd && !attempt.hooks.beforeEnd(target.id)) {
+    if (attempt.hooks.beforeEnd && !attempt.hooks.beforeEnd(attempt.target)) {
         attempt.reason = "end not recorded";
         return ForwardEnd::BrokenOff;
     }
@@ -249,20 +330,14 @@
     return ForwardEnd::Delivered;
 }
 
-ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Registration& target, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
+template <typename Call>
+ForwardEnd Forwarder::attemptCall(ForwardedCall& call, Attempt& attempt, Call receiveAnswer)
 {
-    Attempt attempt(writer, hooks, m_receiveBudget);
-    // Copied, since the directory may drop the entry during the call.
-    Registration chosen = target;
     ForwardEnd end = ForwardEnd::MayHaveRun;
     attempt.sentAt = m_clock.now();
-    attempt.target = chosen.id;
-    m_selector.sent(chosen.id);
-    m_crashes.dispatched(call.content);
-    m_limits.sent(chosen);
     try {
-        receive(call, attempt, chosen, optionsFor(call, chosen, isLast));
-        end = deliver(call, attempt, chosen);
+        receiveAnswer();
+        end = deliver(call, attempt);
     } catch (const TargetError& error) {
         attempt.reason = error.what();
         attempt.failure = error.failure();
@@ -274,22 +349,72 @@
         attempt.reason = error.what();
         call.isCallerGone = true;
     }
-    if (writer.started() && end == ForwardEnd::MayHaveRun)
+    if (attempt.writer.started() && end == ForwardEnd::MayHaveRun)
         end = ForwardEnd::BrokenOff;
+    return end;
+}
+
+ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Registration& target, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
+{
+    Attempt attempt(writer, hooks, m_receiveBudget);
+    // Copied, since the directory may drop the entry during the call.
+    Registration chosen = target;
+    attempt.target = chosen.id;
+    call.lastTarget = lifetimeOf(chosen);
+    m_selector.sent(chosen.id);
+    m_monitor.sent(chosen);
+    m_crashes.dispatched(call.content);
+    m_limits.sent(chosen);
+    ForwardEnd end = attemptCall(call, attempt, [&] {
+        HttpCallOptions options = optionsFor(call, isLast);
+        options.group = lifetimeOf(chosen);
+        receive(call, attempt, chosen.endpoint, requestFor(call, chosen), options, [&] { noteAnswer(chosen, attempt); });
+    });
+    call.isRefusedByTarget = call.isRefusedByTarget || (end == ForwardEnd::NotRun && !attempt.isUnreachable);
     m_crashes.ended(call.content, end == ForwardEnd::Delivered);
     if (attempt.failure == TargetFailure::ConnectionLost && !call.isCallerGone) {
         m_crashes.connectionLost(chosen, call.content);
-        // Another attempt depends on whether the request crashed the target.
-        if (!isLast && call.route.kind == CallKind::Idempotent)
+        // Another attempt, of this gateway or of the one that relays through it, depends on whether the request crashed the target.
+        if ((!isLast || call.isRelayed) && call.route.kind == CallKind::Idempotent)
             m_crashes.awaitOutcome(chosen);
     }
     m_selector.ended(chosen.id, outcomeOf(call, end, attempt.isUnreachable), m_clock.now());
+    m_monitor.ended(chosen.id);
+    if (attempt.isUnreachable && !call.cancellation.isCancelled()) {
+        call.unreachable.insert(chosen.id);
+        m_monitor.failed(chosen, *attempt.failure);
+    }
     if (auto timing = timingOf(call, attempt, end))
         m_selector.recordTiming(chosen.id, *timing, m_clock.now());
     logAttempt(call, chosen, attempt, end);
     return end;
 }
 
+// The relay makes one attempt that may run the call, so that this gateway counts the attempts.
+ForwardEnd Forwarder::tryRelay(ForwardedCall& call, const RelayAddress& relay, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
+{
+    Attempt attempt(writer, hooks, m_receiveBudget);
+    attempt.isRelayed = true;
+    call.triedRelays.insert(TargetId(relay.instance));
+    m_relays.sent(relay);
+    ForwardEnd end = attemptCall(call, attempt, [&] {
+        HttpCallOptions options = optionsFor(call, isLast);
+        options.connectTimeout = relayConnectTimeout;
+        receive(call, attempt, relay.endpoint, relayRequestFor(call), options, [&] { readRelayHeaders(attempt); });
+    });
+    call.isRefusedByTarget = attempt.relayEnd == relayends::notRun;
+    if (!attempt.target.empty())
+        call.query.tried.insert(attempt.target);
+    if (attempt.relayEnd == relayends::leaving)
+        m_relays.setLeaving(relay.instance, m_clock.now());
+    bool isAnswered = end == ForwardEnd::Delivered || attempt.relayEnd == relayends::notRun || attempt.relayEnd == relayends::mayHaveRun;
+    m_relays.ended(relay, isAnswered ? TargetOutcome::Answered : attempt.relayEnd == relayends::notTaken || attempt.relayEnd == relayends::leaving ? TargetOutcome::Failed
+                                                                                                                                                   : outcomeOf(call, end, attempt.isUnreachable),
+        m_clock.now());
+    logRelay(call, relay, attempt, end);
+    return end;
+}
+
 // For streams the time between events is compared, since it hardly varies while lengths differ.
 std::optional<CallTiming> Forwarder::timingOf(const ForwardedCall& call, const Attempt& attempt, ForwardEnd end) const
 {
@@ -340,6 +465,19 @@
     return "";
 }
 
+void Forwarder::logRelay(const ForwardedCall& call, const RelayAddress& relay, const Attempt& attempt, ForwardEnd end) const
+{
+    m_metrics.count(fmt::format("relays_total{{end=\"{}\"}}", toString(end)));
+    LogLine line("relay");
+    line.field("request", call.attributes.call.text()).field("relay", relay.instance).field("target", attempt.target.text());
+    line.field("end", toString(end)).field("status", attempt.response.status).field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - call.arrivedAt));
+    if (attempt.failure)
+        line.field("failure", toString(*attempt.failure));
+    if (!attempt.reason.empty())
+        line.field("reason", attempt.reason);
+    m_log.write(line);
+}
+
 void Forwarder::logAttempt(const ForwardedCall& call, const Registration& target, const Attempt& attempt, ForwardEnd end) const
 {
     m_metrics.count(fmt::format("attempts_total{{end=\"{}\"}}", toString(end)));
@@ -365,15 +503,19 @@
     unsigned refusals = 0;
     ForwardEnd end = ForwardEnd::NotRun;
     while (!call.isCallerGone && m_clock.now() < call.deadline && m_crashes.mayDispatch(call.content)) {
+        bool isLast = runs + 1 >= call.route.maxAttempts;
         const Registration* target = chooseTarget(call);
-        if (!target)
+        std::optional<RelayAddress> relay = chooseRelay(call, target);
+        if (!relay && !target)
             break;
-        call.query.tried.insert(target->id);
-        ForwardEnd last = tryTarget(call, *target, runs + 1 >= call.route.maxAttempts, writer, hooks);
+        if (!relay)
+            call.query.tried.insert(target->id);
+        ForwardEnd last = relay ? tryRelay(call, *relay, isLast, writer, hooks) : tryTarget(call, *target, isLast, writer, hooks);
         if (last == ForwardEnd::Delivered || last == ForwardEnd::BrokenOff)
             return last;
         if (last == ForwardEnd::NotRun) {
-            if (++refusals >= maxRefusals)
+            // The relay has tried as many targets as this gateway would.
+            if ((relay && call.isRefusedByTarget) || (!relay && ++refusals >= maxRefusals))
                 break;
             continue;
         }
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -2,6 +2,8 @@
 
 #include "CrashTracker.h"
 #include "RateLimitTracker.h"
+#include "RelaySelector.h"
+#include "TargetMonitor.h"
 
 #include "basilpoint/Forwarding/RouteTable.h"
 #include "basilpoint/Forwarding/TargetSelector.h"
@@ -33,8 +35,18 @@
     TargetQuery query {};
     /// Identifies the request across its caller's attempts, each of which has a call id of its own.
     Digest content {};
+    /// Whether another gateway has handed the call to this one, which must not hand it on.
+    bool isRelayed = false;
     bool isCallerGone = false;
     HttpCancellation cancellation {};
+    /// Gateways that have been asked to take the call.
+    std::set<TargetId> triedRelays {};
+    /// Targets to which this gateway could not connect.
+    std::set<TargetId> unreachable {};
+    /// Lifetime of the target that was tried last; empty if none was.
+    std::string lastTarget {};
+    /// Whether a target has refused the call.
+    bool isRefusedByTarget = false;
 };
 
 /// Hooks into a stream on its way from the target to the caller.
@@ -71,12 +83,16 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, CrashTracker&, RateLimitTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
 
     /// Whether the request is refused, since it has crashed several targets.
     bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
 
-    /// Sends the call to one target after another, as far as its kind allows.
+    /// Whether this gateway reaches a target that may serve the call, itself or through another gateway.
+    bool hasPath(const ForwardedCall&) const;
+
+    /// Sends the call to one target after another, as far as its kind allows. A call whose targets this gateway does not
+    /// reach goes through another gateway, which chooses the target.
     ForwardEnd forward(ForwardedCall&, ResponseWriter&, const StreamHooks&);
 
 private:
@@ -84,19 +100,30 @@
 
     ServiceId chooseService(const ForwardingRoute&, const CallAttributes&) const;
     const Registration* chooseTarget(ForwardedCall&);
+    std::optional<RelayAddress> chooseRelay(const ForwardedCall&, const Registration* target);
     HttpRequest requestFor(const ForwardedCall&, const Registration&) const;
-    HttpCallOptions optionsFor(const ForwardedCall&, const Registration&, bool isLast) const;
+    HttpRequest relayRequestFor(const ForwardedCall&) const;
+    HttpCallOptions optionsFor(const ForwardedCall&, bool isLast) const;
     ForwardEnd tryTarget(ForwardedCall&, const Registration&, bool isLast, ResponseWriter&, const StreamHooks&);
-    void receive(ForwardedCall&, Attempt&, const Registration&, const HttpCallOptions&);
+    ForwardEnd tryRelay(ForwardedCall&, const RelayAddress&, bool isLast, ResponseWriter&, const StreamHooks&);
+    template <typename Call>
+    ForwardEnd attemptCall(ForwardedCall&, Attempt&, Call);
+    void receive(ForwardedCall&, Attempt&, const Endpoint&, const HttpRequest&, const HttpCallOptions&, const std::function<void()>& onAnswer);
+    void noteAnswer(const Registration&, const Attempt&);
+    void readRelayHeaders(Attempt&);
+    static ForwardEnd endOfRefusal(Attempt&);
     void passEvents(ForwardedCall&, Attempt&, std::string_view chunk);
-    ForwardEnd deliver(ForwardedCall&, Attempt&, const Registration&);
+    ForwardEnd deliver(ForwardedCall&, Attempt&);
     std::optional<CallTiming> timingOf(const ForwardedCall&, const Attempt&, ForwardEnd) const;
     TargetOutcome outcomeOf(const ForwardedCall&, ForwardEnd, bool isUnreachable) const;
     void logAttempt(const ForwardedCall&, const Registration&, const Attempt&, ForwardEnd) const;
+    void logRelay(const ForwardedCall&, const RelayAddress&, const Attempt&, ForwardEnd) const;
 
     HttpClient& m_client;
     TargetDirectory& m_directory;
     TargetSelector& m_selector;
+    TargetMonitor& m_monitor;
+    RelaySelector& m_relays;
     CrashTracker& m_crashes;
     RateLimitTracker& m_limits;
     ReceiveBudget& m_receiveBudget;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "CallController.h"
 #include "PeerCall.h"
 #include "RelayDirectory.h"
+#include "RelayedCallController.h"
 #include "StoreRelay.h"
 #include "StoreWatch.h"
 
@@ -36,6 +37,11 @@
 // After an outage of this length the instance reports that it is not ready, so that callers go to one that reaches the
 // store.
 static constexpr Milliseconds notReadyAfterOutage { 1'000 };
+// How long there must have been a path to targets before a gateway that is cut off itself reports that it is ready: longer
+// than the suspension of a gateway that does not take calls.
+static constexpr Milliseconds readyAfterPath { 5'000 };
+// Longer than the interval in which the notice is repeated.
+static constexpr Milliseconds cutOffNoticeLifetime { 30'000 };
 // Part of the process's memory that answers being received may use together.
 static constexpr std::size_t receiveBudgetDivisor = 4;
 // Other gateways that this one sends notices to.
@@ -71,6 +77,9 @@
         void applyRelays(const std::vector<RelayAddress>&);
         void sendNotices(const InstanceId&, const std::string& body);
         void applyNotice(const NoticeSubject&, bool inForce);
+        void applyCutOff(const std::string& instance, bool isCutOff);
+        NoticeSubject ownCutOff() const { return { NoticeKind::CutOffDaemon, m_settings.instance }; }
+        void noteCutOff(bool isCutOff);
         std::string receiveNotices(const std::string& body);
         void logReadinessChange();
         void logSummary();
@@ -90,6 +99,8 @@
         ConfigurationHolder m_configuration;
         TargetDirectory m_directory;
         TargetSelector m_selector;
+        TargetMonitor m_monitor;
+        RelaySelector m_relaySelector;
         NoticeController m_notices;
         CrashTracker m_crashes;
         RateLimitTracker m_limits;
@@ -100,6 +111,9 @@
         AccountPeers m_accounts;
         TurnController m_turns;
         CallController m_calls;
+        RelayedCallController m_relayedCalls;
+        /// When calls were last found to have no path to targets, neither a direct one nor through another gateway.
+        TimePoint m_withoutPathAt = TimePoint::min();
         HttpServer m_callers;
         HttpServer m_readiness;
         bool m_isDraining = false;
@@ -135,16 +149,19 @@
     , m_relays(m_store, m_peers, client, { settings.instance, settings.dataCentre, settings.peers, false }, clock, m_log, [this](const std::vector<RelayAddress>& relays, bool) { applyRelays(relays); })
     , m_relay(m_peers, store, settings.isFirstStart, clock, m_log, m_metrics)
     , m_selector(m_random())
+    , m_monitor(client, m_directory, m_random(), clock, m_log, m_metrics)
+    , m_relaySelector(settings.instance, settings.dataCentre, m_random())
     , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
     , m_crashes(client, m_directory, m_notices, clock, m_log, m_metrics)
     , m_limits(settings.instance, m_notices, clock, m_log, m_metrics)
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
-    , m_forwarder(client, m_directory, m_selector, m_crashes, m_limits, m_receiveBudget, m_format, clock, m_log, m_metrics)
+    , m_forwarder(client, m_directory, m_selector, m_monitor, m_relaySelector, m_crashes, m_limits, m_receiveBudget, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
+    , m_relayedCalls(m_configuration, m_forwarder, m_format, settings.dataCentre, settings.memoryBytes / receiveBudgetDivisor, clock, m_log, m_metrics)
     , m_callers(io, settings.callers, callerLimits(settings), [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
     , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
 {
@@ -152,7 +169,9 @@
 
 bool Gateway::isReady() const
 {
-    return !m_isDraining && m_configuration.current() && !m_directory.isEmpty() && !m_store.health().isFailingFor(notReadyAfterOutage, m_clock.now());
+    TimePoint now = m_clock.now();
+    bool hasPath = !m_monitor.isCutOff() || m_withoutPathAt == TimePoint::min() || now - m_withoutPathAt > readyAfterPath;
+    return !m_isDraining && m_configuration.current() && !m_directory.isEmpty() && hasPath && !m_store.health().isFailingFor(notReadyAfterOutage, now);
 }
 
 void Gateway::answerReadiness(const HttpRequest& request, ResponseWriter& writer)
@@ -206,6 +225,7 @@
 {
     m_log.write(LogLine("target-gone").field("target", target.id.text()).field("startedAt", target.startedAt));
     m_selector.forget(target.id);
+    m_monitor.forget(target.id);
     m_client.closeIdle(lifetimeOf(target));
     m_limits.forget(target);
     if (!target.isLeaving)
@@ -217,6 +237,7 @@
 {
     m_accounts.setRelays(relays);
     std::vector<RelayAddress> peers = filterRelays(relays, false);
+    m_relaySelector.setGateways(peers);
     std::vector<std::string> gateways { m_settings.instance };
     gateways.reserve(peers.size() + 1);
     for (const RelayAddress& it : peers)
@@ -231,6 +252,24 @@
     m_notices.setPeers(std::move(ids));
 }
 
+void Gateway::applyCutOff(const std::string& instance, bool isCutOff)
+{
+    if (instance != m_settings.instance)
+        m_relaySelector.setCutOff(instance, isCutOff);
+    else if (isCutOff && !m_monitor.isCutOff())
+        // A notice of this instance's last lifetime.
+        m_notices.lift(ownCutOff());
+}
+
+void Gateway::noteCutOff(bool isCutOff)
+{
+    m_log.write(LogLine("cut-off").field("cutOff", isCutOff).field("hasRelay", m_relaySelector.hasUsable(m_clock.now())));
+    if (isCutOff)
+        m_notices.raise({ ownCutOff() }, cutOffNoticeLifetime);
+    else
+        m_notices.lift(ownCutOff());
+}
+
 std::uint64_t Gateway::peerRank(const RelayAddress& peer) const
 {
     return hash64(peer.instance, hash64(m_settings.instance));
@@ -262,6 +301,9 @@
     case NoticeKind::LimitedTarget:
         m_limits.apply(subject, inForce);
         return;
+    case NoticeKind::CutOffDaemon:
+        applyCutOff(subject.text, inForce);
+        return;
     case NoticeKind::LeavingTarget:
         // Gateways learn this from registrations.
         return;
@@ -361,6 +403,8 @@
         m_directory.sourceRegained(now);
     for (const Registration& it : m_directory.sweep(now))
         dropTarget(it);
+    if (m_monitor.isCutOff() && !m_relaySelector.hasUsable(now))
+        m_withoutPathAt = now;
     m_writer.startWrites();
     m_accounts.refreshOutstandingGrants();
     logReadinessChange();
@@ -383,12 +427,15 @@
     m_relays.onKeeperView([this](const KeeperView& view) { m_journal.setView(view); });
     m_relays.onAnnounce([this](const std::string& instance) { m_accounts.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
+    m_monitor.onCutOff([this](bool isCutOff) { noteCutOff(isCutOff); });
+    m_monitor.start();
     m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { applyNotice(subject, inForce); });
     m_notices.start();
     m_peers.on(peerpaths::notices, [this](const std::string& body) { return receiveNotices(body); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
     m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_accounts.releaseHold(program); });
     m_peers.on(peerpaths::handOver, [this](const std::string& body) { return m_accounts.acceptHandover(body); });
+    m_peers.onRequest(peerpaths::forward, [this](const HttpRequest& request, ResponseWriter& writer) { m_relayedCalls.handle(request, writer); });
     m_peers.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
@@ -399,6 +446,8 @@
             sleepFiber(summaryInterval);
             m_crashes.sweep();
             m_limits.sweep();
+            if (m_monitor.isCutOff())
+                m_notices.raise({ ownCutOff() }, cutOffNoticeLifetime);
         }
     });
     m_callers.start();
@@ -410,12 +459,14 @@
     TimePoint start = m_clock.now();
     TimePoint end = start + m_settings.stopLimit - std::min(exitReserve, m_settings.stopLimit / 2);
     m_isDraining = true;
+    m_relayedCalls.drain();
+    m_peers.announceClose();
     m_callers.announceClose();
     m_log.write(LogLine("stopping").field("active", m_callers.activeRequests()));
     while (m_clock.now() < std::min(end, start + balancerRemovalDelay))
         sleepFiber(stopPollInterval);
     m_callers.stop();
-    while (m_clock.now() < end && (m_callers.activeRequests() > 0 || m_ledger.hasWork()))
+    while (m_clock.now() < end && (m_callers.activeRequests() > 0 || m_relayedCalls.activeCalls() > 0 || m_ledger.hasWork()))
         sleepFiber(stopPollInterval);
     if (m_callers.activeRequests() == 0 && !m_ledger.hasWork() && m_accounts.handOver(m_settings.instance))
         m_relays.recordHandover();
--- a/lib/Gateway/PeerServer.cpp
+++ b/lib/Gateway/PeerServer.cpp
@@ -23,6 +23,8 @@
 
 void PeerServer::handle(const HttpRequest& request, ResponseWriter& writer)
 {
+    if (auto it = m_requestHandlers.find(request.target); it != m_requestHandlers.end())
+        return it->second(request, writer);
     auto handler = m_handlers.find(request.target);
     if (handler == m_handlers.end())
         return writer.send({ statusNotFound, {}, {} });
--- a/lib/Gateway/PeerServer.h
+++ b/lib/Gateway/PeerServer.h
@@ -17,7 +17,11 @@
     PeerServer(boost::asio::io_context&, const Endpoint&);
 
     void on(const std::string& path, Handler handler) { m_handlers[path] = std::move(handler); }
+    /// Sets the handler of calls whose answers have headers, or are streams. It sends the answer itself.
+    void onRequest(const std::string& path, HttpServer::Handler handler) { m_requestHandlers[path] = std::move(handler); }
     void start() { m_server.start(); }
+    /// Makes other daemons close their connections, but continues to accept calls.
+    void announceClose() { m_server.announceClose(); }
     /// Stops accepting calls.
     void stop() { m_server.stop(); }
     /// Actual address, if the port was 0.
@@ -27,6 +31,7 @@
     void handle(const HttpRequest&, ResponseWriter&);
 
     std::map<std::string, Handler> m_handlers;
+    std::map<std::string, HttpServer::Handler> m_requestHandlers;
     HttpServer m_server;
 };
 
--- /dev/null
+++ b/lib/Gateway/RelayedCall.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "basilpoint/Forwarding/RouteTable.h"
+#include "basilpoint/Forwarding/TargetSelector.h"
+#include "basilpoint/Net/HttpTypes.h"
+#include "basilpoint/Support/Error.h"
+#include "basilpoint/Support/Hash.h"
+
+namespace basilpoint {
+
+/// A call that one gateway hands to another, which can reach its targets.
+struct RelayedCall {
+    /// As the target is to receive it, but for the attributes that depend on the target.
+    HttpRequest request;
+    ForwardingRoute route;
+    TargetQuery query;
+    Milliseconds timeLeft { 0 };
+    /// Identifies the request across its caller's attempts.
+    Digest content {};
+};
+
+/// Encode to and decode from CBOR. \throws InvalidInputError if \p bytes are not a valid call.
+std::string encodeRelayedCall(const RelayedCall&);
+RelayedCall decodeRelayedCall(const std::string& bytes);
+
+// Headers of the answers to relayed calls. Callers do not get them.
+namespace relayheaders {
+    /// Lifetime of the target whose answer this is; on an answer of the relay itself, the last target that may have run the call.
+    inline constexpr const char* target = "basilpoint-relay-target";
+    /// How the call ended, if the relay has no answer of a target.
+    inline constexpr const char* end = "basilpoint-relay-end";
+}
+
+/// How a relayed call ended without a target's answer, as a value of \ref relayheaders::end.
+namespace relayends {
+    /// The relay has not tried a target. Another gateway may.
+    inline constexpr const char* notTaken = "not-taken";
+    /// As notTaken; the relay shuts down.
+    inline constexpr const char* leaving = "leaving";
+    /// No target has run the call or will run it.
+    inline constexpr const char* notRun = "not-run";
+    inline constexpr const char* mayHaveRun = "may-have-run";
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -0,0 +1,146 @@
+#include "RelayedCallController.h"
+
+#include "RelayedCall.h"
+
+#include "basilpoint/Net/Errors.h"
+
+#include <fmt/format.h>
+
+namespace basilpoint {
+
+static constexpr int statusRefused = 503;
+
+/// Owns what the call in progress refers to.
+struct RelayedCallController::Call {
+    Call(RelayedCall relayed, CallAttributes attributes, const std::shared_ptr<const RouteTable>& table, TimePoint now)
+        : message(std::move(relayed))
+        , call { message.request, std::move(attributes), table, message.route, now, now + message.timeLeft }
+    {
+        call.query = message.query;
+        call.content = message.content;
+        call.isRelayed = true;
+    }
+    Call(const Call&) = delete;
+    Call& operator=(const Call&) = delete;
+
+    RelayedCall message;
+    ForwardedCall call;
+};
+
+namespace {
+
+    /// Names the target in the answer.
+    class RelayWriter final : public ResponseWriter {
+    public:
+        RelayWriter(ResponseWriter& writer, const ForwardedCall& call)
+            : m_writer(writer)
+            , m_call(call)
+        {
+        }
+
+        void send(const HttpResponse& response) override { m_writer.send({ response.status, withTarget(response.headers), response.body }); }
+        void begin(int status, const HttpHeaders& headers) override { m_writer.begin(status, withTarget(headers)); }
+        void write(std::string_view chunk) override { m_writer.write(chunk); }
+        void end() override { m_writer.end(); }
+        bool started() const override { return m_writer.started(); }
+
+    private:
+        HttpHeaders withTarget(HttpHeaders headers) const
+        {
+            headers[relayheaders::target] = m_call.lastTarget;
+            return headers;
+        }
+
+        ResponseWriter& m_writer;
+        const ForwardedCall& m_call;
+    };
+
+    struct ActiveCall {
+        explicit ActiveCall(std::size_t& n)
+            : count(n)
+        {
+            ++count;
+        }
+        ActiveCall(const ActiveCall&) = delete;
+        ActiveCall& operator=(const ActiveCall&) = delete;
+        ~ActiveCall() { --count; }
+
+        std::size_t& count;
+    };
+
+} // namespace
+
+RelayedCallController::RelayedCallController(const ConfigurationHolder& configuration, Forwarder& forwarder, const WireFormat& format, DataCentreId dataCentre, std::size_t maxBytes, const Clock& clock, JsonLog& log, Metrics& metrics)
+    : m_configuration(configuration)
+    , m_forwarder(forwarder)
+    , m_format(format)
+    , m_dataCentre(std::move(dataCentre))
+    , m_requestBudget(maxBytes)
+    , m_clock(clock)
+    , m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+std::optional<std::string_view> RelayedCallController::reasonNotToTake(const Call& call, ReceiveBudget::Share& share) const
+{
+    if (!call.call.table)
+        return "no configuration yet";
+    if (!m_forwarder.hasPath(call.call))
+        return "no target within reach";
+    if (!share.take(call.message.request.body.size()))
+        return "requests in progress exceed the limit";
+    return std::nullopt;
+}
+
+void RelayedCallController::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    RelayedCall message = decodeRelayedCall(request.body);
+    CallAttributes attributes = m_format.readCall(message.request);
+    // Shared, since the server may call the disconnect handler after this function has returned.
+    auto call = std::make_shared<Call>(std::move(message), std::move(attributes), m_configuration.current(), m_clock.now());
+    call->call.query.dataCentre = m_dataCentre;
+    if (m_isDraining)
+        return refuse(*call, relayends::leaving, "shutting down", writer);
+    ReceiveBudget::Share share(m_requestBudget);
+    if (auto reason = reasonNotToTake(*call, share))
+        return refuse(*call, relayends::notTaken, *reason, writer);
+    ActiveCall active(m_activeCalls);
+    writer.notifyOnDisconnect([call] {
+        call->call.isCallerGone = true;
+        // A non-idempotent call cannot be repeated, so it runs to its end.
+        if (call->call.route.kind != CallKind::NonIdempotent)
+            call->call.cancellation.cancel();
+    });
+    serve(*call, writer);
+}
+
+void RelayedCallController::serve(Call& call, ResponseWriter& writer)
+{
+    RelayWriter relayWriter(writer, call.call);
+    switch (m_forwarder.forward(call.call, relayWriter, {})) {
+    case ForwardEnd::Delivered:
+        m_metrics.count("relayed_calls_total{end=\"delivered\"}");
+        return;
+    case ForwardEnd::NotRun:
+        return refuse(call, call.call.isRefusedByTarget ? relayends::notRun : relayends::notTaken, "no target took the call", writer);
+    case ForwardEnd::MayHaveRun:
+        return refuse(call, relayends::mayHaveRun, "no answer", writer);
+    case ForwardEnd::BrokenOff:
+        m_metrics.count("relayed_calls_total{end=\"broken-off\"}");
+        throw ConnectionLostError("stream broke off");
+    }
+    assert(false && "unhandled enumerator");
+}
+
+void RelayedCallController::refuse(const Call& call, const char* end, std::string_view reason, ResponseWriter& writer)
+{
+    m_metrics.count(fmt::format("relayed_calls_total{{end=\"{}\"}}", end));
+    m_log.write(LogLine("relayed-call-refused").field("request", call.call.attributes.call.text()).field("end", end).field("reason", reason));
+    HttpHeaders headers { { relayheaders::end, end } };
+    if (!call.call.lastTarget.empty())
+        headers[relayheaders::target] = call.call.lastTarget;
+    writer.send({ statusRefused, std::move(headers), std::string(reason) });
+}
+
+} // namespace basilpoint
--- /dev/null
+++ b/lib/Gateway/RelayedCallController.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Forwarder.h"
+#include "PeerServer.h"
+
+namespace basilpoint {
+
+/// Serves calls that other gateways hand to this one, since they cannot reach the calls' targets.
+///
+/// The gateway that received the call from its caller keeps what belongs to it: its history, budget, attempts and retries.
+class RelayedCallController {
+public:
+    /// \param maxBytes limit for the requests of all calls in progress together.
+    RelayedCallController(const ConfigurationHolder&, Forwarder&, const WireFormat&, DataCentreId, std::size_t maxBytes, const Clock&, JsonLog&, Metrics&);
+
+    void handle(const HttpRequest&, ResponseWriter&);
+
+    /// Takes no more calls; those in progress continue.
+    void drain() { m_isDraining = true; }
+    std::size_t activeCalls() const { return m_activeCalls; }
+
+private:
+    struct Call;
+
+    std::optional<std::string_view> reasonNotToTake(const Call&, ReceiveBudget::Share&) const;
+    void serve(Call&, ResponseWriter&);
+    void refuse(const Call&, const char* end, std::string_view reason, ResponseWriter&);
+
+    const ConfigurationHolder& m_configuration;
+    Forwarder& m_forwarder;
+    const WireFormat& m_format;
+    DataCentreId m_dataCentre;
+    ReceiveBudget m_requestBudget;
+    const Clock& m_clock;
+    JsonLog& m_log;
+    Metrics& m_metrics;
+    std::size_t m_activeCalls = 0;
+    bool m_isDraining = false;
+};
+
+} // namespace basilpoint
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -546,6 +546,9 @@
     ProgramId program = attributes.program.empty() ? ProgramId("line-" + attributes.session) : attributes.program;
     auto keepFor = std::chrono::duration_cast<Milliseconds>(call.deadline - call.arrivedAt) + call.route.turnRetention + retentionMargin;
     turn.request = { program, attributes.call, attributes.previousTurn, attributes.budget.value_or(ProgramAccount::unlimited), attributes.maxTokens, m_clock.wallNow() + keepFor };
+    // Before the history is read and tokens are reserved in vain.
+    if (!m_forwarder.hasPath(call))
+        return Refusal { 503, "no-target", "no target within reach" };
     auto decision = admit(call, turn);
     if (auto* refusal = std::get_if<Refusal>(&decision))
         return *refusal;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -177,6 +177,20 @@
     }
 }
 
+std::optional<TargetFailure> HttpClient::openIdle(const Endpoint& endpoint, const std::string& group, Milliseconds timeout)
+{
+    HttpCallOptions options;
+    options.connectTimeout = timeout;
+    try {
+        auto connection = connect(endpoint, options);
+        connection->idleUntil = std::chrono::steady_clock::now() + defaultIdleLimit - idleMargin;
+        keepIdle(std::move(connection), endpoint, group);
+        return std::nullopt;
+    } catch (const TargetError& error) {
+        return error.failure();
+    }
+}
+
 // Pending input on an idle connection is a close or an unsolicited response; such a connection must not be reused.
 static bool hasNoPendingInput(beast::tcp_stream& stream)
 {
@@ -185,6 +199,15 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HttpClient::hasIdle(const Endpoint& endpoint, const std::string& group) const
+{
+    auto it = m_state->idle.find({ group, endpoint });
+    if (it == m_state->idle.end())
+        return false;
+    TimePoint now = std::chrono::steady_clock::now();
+    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& connection) { return now < connection->idleUntil && hasNoPendingInput(connection->stream); });
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const Endpoint& endpoint, const std::string& group)
 {
     auto it = m_state->idle.find({ group, endpoint });
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -99,10 +99,12 @@
         , format(testFormat())
         , storeClient(store, nullptr, {}, clock, log, metrics)
         , selector(1)
+        , monitor(client, directory, 1, clock, log, metrics)
+        , relays("g", {}, 1)
         , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
         , crashes(client, directory, notices, clock, log, metrics)
         , limits("g", notices, clock, log, metrics)
-        , forwarder(client, directory, selector, crashes, limits, receiveBudget, format, clock, log, metrics)
+        , forwarder(client, directory, selector, monitor, relays, crashes, limits, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -145,6 +147,8 @@
     StoreClient storeClient;
     TargetDirectory directory;
     TargetSelector selector;
+    TargetMonitor monitor;
+    RelaySelector relays;
     ReceiveBudget receiveBudget { 1024 * 1024 };
     NoticeController notices;
     CrashTracker crashes;
