Divide the limits of targets among the gateways that can use their shares

What callers saw: calls refused although the targets' limits leave room, while a gateway is cut off. The share of a limit that belongs to that gateway was used by nobody; its callers' calls came out of the shares of the gateways that relay them.

Cause: limits are divided among all gateways of the list by a hash, also among those that have said by a notice that they are cut off.

Change: these are left out. The gateway that is cut off sends nothing itself, so the limits hold; when it returns, it lifts its notice, and until the others know of that, for the time of a round of gossip, a limit may be exceeded by its share.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -78,6 +78,7 @@
         void sendNotices(const InstanceId&, const std::string& body);
         void applyNotice(const NoticeSubject&, bool inForce);
         void applyCutOff(const std::string& instance, bool isCutOff);
+        void divideLimits();
         NoticeSubject ownCutOff() const { return { NoticeKind::CutOffDaemon, m_settings.instance }; }
         void noteCutOff(bool isCutOff);
         std::string receiveNotices(const std::string& body);
@@ -112,6 +113,7 @@
         TurnController m_turns;
         CallController m_calls;
         RelayedCallController m_relayedCalls;
+        std::vector<std::string> m_otherGateways;
         /// When calls were last found to have no path to targets, neither a direct one nor through another gateway.
         TimePoint m_withoutPathAt = TimePoint::min();
         HttpServer m_callers;
@@ -238,11 +240,10 @@
     m_accounts.setRelays(relays);
     std::vector<RelayAddress> peers = filterRelays(relays, false);
     m_relaySelector.setGateways(peers);
-    std::vector<std::string> gateways { m_settings.instance };
-    gateways.reserve(peers.size() + 1);
+    m_otherGateways.clear();
     for (const RelayAddress& it : peers)
-        gateways.push_back(it.instance);
-    m_limits.setDaemons(std::move(gateways));
+        m_otherGateways.push_back(it.instance);
+    divideLimits();
     std::sort(peers.begin(), peers.end(), [&](const RelayAddress& a, const RelayAddress& b) { return peerRank(a) < peerRank(b); });
     peers.resize(std::min(peers.size(), maxNoticePeers));
     std::vector<InstanceId> ids;
@@ -252,11 +253,20 @@
     m_notices.setPeers(std::move(ids));
 }
 
+// A gateway that is cut off could not use its share of a limit.
+void Gateway::divideLimits()
+{
+    std::vector<std::string> gateways { m_settings.instance };
+    std::copy_if(m_otherGateways.begin(), m_otherGateways.end(), std::back_inserter(gateways), [&](const std::string& it) { return !m_relaySelector.cutOff().contains(it); });
+    m_limits.setDaemons(std::move(gateways));
+}
+
 void Gateway::applyCutOff(const std::string& instance, bool isCutOff)
 {
-    if (instance != m_settings.instance)
+    if (instance != m_settings.instance) {
         m_relaySelector.setCutOff(instance, isCutOff);
-    else if (isCutOff && !m_monitor.isCutOff())
+        divideLimits();
+    } else if (isCutOff && !m_monitor.isCutOff())
         // A notice of this instance's last lifetime.
         m_notices.lift(ownCutOff());
 }
--- a/unittests/Platform/CallRelayTest.cpp
+++ b/unittests/Platform/CallRelayTest.cpp
@@ -171,4 +171,29 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(limitsOfTargetsAreUsedUpWhileAGatewayIsCutOff)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        const double perSecond = 6;
+        std::vector<FakeTarget*> tools { &day.deployment.tool, day.deployment.moreTools[0].get(), day.deployment.moreTools[1].get() };
+        for (FakeTarget* it : tools)
+            it->answerHeaders["server-limit"] = std::to_string(perSecond);
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        unsigned before = day.runs();
+        auto start = std::chrono::steady_clock::now();
+        CutDay::Count count;
+        for (const char* it : { "a", "b" })
+            for (int n = 0; n < 2; ++n)
+                day.startCaller(it, false, start + 4s, count);
+        day.awaitCallers();
+        double allowed = static_cast<double>(tools.size()) * perSecond * std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+        BOOST_TEST(day.runs() - before >= 0.75 * allowed);
+        // The users' limit is one and a half times what targets allow, and five calls for each.
+        BOOST_TEST(day.runs() - before <= 1.5 * allowed + 5.0 * static_cast<double>(tools.size()));
+        day.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
