Conclude that a gateway is cut off in one round of checks

Cause: a silent target was checked after 250 ms, the others only when that check had failed, 200 ms later, and both waited for the next round, 100 ms apart.

Change: when several targets of a service are silent at once, a sample of the others is checked with them. Silence counts after 200 ms, checks take 150 ms at most and begin within 50 ms. A silence is followed by one round only, until something is heard.

--- a/include/basilpoint/Forwarding/TargetReachability.h
+++ b/include/basilpoint/Forwarding/TargetReachability.h
@@ -87,15 +87,21 @@
         unsigned contacts = 0;
         /// When targets were last probed, while cut off.
         TimePoint probedAt = TimePoint::min();
+        /// Whether targets have been probed since the service fell silent.
+        bool isSilenceChecked = false;
     };
 
     const Service* find(const ServiceId&) const;
     void contact(const ServiceId&, TimePoint now);
     void leaveCutOff(const ServiceId&, Service&);
     bool isSuspicious(const Service&) const;
-    bool isQuiet(const std::vector<const Registration*>& targets, TimePoint now) const;
+    std::size_t silentTargets(const std::vector<const Registration*>& targets, TimePoint now) const;
     static std::size_t evidenceFor(const std::vector<const Registration*>& targets);
     bool isProbeDue(const Target&, const Service&, bool isServiceQuiet, TimePoint now) const;
+    bool isChecked(const Registration&) const;
+    const Registration* takeProbe(const Registration&);
+    std::vector<const Registration*> takeProbesToReturn(const std::vector<const Registration*>& candidates, Service&, TimePoint now);
+    std::vector<const Registration*> takeProbesOfSuspicion(const std::vector<const Registration*>& candidates, const Service&, bool isSilent, TimePoint now);
 
     std::map<TargetId, Target> m_targets;
     std::map<ServiceId, Service> m_services;
--- a/lib/Forwarding/TargetReachability.cpp
+++ b/lib/Forwarding/TargetReachability.cpp
@@ -12,7 +12,7 @@
 static constexpr Milliseconds cutOffProbeInterval { 250 };
 // A service is quiet for longer than a step or a prefill of its engines takes only if something is wrong. A single target
 // may fall silent for a second and go on.
-static constexpr Milliseconds serviceQuietLimit { 250 };
+static constexpr Milliseconds serviceQuietLimit { 200 };
 static constexpr Milliseconds targetQuietLimit { 1'200 };
 static constexpr Milliseconds minProbeInterval { 250 };
 static constexpr unsigned maxProbeDoublings = 3;
@@ -45,6 +45,7 @@
     Target& target = it->second;
     target.quietSince = now;
     Service& service = m_services[target.service];
+    service.isSilenceChecked = false;
     if (target.failure) {
         // An open connection works, so the path does; whether new ones do is for a probe to find out.
         target.failure->isRefused = true;
@@ -163,18 +164,16 @@
     return service.lastContact < m_suspectedAt;
 }
 
-// Whether nothing is heard from any of the targets although calls are waiting there.
-bool TargetReachability::isQuiet(const std::vector<const Registration*>& targets, TimePoint now) const
+// Number of targets with calls if nothing has been heard from any target of the service for a while; otherwise zero.
+std::size_t TargetReachability::silentTargets(const std::vector<const Registration*>& targets, TimePoint now) const
 {
     const Service* service = targets.empty() ? nullptr : find(targets.front()->service);
     if (!service || (service->lastContact != TimePoint::min() && now - service->lastContact <= serviceQuietLimit))
-        return false;
-    bool isQuiet = false;
-    for (const Registration* it : targets) {
+        return 0;
+    return static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [&](const Registration* it) {
         auto target = m_targets.find(it->id);
-        isQuiet = isQuiet || (target != m_targets.end() && target->second.inFlight > 0 && now - target->second.quietSince > serviceQuietLimit);
-    }
-    return isQuiet;
+        return target != m_targets.end() && target->second.inFlight > 0 && now - target->second.quietSince > serviceQuietLimit;
+    }));
 }
 
 bool TargetReachability::isProbeDue(const Target& target, const Service& service, bool isServiceQuiet, TimePoint now) const
@@ -190,44 +189,70 @@
     return now - target.quietSince > limit && !isSuspicious(service);
 }
 
-std::vector<const Registration*> TargetReachability::takeDueProbes(const std::vector<const Registration*>& targets, TimePoint now)
+// Whether the target has been tried since the suspicion, or is being tried.
+bool TargetReachability::isChecked(const Registration& registration) const
+{
+    auto it = m_targets.find(registration.id);
+    return it != m_targets.end() && (it->second.isProbing || it->second.checkedAt >= m_suspectedAt);
+}
+
+const Registration* TargetReachability::takeProbe(const Registration& registration)
+{
+    Target& target = m_targets[registration.id];
+    target.service = registration.service;
+    target.isProbing = true;
+    ++target.repeatedProbes;
+    return &registration;
+}
+
+std::vector<const Registration*> TargetReachability::takeProbesToReturn(const std::vector<const Registration*>& candidates, Service& service, TimePoint now)
 {
     std::vector<const Registration*> due;
-    if (targets.empty())
+    if (service.probedAt != TimePoint::min() && now - service.probedAt < cutOffProbeInterval)
         return due;
+    service.probedAt = now;
+    for (const Registration* it : candidates)
+        if (due.size() < probesWhileCutOff && !m_targets[it->id].isProbing)
+            due.push_back(takeProbe(*it));
+    return due;
+}
+
+std::vector<const Registration*> TargetReachability::takeProbesOfSuspicion(const std::vector<const Registration*>& candidates, const Service& service, bool isSilent, TimePoint now)
+{
+    std::vector<const Registration*> due;
+    auto checked = static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const Registration* it) { return isChecked(*it); }));
+    for (const Registration* it : candidates) {
+        const Target& target = m_targets[it->id];
+        bool isSample = isSuspicious(service) && !target.failure && !isChecked(*it);
+        if (isSample ? checked >= evidenceFor(candidates) : !isProbeDue(target, service, isSilent, now))
+            continue;
+        ++checked;
+        due.push_back(takeProbe(*it));
+    }
+    return due;
+}
+
+std::vector<const Registration*> TargetReachability::takeDueProbes(const std::vector<const Registration*>& targets, TimePoint now)
+{
+    if (targets.empty())
+        return {};
     Service& service = m_services[targets.front()->service];
+    std::vector<const Registration*> candidates = targets;
+    std::shuffle(candidates.begin(), candidates.end(), m_random);
     if (!service.isCutOff && isCutOff(targets)) {
         service.isCutOff = true;
         service.contacts = 0;
         service.probedAt = TimePoint::min();
     }
-    if (service.isCutOff && service.probedAt != TimePoint::min() && now - service.probedAt < cutOffProbeInterval)
-        return due;
-    std::vector<const Registration*> candidates = targets;
-    std::shuffle(candidates.begin(), candidates.end(), m_random);
-    // Targets that have been tried since the suspicion, or are being tried.
-    auto checked = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [&](const Registration* it) { auto target = m_targets.find(it->id); return target != m_targets.end() && (target->second.isProbing || target->second.checkedAt >= m_suspectedAt); }));
-    bool isServiceQuiet = isQuiet(targets, now);
-    for (const Registration* it : candidates) {
-        Target& target = m_targets[it->id];
-        target.service = it->service;
-        bool isDue = false;
-        if (service.isCutOff)
-            isDue = due.size() < probesWhileCutOff && !target.isProbing;
-        else if (isSuspicious(service) && !target.failure && !target.isProbing && target.checkedAt < m_suspectedAt)
-            isDue = checked < evidenceFor(targets);
-        else
-            isDue = isProbeDue(target, service, isServiceQuiet, now);
-        if (!isDue)
-            continue;
-        ++checked;
-        ++target.repeatedProbes;
-        target.isProbing = true;
-        due.push_back(it);
-    }
     if (service.isCutOff)
-        service.probedAt = now;
-    return due;
+        return takeProbesToReturn(candidates, service, now);
+    std::size_t silent = silentTargets(targets, now);
+    // One silent target may be slow. With several, the others are checked at once rather than after these have failed.
+    if (silent > 1 && !service.isSilenceChecked) {
+        service.isSilenceChecked = true;
+        m_suspectedAt = now;
+    }
+    return takeProbesOfSuspicion(candidates, service, silent > 0, now);
 }
 
 } // namespace basilpoint
--- a/lib/Gateway/TargetMonitor.cpp
+++ b/lib/Gateway/TargetMonitor.cpp
@@ -6,9 +6,9 @@
 
 namespace basilpoint {
 
-static constexpr Milliseconds checkInterval { 100 };
+static constexpr Milliseconds checkInterval { 50 };
 // Round trips to targets take milliseconds, also to those that are busy.
-static constexpr Milliseconds probeTimeout { 200 };
+static constexpr Milliseconds probeTimeout { 150 };
 
 TargetMonitor::TargetMonitor(HttpClient& client, const TargetDirectory& directory, RandomEngine::result_type seed, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
--- a/unittests/Forwarding/TargetReachabilityTest.cpp
+++ b/unittests/Forwarding/TargetReachabilityTest.cpp
@@ -135,6 +135,36 @@
     BOOST_TEST(isCutOff("models"));
 }
 
+// All engines may pause at once, as under load.
+BOOST_AUTO_TEST_CASE(targetsThatAreSilentTogetherAreCheckedOnceAndStayInUse)
+{
+    add("models", 9);
+    for (const Registration* it : services["models"])
+        reachability.sent(*it, now);
+    unsigned probes = 0;
+    for (unsigned n = 0; n < 10; ++n) {
+        now += 100ms;
+        probes += probeAll(all);
+    }
+    BOOST_TEST(probes >= 1U);
+    BOOST_TEST(probes <= 27U);
+    for (std::size_t n = 0; n < 9; ++n)
+        BOOST_TEST((access("models", n) == Access::Full));
+}
+
+BOOST_AUTO_TEST_CASE(cutUnderLoadIsFoundInOneRoundOfProbes)
+{
+    add("models", 9);
+    for (std::size_t n = 0; n < 2; ++n)
+        reachability.sent(*services["models"][n], now);
+    now += 210ms;
+    auto probes = probe("models");
+    BOOST_TEST(probes.size() == 5U);
+    for (const Registration* it : probes)
+        reachability.failed(*it, false, now + 150ms);
+    BOOST_TEST(isCutOff("models"));
+}
+
 // The others answer, so only after a second is it worth a connection to see whether the target still listens.
 BOOST_AUTO_TEST_CASE(silentTargetIsCheckedOnceInAWhileAndStaysInUse)
 {
