--- a/unittests/Platform/FakeLink.cpp
+++ b/unittests/Platform/FakeLink.cpp
@@ -1,5 +1,6 @@
 #include "FakeLink.h"
 
+#include "../EndToEnd/Process.h"
 #include "../Net/TestRuntime.h"
 
 #include <array>
@@ -113,7 +114,6 @@
     state->acceptor.set_option(Tcp::acceptor::reuse_address(true));
     state->acceptor.bind(address);
     state->acceptor.listen();
-    state->own.port = state->acceptor.local_endpoint().port();
 }
 
 template <typename LinkState>
@@ -130,7 +130,8 @@
 FakeLink::FakeLink(asio::io_context& io, Endpoint to)
     : m_state(std::make_shared<State>(io, std::move(to)))
 {
-    m_state->own = { "127.0.0.1", 0 };
+    // Outgoing connections of other processes do not get this port while the link refuses connections.
+    m_state->own = { "127.0.0.1", static_cast<std::uint16_t>(freePort()) };
     listen(m_state);
     spawnFiber([state = m_state] { acceptAll(state); });
 }
