Tests: callers that leave, and gateways that were paused, beside a cut

They guard against work that goes on behind a relay after its caller has left, and against a gateway that takes the time in which it did not run for a silence of its targets.

--- a/unittests/Platform/CallRelayTest.cpp
+++ b/unittests/Platform/CallRelayTest.cpp
@@ -196,4 +196,48 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(callerThatLeavesEndsTheWorkAtTheTarget)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        for (FakeTarget* it : day.targets())
+            it->delay = 3s;
+        HttpClient client(testRuntime().io());
+        HttpCallOptions options;
+        options.deadline = std::chrono::steady_clock::now() + 300ms;
+        Endpoint gateway { "127.0.0.1", static_cast<std::uint16_t>(day.deployment.instances["a"].callers) };
+        BOOST_CHECK_THROW(client.call(gateway, { "POST", "/stream/x", { { "host", "h.example" }, { "x-basilpoint-request-id", "left" }, { "x-basilpoint-deadline-ms", "3000" }, { "x-basilpoint-program-id", "left" }, { "x-basilpoint-session-id", "s" } }, "in;" }, options), TargetError);
+        BOOST_TEST(eventually([&] { return day.deployment.engine.abandoned + day.deployment.spare.abandoned == 1; }, 1s));
+        day.end();
+    });
+}
+
+// The time in which it did not run is no silence of its targets.
+BOOST_AUTO_TEST_CASE(gatewayThatWasPausedDoesNotTakeItselfForCutOff)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        for (FakeTarget* it : day.targets())
+            it->delay = 300ms;
+        auto end = std::chrono::steady_clock::now() + 6s;
+        CutDay::Count count;
+        for (int n = 0; n < 4; ++n)
+            for (bool isTurn : { false, true })
+                day.startCaller("a", isTurn, end, count);
+        for (int n = 0; n < 3; ++n) {
+            pause(500ms);
+            day.deployment.processes["a"]->signal(SIGSTOP);
+            pause(1'200ms);
+            day.deployment.processes["a"]->signal(SIGCONT);
+        }
+        day.awaitCallers();
+        pause(500ms);
+        BOOST_TEST(!day.hasLogged("a", "\"cut-off\""));
+        day.checkRuns();
+        day.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -89,6 +89,8 @@
         std::chrono::steady_clock::time_point at;
     };
     std::vector<Run> runs;
+    /// Calls whose sender has closed the connection before the answer.
+    unsigned abandoned = 0;
     /// While set, the target crashes after it has run a call: its answer is lost.
     bool losesAnswers = false;
     /// The target crashes as soon as it runs a call with this body; empty if it never does.
