Do not blame a relay, or a target, for what others did to the call

What callers saw: with one relay in reach, each stream that its target broke off was followed by 0.4 s and more in which the gateway that is cut off refused all calls.

A connection that is lost during an answer counted as the relay's failure, although the relay closes it to show that the target broke the stream off. In the same way an attempt that a slow target did not answer in time suspended the relay; a lack of descriptors here suspended whom the call was for; and a connection that the caller's own deadline ended counted as the target's failure. A call whose targets were full went to another gateway when a single target of the service was out of reach, for the same full targets.

Change: once a relay has begun an answer it is fine; only a lost or refused connection before that suspends it. Errors of this process suspend nobody, and an attempt ended by the deadline says nothing of the target. Calls go through another gateway only if most targets of the service are out of reach.

The other parts were found by reading, for the caller's deadline and the descriptors no test shows them.

--- a/include/basilpoint/Forwarding/TargetReachability.h
+++ b/include/basilpoint/Forwarding/TargetReachability.h
@@ -46,9 +46,6 @@
     /// Whether this daemon is cut off from the service that has these usable targets.
     bool isCutOff(const std::vector<const Registration*>& targets) const;
 
-    /// Whether connections to a target of the service have failed and not succeeded since.
-    bool hasFailures(const ServiceId&) const;
-
     /// Targets to which a connection should be opened now: to verify the suspicion that this daemon is cut off, to notice
     /// that a target is reachable again, or since a target with calls is silent. Each is taken to be in progress until
     /// connected() or failed() is called for it.
--- a/lib/Forwarding/TargetReachability.cpp
+++ b/lib/Forwarding/TargetReachability.cpp
@@ -144,11 +144,6 @@
     return service && (service->isCutOff || service->failed.size() >= evidenceFor(targets));
 }
 
-bool TargetReachability::hasFailures(const ServiceId& service) const
-{
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& it) { return it.second.service == service && it.second.failure; });
-}
-
 TargetReachability::Access TargetReachability::accessTo(const Registration& registration, const std::vector<const Registration*>& targets) const
 {
     auto it = m_targets.find(registration.id);
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -62,6 +62,7 @@
     TimePoint lastEventAt;
     unsigned events = 0;
     TargetId target;
+    bool hasAnswer = false;
     /// How the call ended at the gateway that it was handed to, if that one has no answer of a target.
     std::string relayEnd;
     bool isRelayed = false;
@@ -128,11 +129,12 @@
     return m_selector.choose(targets, call.query, m_clock.now());
 }
 
-// Also if the targets within reach have no free slot, so that a partial cut does not overload these.
+// Also if most targets are out of reach and the others have no free slot, so that a partial cut does not overload these. With
+// few out of reach, the other gateways have no more to offer.
 std::optional<RelayAddress> Forwarder::chooseRelay(const ForwardedCall& call, const Registration* target)
 {
     bool isBusy = !target || m_selector.inFlight(target->id) >= target->slots;
-    if (call.isRelayed || !isBusy || call.triedRelays.size() >= maxRelays || !m_monitor.hasUnreachable(call.query.service))
+    if (call.isRelayed || !isBusy || call.triedRelays.size() >= maxRelays || !m_monitor.isMostlyUnreachable(call.query.service))
         return std::nullopt;
     return m_relays.choose(call.triedRelays, m_clock.now());
 }
@@ -140,7 +142,7 @@
 bool Forwarder::hasPath(const ForwardedCall& call) const
 {
     ServiceId service = chooseService(call.route, call.attributes);
-    return !m_monitor.reachable(service).empty() || (!call.isRelayed && m_monitor.hasUnreachable(service) && m_relays.hasUsable(m_clock.now()));
+    return !m_monitor.reachable(service).empty() || (!call.isRelayed && m_monitor.isMostlyUnreachable(service) && m_relays.hasUsable(m_clock.now()));
 }
 
 static bool isHopHeader(std::string_view name)
@@ -238,6 +240,7 @@
 {
     HttpCallOptions options = base;
     options.onHeader = [&](const HttpResponse& response) {
+        attempt.hasAnswer = true;
         attempt.response = response;
         dropHopHeaders(attempt.response.headers);
         attempt.attributes = m_format.readResponse(response);
@@ -378,9 +381,10 @@
         if ((!isLast || call.isRelayed) && call.route.kind == CallKind::Idempotent)
             m_crashes.awaitOutcome(chosen);
     }
-    m_selector.ended(chosen.id, outcomeOf(call, end, attempt.isUnreachable), m_clock.now());
+    m_selector.ended(chosen.id, outcomeOf(call, attempt, end), m_clock.now());
     m_monitor.ended(chosen.id);
-    if (attempt.isUnreachable && !call.cancellation.isCancelled()) {
+    // Where the caller's deadline has ended the attempt, the target had less time than it may take.
+    if (attempt.isUnreachable && !call.cancellation.isCancelled() && m_clock.now() < call.deadline) {
         call.unreachable.insert(chosen.id);
         m_monitor.failed(chosen, *attempt.failure);
     }
@@ -407,10 +411,7 @@
         call.query.tried.insert(attempt.target);
     if (attempt.relayEnd == relayends::leaving)
         m_relays.setLeaving(relay.instance, m_clock.now());
-    bool isAnswered = end == ForwardEnd::Delivered || attempt.relayEnd == relayends::notRun || attempt.relayEnd == relayends::mayHaveRun;
-    m_relays.ended(relay, isAnswered ? TargetOutcome::Answered : attempt.relayEnd == relayends::notTaken || attempt.relayEnd == relayends::leaving ? TargetOutcome::Failed
-                                                                                                                                                   : outcomeOf(call, end, attempt.isUnreachable),
-        m_clock.now());
+    m_relays.ended(relay, relayOutcomeOf(call, attempt), m_clock.now());
     logRelay(call, relay, attempt, end);
     return end;
 }
@@ -426,14 +427,16 @@
     return CallTiming { call.route.name, whole, whole };
 }
 
-TargetOutcome Forwarder::outcomeOf(const ForwardedCall& call, ForwardEnd end, bool isUnreachable) const
+TargetOutcome Forwarder::outcomeOf(const ForwardedCall& call, const Attempt& attempt, ForwardEnd end) const
 {
     bool isOver = call.isCallerGone || m_clock.now() >= call.deadline;
     switch (end) {
     case ForwardEnd::Delivered:
         return TargetOutcome::Answered;
     case ForwardEnd::NotRun:
-        return isUnreachable ? (call.isCallerGone ? TargetOutcome::Abandoned : TargetOutcome::Failed) : TargetOutcome::Refused;
+        if (!attempt.isUnreachable)
+            return TargetOutcome::Refused;
+        return call.isCallerGone || attempt.failure == TargetFailure::OutOfResources ? TargetOutcome::Abandoned : TargetOutcome::Failed;
     case ForwardEnd::MayHaveRun:
     case ForwardEnd::BrokenOff:
         return isOver ? TargetOutcome::Abandoned : TargetOutcome::Failed;
@@ -442,6 +445,18 @@
     return TargetOutcome::Abandoned;
 }
 
+// A relay is not to blame for what its target does: an answer that breaks off, or none in time.
+TargetOutcome Forwarder::relayOutcomeOf(const ForwardedCall& call, const Attempt& attempt)
+{
+    if (attempt.relayEnd == relayends::notTaken || attempt.relayEnd == relayends::leaving)
+        return TargetOutcome::Failed;
+    if (attempt.hasAnswer)
+        return TargetOutcome::Answered;
+    bool isLost = attempt.isUnreachable || attempt.failure == TargetFailure::ConnectionLost;
+    bool isOwnFault = call.isCallerGone || attempt.failure == TargetFailure::OutOfResources;
+    return isLost && !isOwnFault ? TargetOutcome::Failed : TargetOutcome::Abandoned;
+}
+
 std::string_view causeOfBrokenStream(const ForwardedCall& call, TimePoint now)
 {
     if (call.isCallerGone)
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -115,7 +115,8 @@
     void passEvents(ForwardedCall&, Attempt&, std::string_view chunk);
     ForwardEnd deliver(ForwardedCall&, Attempt&);
     std::optional<CallTiming> timingOf(const ForwardedCall&, const Attempt&, ForwardEnd) const;
-    TargetOutcome outcomeOf(const ForwardedCall&, ForwardEnd, bool isUnreachable) const;
+    TargetOutcome outcomeOf(const ForwardedCall&, const Attempt&, ForwardEnd) const;
+    static TargetOutcome relayOutcomeOf(const ForwardedCall&, const Attempt&);
     void logAttempt(const ForwardedCall&, const Registration&, const Attempt&, ForwardEnd) const;
     void logRelay(const ForwardedCall&, const RelayAddress&, const Attempt&, ForwardEnd) const;
 
--- a/lib/Gateway/TargetMonitor.h
+++ b/lib/Gateway/TargetMonitor.h
@@ -20,8 +20,8 @@
 
     /// Targets of the service that calls can reach. Empty if there are none, or if this gateway is cut off from them.
     std::vector<const Registration*> reachable(const ServiceId&) const;
-    /// Whether the service has targets that this gateway cannot reach.
-    bool hasUnreachable(const ServiceId& service) const { return m_reachability.hasFailures(service); }
+    /// Whether calls reach less than half of the service's targets.
+    bool isMostlyUnreachable(const ServiceId& service) const { return 2 * reachable(service).size() < m_directory.usable(service).size(); }
     /// Whether this gateway is cut off from all services that have targets.
     bool isCutOff() const { return m_isCutOff; }
 
--- a/unittests/Forwarding/TargetReachabilityTest.cpp
+++ b/unittests/Forwarding/TargetReachabilityTest.cpp
@@ -73,7 +73,6 @@
     BOOST_TEST(!isCutOff("models"));
     BOOST_TEST((access("models", 0) == Access::None));
     BOOST_TEST((access("models", 1) == Access::Full));
-    BOOST_TEST(reachability.hasFailures(ServiceId("models")));
 }
 
 BOOST_AUTO_TEST_CASE(fewProbesShowACutInAFleetOfAnySize)
@@ -203,7 +202,8 @@
         probeAll(all);
     }
     BOOST_TEST(!isCutOff("models"));
-    BOOST_TEST(!reachability.hasFailures(ServiceId("models")));
+    for (std::size_t n = 0; n < 9; ++n)
+        BOOST_TEST((access("models", n) == Access::Full));
 }
 
 BOOST_AUTO_TEST_CASE(oneSuccessAmongFailuresDoesNotEndTheCut)
--- a/unittests/Platform/CallRelayTest.cpp
+++ b/unittests/Platform/CallRelayTest.cpp
@@ -214,6 +214,26 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(relayIsNotBlamedForStreamsThatItsTargetsBreakOff)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        day.deployment.engine.breaksStreams = true;
+        auto end = std::chrono::steady_clock::now() + 3s;
+        std::map<int, unsigned> statuses;
+        while (std::chrono::steady_clock::now() < end)
+            ++statuses[day.turn("a")];
+        // The other engine serves whole streams.
+        BOOST_TEST(statuses[0] > 0U);
+        BOOST_TEST(statuses[200] > 20U);
+        BOOST_TEST(statuses[503] == 0U);
+        day.checkRuns();
+        day.end();
+    });
+}
+
 // The time in which it did not run is no silence of its targets.
 BOOST_AUTO_TEST_CASE(gatewayThatWasPausedDoesNotTakeItselfForCutOff)
 {
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -196,6 +196,8 @@
         writer.write(std::string("id: ") + word + "\ndata: " + word + "-" + call + "\n\n");
         pause(std::chrono::milliseconds(pollMilliseconds));
         failIfDown();
+        if (breaksStreams)
+            throw ConnectionLostError("broken off");
     }
     writer.end();
 }
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -93,6 +93,8 @@
     unsigned abandoned = 0;
     /// While set, the target crashes after it has run a call: its answer is lost.
     bool losesAnswers = false;
+    /// While set, streams end after their first event, without their end.
+    bool breaksStreams = false;
     /// The target crashes as soon as it runs a call with this body; empty if it never does.
     std::string crashesOn;
     /// Headers of all answers.
