Forget that a gateway is cut off when its notice expires

What callers saw: nothing yet; found by reading. A gateway that is killed while it is cut off, and starts again after its notice has expired, would not be chosen as a relay nor get a share of limits, since the expiry of a notice is not announced and only a lift was handled. A gateway that starts while the notice is in force lifts it.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -78,6 +78,7 @@
         void sendNotices(const InstanceId&, const std::string& body);
         void applyNotice(const NoticeSubject&, bool inForce);
         void applyCutOff(const std::string& instance, bool isCutOff);
+        void dropExpiredCutOffs();
         void divideLimits();
         NoticeSubject ownCutOff() const { return { NoticeKind::CutOffDaemon, m_settings.instance }; }
         void noteCutOff(bool isCutOff);
@@ -271,6 +272,15 @@
         m_notices.lift(ownCutOff());
 }
 
+// Of gateways that have ended while they were cut off; the expiry of a notice is not announced.
+void Gateway::dropExpiredCutOffs()
+{
+    std::set<std::string> instances = m_relaySelector.cutOff();
+    for (const std::string& it : instances)
+        if (!m_notices.inForce({ NoticeKind::CutOffDaemon, it }))
+            applyCutOff(it, false);
+}
+
 void Gateway::noteCutOff(bool isCutOff)
 {
     m_log.write(LogLine("cut-off").field("cutOff", isCutOff).field("hasRelay", m_relaySelector.hasUsable(m_clock.now())));
@@ -456,6 +466,7 @@
             sleepFiber(summaryInterval);
             m_crashes.sweep();
             m_limits.sweep();
+            dropExpiredCutOffs();
             if (m_monitor.isCutOff())
                 m_notices.raise({ ownCutOff() }, cutOffNoticeLifetime);
         }
