Handle signals until the process has ended

What operators saw: a second SIGTERM in the last milliseconds of a planned stop ends the process by that signal and not with status 0.

Cause: the signal set is destroyed when runGateway() returns, which restores the default action, and the process ends a little later.

Change: the set is never deleted, as the gateway itself. The same for keepers.

--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -497,10 +497,10 @@
 
 void runGateway(boost::asio::io_context& io, const GatewaySettings& settings, const WireFormat& format, HttpClient& targets, TransactionalStore& store, const Clock& clock, const ReloadHook& reload)
 {
-    // Never deleted, since fibers use the gateway until the process ends.
+    // Never deleted, since fibers use the gateway until the process ends, and further signals must not end it sooner.
     auto& gateway = *new Gateway(io, settings, format, targets, store, clock);
     // Before callers are accepted, whose requests a stop must not cut off.
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    auto& signals = *new boost::asio::signal_set(io, SIGTERM, SIGINT, SIGHUP);
     gateway.start();
     while (awaitSignal(signals) == SIGHUP)
         gateway.log().write(LogLine("reload").field("settings", reload()));
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -209,9 +209,9 @@
 
 void runKeeper(boost::asio::io_context& io, const KeeperSettings& settings, const WireFormat& format, HttpClient& peers, TransactionalStore& store, const Clock& clock)
 {
-    // Not deleted, since fibers use the keeper until the process ends.
+    // Not deleted, since fibers use the keeper until the process ends, and further signals must not end it sooner.
     auto& keeper = *new Keeper(io, settings, format, peers, store, clock);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    auto& signals = *new boost::asio::signal_set(io, SIGTERM, SIGINT, SIGHUP);
     keeper.start();
     while (awaitSignal(signals) == SIGHUP)
         keeper.log().write(LogLine("reload").field("role", "keeper"));
