--- a/lib/Gateway/TargetMonitor.cpp
+++ b/lib/Gateway/TargetMonitor.cpp
@@ -75,7 +75,7 @@
         return failed(target, *failure);
     }
     if (!isCurrent(target))
-        return;
+        return m_client.closeIdle(lifetimeOf(target));
     m_reachability.connected(target, m_clock.now());
     noteChanges();
 }
