--- a/unittests/Platform/CallRelayTest.cpp
+++ b/unittests/Platform/CallRelayTest.cpp
@@ -64,7 +64,7 @@
             for (FakeTarget* it : { &deployment.engine, &deployment.spare })
                 for (const auto& run : it->runs)
                     BOOST_TEST((run.call != id || run.body == chain), run.body);
-            chain += "one-" + id + "\ntwo-" + id + "\n";
+            chain += fmt::format("one-{0}\ntwo-{0}\n", id);
             previous = id;
         }
         BOOST_TEST(deployment.turn("a", "chain-over", previous, "in;", "chain", budget) == 402);
--- a/unittests/Platform/FakeLink.cpp
+++ b/unittests/Platform/FakeLink.cpp
@@ -160,7 +160,7 @@
             filler.non_blocking(true);
             // Asio's connect() would wait for the result.
             Tcp::endpoint address = addressOf(m_state->own);
-            ::connect(filler.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+            static_cast<void>(::connect(filler.native_handle(), address.data(), static_cast<socklen_t>(address.size())));
         }
         return;
     case CutKind::Reset:
