Try other daemons as relays of store calls after five keepers

Cause: a call tries three paths, keepers first and suspended ones last, and with 36 keepers listed a cut-off gateway tries them all, three or two a call, before it comes to another gateway.

Change: only the first five keepers, in the usual order, are tried before other daemons.

Evidence: StorePathsTest/daemonThatReachesNoKeeperSoonCallsTheStoreThroughAGateway needs more than 50 failures before, 9 at most now.

--- a/lib/Gateway/StorePaths.cpp
+++ b/lib/Gateway/StorePaths.cpp
@@ -29,6 +29,9 @@
 // more than two concurrent grants of each of 72 daemons, the calls would exceed the timeout of a grant.
 static constexpr std::size_t maxConcurrentGrantsOfMany = 2;
 
+// Keepers that are tried before other daemons. A daemon that reaches none of so many is cut off from the others as well.
+static constexpr std::size_t maxKeepers = 5;
+
 void StorePaths::setRelays(const std::vector<RelayAddress>& relays)
 {
     m_relays.clear();
@@ -141,14 +144,13 @@
             others.push_back({ name });
     std::stable_partition(others.begin(), others.end(), [&](const StorePath& it) { return m_relays.at(it.relay).dataCentre == m_own; });
     std::vector<StorePath> paths = keepers(commitDataCentre);
+    if (purpose == Purpose::SharedRead && hasManyDaemons())
+        spread(paths);
+    paths.resize(std::min(paths.size(), maxKeepers));
     switch (purpose) {
     case Purpose::Commit:
     case Purpose::Watch:
-        paths.push_back({});
-        break;
     case Purpose::SharedRead:
-        if (hasManyDaemons())
-            spread(paths);
         paths.push_back({});
         break;
     case Purpose::Read:
--- a/unittests/Gateway/StorePathsTest.cpp
+++ b/unittests/Gateway/StorePathsTest.cpp
@@ -263,4 +263,31 @@
     BOOST_TEST((refused.responseTimeout() == initialTimeout));
 }
 
+// A large fleet has dozens of keepers, which would all be tried before other gateways.
+BOOST_AUTO_TEST_CASE(daemonThatReachesNoKeeperSoonCallsTheStoreThroughAGateway)
+{
+    std::vector<RelayAddress> relays;
+    relays.reserve(300);
+    for (int n = 0; n < 36; ++n)
+        relays.push_back({ "keeper-" + std::to_string(n), DataCentreId(n % 3 == 0 ? "a" : "b"), {}, true });
+    for (int n = 0; n < 258; ++n)
+        relays.push_back({ "gateway-" + std::to_string(n), DataCentreId(n % 3 == 0 ? "a" : "b"), {}, false });
+    for (auto purpose : { StorePaths::Purpose::Commit, StorePaths::Purpose::Watch, StorePaths::Purpose::SharedRead }) {
+        StorePaths own { DataCentreId("a"), 7 };
+        own.setRelays(relays);
+        unsigned failures = 0;
+        for (bool isThroughGateway = false; !isThroughGateway && failures < 50;) {
+            for (const StorePath& it : own.orderedPaths(purpose, now)) {
+                isThroughGateway = it.relay.starts_with("gateway-");
+                if (isThroughGateway)
+                    break;
+                own.failed(it, now);
+                ++failures;
+            }
+            now += std::chrono::milliseconds(100);
+        }
+        BOOST_TEST(failures <= 9U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
