Take relayed calls during a planned stop, as long as they can end before it

Cause: a gateway refused relayed calls from the moment of its stop signal, though it runs for up to 7 s more and accepts requests of its own callers for 2.6 s. With all that reach targets in their planned stop, the others had none.

Evidence: with all logs, 1,105 refusals no-target in seconds 8 to 12, and "leaving" before them.

Change: a relay in its planned stop takes calls whose deadlines are before its end, and says in each answer that it leaves. The gateways that ask it then choose it last, so a stop takes longer only where there is no other relay.

Ruled out: exiting later, which the platform's limit does not allow.

--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -65,6 +65,7 @@
     bool hasAnswer = false;
     /// How the call ended at the gateway that it was handed to, if that one has no answer of a target.
     std::string relayEnd;
+    bool isRelayLeaving = false;
     bool isRelayed = false;
 
     double millisecondsBetweenEvents() const { return DoubleMilliseconds(lastEventAt - firstEventAt).count() / (events - 1); }
@@ -289,6 +290,7 @@
         return node ? std::move(node.mapped()) : std::string();
     };
     attempt.relayEnd = take(relayheaders::end);
+    attempt.isRelayLeaving = !take(relayheaders::leaving).empty();
     std::string lifetime = take(relayheaders::target);
     if (lifetime.empty() && attempt.relayEnd.empty())
         attempt.relayEnd = isRejectedByServer(attempt.response.status) ? relayends::notTaken : relayends::mayHaveRun;
@@ -409,7 +411,7 @@
     call.isRefusedByTarget = attempt.relayEnd == relayends::notRun;
     if (!attempt.target.empty())
         call.query.tried.insert(attempt.target);
-    if (attempt.relayEnd == relayends::leaving)
+    if (attempt.isRelayLeaving)
         m_relays.setLeaving(relay.instance, m_clock.now());
     m_relays.ended(relay, relayOutcomeOf(call, attempt), m_clock.now());
     logRelay(call, relay, attempt, end);
@@ -448,7 +450,7 @@
 // A relay is not to blame for what its target does: an answer that breaks off, or none in time.
 TargetOutcome Forwarder::relayOutcomeOf(const ForwardedCall& call, const Attempt& attempt)
 {
-    if (attempt.relayEnd == relayends::notTaken || attempt.relayEnd == relayends::leaving)
+    if (attempt.relayEnd == relayends::notTaken)
         return TargetOutcome::Failed;
     if (attempt.hasAnswer)
         return TargetOutcome::Answered;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -480,7 +480,7 @@
     TimePoint start = m_clock.now();
     TimePoint end = start + m_settings.stopLimit - std::min(exitReserve, m_settings.stopLimit / 2);
     m_isDraining = true;
-    m_relayedCalls.drain();
+    m_relayedCalls.drain(end);
     m_peers.announceClose();
     m_callers.announceClose();
     m_log.write(LogLine("stopping").field("active", m_callers.activeRequests()));
--- a/lib/Gateway/RelaySelector.cpp
+++ b/lib/Gateway/RelaySelector.cpp
@@ -50,13 +50,13 @@
     return it != m_leavingSince.end() && now - it->second <= leavingTime;
 }
 
-std::vector<const Registration*> RelaySelector::usable(const std::set<TargetId>& tried, TimePoint now) const
+std::vector<const Registration*> RelaySelector::usable(const std::set<TargetId>& tried, bool areLeaving, TimePoint now) const
 {
     std::vector<const Registration*> found;
     for (const Registration& it : m_gateways) {
         if (found.size() == maxChoices)
             break;
-        if (!tried.contains(it.id) && !m_cutOff.contains(it.id.text()) && !isLeaving(it.id.text(), now) && !m_selector.isSuspended(it.id, now))
+        if (!tried.contains(it.id) && !m_cutOff.contains(it.id.text()) && isLeaving(it.id.text(), now) == areLeaving && !m_selector.isSuspended(it.id, now))
             found.push_back(&it);
     }
     return found;
@@ -66,13 +66,15 @@
 {
     TargetQuery query;
     query.dataCentre = m_dataCentre;
-    const Registration* best = m_selector.choose(usable(tried, now), query, now);
+    const Registration* best = m_selector.choose(usable(tried, false, now), query, now);
+    if (!best)
+        best = m_selector.choose(usable(tried, true, now), query, now);
     return best ? std::optional(RelayAddress { best->id.text(), best->dataCentre, best->endpoint, false }) : std::nullopt;
 }
 
 bool RelaySelector::hasUsable(TimePoint now) const
 {
-    return !usable({}, now).empty();
+    return !usable({}, false, now).empty() || !usable({}, true, now).empty();
 }
 
 void RelaySelector::sent(const RelayAddress& gateway)
--- a/lib/Gateway/RelaySelector.h
+++ b/lib/Gateway/RelaySelector.h
@@ -18,7 +18,7 @@
     void setGateways(const std::vector<RelayAddress>&);
     /// Records whether another gateway is cut off from all targets itself.
     void setCutOff(const std::string& instance, bool isCutOff);
-    /// Records that another gateway shuts down. It is not chosen for \ref leavingTime, by which it has ended.
+    /// Records that another gateway shuts down. It is chosen last for \ref leavingTime, by which it has ended.
     void setLeaving(const std::string& instance, TimePoint now);
     const std::set<std::string>& cutOff() const { return m_cutOff; }
 
@@ -36,7 +36,7 @@
 
 private:
     bool isLeaving(const std::string& instance, TimePoint now) const;
-    std::vector<const Registration*> usable(const std::set<TargetId>& tried, TimePoint now) const;
+    std::vector<const Registration*> usable(const std::set<TargetId>& tried, bool areLeaving, TimePoint now) const;
 
     std::string m_self;
     DataCentreId m_dataCentre;
--- a/lib/Gateway/RelayedCall.h
+++ b/lib/Gateway/RelayedCall.h
@@ -27,6 +27,8 @@
 namespace relayheaders {
     /// Lifetime of the target whose answer this is; on an answer of the relay itself, the last target that may have run the call.
     inline constexpr const char* target = "basilpoint-relay-target";
+    /// Present if the relay shuts down and takes only calls that end before it does.
+    inline constexpr const char* leaving = "basilpoint-relay-leaving";
     /// How the call ended, if the relay has no answer of a target.
     inline constexpr const char* end = "basilpoint-relay-end";
 }
@@ -35,8 +37,6 @@
 namespace relayends {
     /// The relay has not tried a target. Another gateway may.
     inline constexpr const char* notTaken = "not-taken";
-    /// As notTaken; the relay shuts down.
-    inline constexpr const char* leaving = "leaving";
     /// No target has run the call or will run it.
     inline constexpr const char* notRun = "not-run";
     inline constexpr const char* mayHaveRun = "may-have-run";
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -29,30 +29,32 @@
 
 namespace {
 
-    /// Names the target in the answer.
+    /// Adds the headers of the relay to the target's answer.
     class RelayWriter final : public ResponseWriter {
     public:
-        RelayWriter(ResponseWriter& writer, const ForwardedCall& call)
+        using AddHeaders = std::function<void(HttpHeaders&)>;
+
+        RelayWriter(ResponseWriter& writer, AddHeaders addHeaders)
             : m_writer(writer)
-            , m_call(call)
+            , m_addHeaders(std::move(addHeaders))
         {
         }
 
-        void send(const HttpResponse& response) override { m_writer.send({ response.status, withTarget(response.headers), response.body }); }
-        void begin(int status, const HttpHeaders& headers) override { m_writer.begin(status, withTarget(headers)); }
+        void send(const HttpResponse& response) override { m_writer.send({ response.status, complete(response.headers), response.body }); }
+        void begin(int status, const HttpHeaders& headers) override { m_writer.begin(status, complete(headers)); }
         void write(std::string_view chunk) override { m_writer.write(chunk); }
         void end() override { m_writer.end(); }
         bool started() const override { return m_writer.started(); }
 
     private:
-        HttpHeaders withTarget(HttpHeaders headers) const
+        HttpHeaders complete(HttpHeaders headers) const
         {
-            headers[relayheaders::target] = m_call.lastTarget;
+            m_addHeaders(headers);
             return headers;
         }
 
         ResponseWriter& m_writer;
-        const ForwardedCall& m_call;
+        AddHeaders m_addHeaders;
     };
 
     struct ActiveCall {
@@ -84,6 +86,8 @@
 
 std::optional<std::string_view> RelayedCallController::reasonNotToTake(const Call& call, ReceiveBudget::Share& share) const
 {
+    if (m_drainEnd && call.call.deadline > *m_drainEnd)
+        return "shutting down before the call's deadline";
     if (!call.call.table)
         return "no configuration yet";
     if (!m_forwarder.hasPath(call.call))
@@ -100,8 +104,6 @@
     // Shared, since the server may call the disconnect handler after this function has returned.
     auto call = std::make_shared<Call>(std::move(message), std::move(attributes), m_configuration.current(), m_clock.now());
     call->call.query.dataCentre = m_dataCentre;
-    if (m_isDraining)
-        return refuse(*call, relayends::leaving, "shutting down", writer);
     ReceiveBudget::Share share(m_requestBudget);
     if (auto reason = reasonNotToTake(*call, share))
         return refuse(*call, relayends::notTaken, *reason, writer);
@@ -117,7 +119,7 @@
 
 void RelayedCallController::serve(Call& call, ResponseWriter& writer)
 {
-    RelayWriter relayWriter(writer, call.call);
+    RelayWriter relayWriter(writer, [&](HttpHeaders& headers) { addHeaders(call, headers); });
     switch (m_forwarder.forward(call.call, relayWriter, {})) {
     case ForwardEnd::Delivered:
         m_metrics.count("relayed_calls_total{end=\"delivered\"}");
@@ -133,13 +135,20 @@
     assert(false && "unhandled enumerator");
 }
 
+void RelayedCallController::addHeaders(const Call& call, HttpHeaders& headers) const
+{
+    if (!call.call.lastTarget.empty())
+        headers[relayheaders::target] = call.call.lastTarget;
+    if (m_drainEnd)
+        headers[relayheaders::leaving] = "1";
+}
+
 void RelayedCallController::refuse(const Call& call, const char* end, std::string_view reason, ResponseWriter& writer)
 {
     m_metrics.count(fmt::format("relayed_calls_total{{end=\"{}\"}}", end));
     m_log.write(LogLine("relayed-call-refused").field("request", call.call.attributes.call.text()).field("end", end).field("reason", reason));
     HttpHeaders headers { { relayheaders::end, end } };
-    if (!call.call.lastTarget.empty())
-        headers[relayheaders::target] = call.call.lastTarget;
+    addHeaders(call, headers);
     writer.send({ statusRefused, std::move(headers), std::string(reason) });
 }
 
--- a/lib/Gateway/RelayedCallController.h
+++ b/lib/Gateway/RelayedCallController.h
@@ -15,8 +15,8 @@
 
     void handle(const HttpRequest&, ResponseWriter&);
 
-    /// Takes no more calls; those in progress continue.
-    void drain() { m_isDraining = true; }
+    /// Takes only calls whose deadlines are before \p end, when the process ends; those in progress continue.
+    void drain(TimePoint end) { m_drainEnd = end; }
     std::size_t activeCalls() const { return m_activeCalls; }
 
 private:
@@ -24,6 +24,7 @@
 
     std::optional<std::string_view> reasonNotToTake(const Call&, ReceiveBudget::Share&) const;
     void serve(Call&, ResponseWriter&);
+    void addHeaders(const Call&, HttpHeaders&) const;
     void refuse(const Call&, const char* end, std::string_view reason, ResponseWriter&);
 
     const ConfigurationHolder& m_configuration;
@@ -35,7 +36,7 @@
     JsonLog& m_log;
     Metrics& m_metrics;
     std::size_t m_activeCalls = 0;
-    bool m_isDraining = false;
+    std::optional<TimePoint> m_drainEnd;
 };
 
 } // namespace basilpoint
--- a/unittests/Gateway/RelaySelectorTest.cpp
+++ b/unittests/Gateway/RelaySelectorTest.cpp
@@ -106,15 +106,19 @@
     BOOST_TEST(used.size() == 6U);
 }
 
-BOOST_AUTO_TEST_CASE(gatewaysThatFailLeaveOrAreCutOffAreNotChosen)
+BOOST_AUTO_TEST_CASE(gatewaysThatFailOrAreCutOffAreNotChosenAndLeavingOnesLast)
 {
     add(4);
     RelaySelector selector = selectorOf(gateways[0]);
     BOOST_TEST(selector.hasUsable(now));
     selector.setCutOff("g1", true);
     selector.setLeaving("g2", now);
-    selector.sent(gateways[3]);
-    selector.ended(gateways[3], TargetOutcome::Failed, now);
+    BOOST_TEST((selector.choose({}, now)->instance == "g3"));
+    BOOST_TEST((selector.choose({ TargetId("g3") }, now)->instance == "g2"));
+    for (std::size_t n : { 2U, 3U }) {
+        selector.sent(gateways[n]);
+        selector.ended(gateways[n], TargetOutcome::Failed, now);
+    }
     BOOST_TEST(!selector.hasUsable(now));
     BOOST_TEST(!selector.choose({}, now));
     BOOST_TEST((selector.choose({}, now + 2s)->instance == "g3"));
--- a/unittests/Platform/CallRelayTest.cpp
+++ b/unittests/Platform/CallRelayTest.cpp
@@ -214,6 +214,27 @@
     });
 }
 
+// It accepts calls of its own callers as well until the load balancer has taken it out of rotation.
+BOOST_AUTO_TEST_CASE(onlyRelayTakesCallsDuringItsPlannedStop)
+{
+    inFiber([] {
+        auto& day = *new CutDay;
+        day.cut("a", CutKind::Silent);
+        day.serveFor(detectionLimit);
+        day.deployment.processes["b"]->signal(SIGTERM);
+        auto end = std::chrono::steady_clock::now() + 2s;
+        CutDay::Count count;
+        for (bool isTurn : { false, true })
+            day.startCaller("a", isTurn, end, count);
+        day.awaitCallers();
+        BOOST_TEST(count.served == count.tried, count.served << " of " << count.tried);
+        BOOST_TEST(eventually([&] { return !day.deployment.processes["b"]->running(); }));
+        BOOST_TEST(day.deployment.processes["b"]->exitStatus() == 0);
+        day.checkRuns();
+        day.end();
+    });
+}
+
 BOOST_AUTO_TEST_CASE(relayIsNotBlamedForStreamsThatItsTargetsBreakOff)
 {
     inFiber([] {
