--- a/include/basilpoint/Forwarding/TargetReachability.h
+++ b/include/basilpoint/Forwarding/TargetReachability.h
@@ -4,7 +4,6 @@
 #include "basilpoint/Support/Random.h"
 
 #include <map>
-#include <optional>
 #include <set>
 
 namespace basilpoint {
@@ -53,9 +52,11 @@
     std::vector<const Registration*> takeDueProbes(const std::vector<const Registration*>& targets, TimePoint now);
 
 private:
-    struct Failure {
-        TimePoint at;
-        bool isRefused = false;
+    /// Result of the last attempt to connect to a target.
+    enum class Failure {
+        None,
+        NoAnswer,
+        Refused,
     };
 
     struct Target {
@@ -63,7 +64,7 @@
         unsigned inFlight = 0;
         /// Since when nothing has been heard of the target while it has calls.
         TimePoint quietSince;
-        std::optional<Failure> failure;
+        Failure failure = Failure::None;
         bool isProbing = false;
         /// When the last probe or failure began or ended.
         TimePoint checkedAt = TimePoint::min();
@@ -74,8 +75,6 @@
     struct Service {
         /// Targets that have failed since the last sign of life of any target.
         std::set<TargetId> failed;
-        /// When the first of \ref failed failed.
-        TimePoint suspectedAt = TimePoint::min();
         TimePoint lastContact = TimePoint::min();
         bool isCutOff = false;
         /// Whether all targets that have failed refused the connection.
--- a/lib/Forwarding/TargetReachability.cpp
+++ b/lib/Forwarding/TargetReachability.cpp
@@ -46,9 +46,9 @@
     target.quietSince = now;
     Service& service = m_services[target.service];
     service.isSilenceChecked = false;
-    if (target.failure) {
-        // An open connection works, so the path does; whether new ones do is for a probe to find out.
-        target.failure->isRefused = true;
+    if (target.failure != Failure::None) {
+        // Its open connections work; whether it accepts new ones is for a probe to find out.
+        target.failure = Failure::Refused;
         service.lastContact = now;
     } else
         target.repeatedProbes = 0;
@@ -64,9 +64,9 @@
     target.isProbing = false;
     target.checkedAt = now;
     target.quietSince = now;
-    if (target.failure)
+    if (target.failure != Failure::None)
         target.repeatedProbes = 0;
-    target.failure.reset();
+    target.failure = Failure::None;
     contact(registration.service, now);
 }
 
@@ -74,14 +74,13 @@
 {
     Target& target = m_targets[registration.id];
     target.service = registration.service;
-    if (!target.failure)
+    if (target.failure == Failure::None)
         target.repeatedProbes = 0;
     target.isProbing = false;
     target.checkedAt = now;
-    target.failure = Failure { now, isRefused };
+    target.failure = isRefused ? Failure::Refused : Failure::NoAnswer;
     Service& service = m_services[registration.service];
     if (service.failed.empty()) {
-        service.suspectedAt = now;
         service.areAllRefused = true;
         m_suspectedAt = now;
     }
@@ -109,7 +108,7 @@
     service.failed.clear();
     for (auto& [name, target] : m_targets)
         if (target.service == id)
-            target.failure.reset();
+            target.failure = Failure::None;
 }
 
 void TargetReachability::probeAbandoned(const TargetId& id)
@@ -147,8 +146,8 @@
 TargetReachability::Access TargetReachability::accessTo(const Registration& registration, const std::vector<const Registration*>& targets) const
 {
     auto it = m_targets.find(registration.id);
-    if (it != m_targets.end() && it->second.failure)
-        return it->second.failure->isRefused ? Access::OpenConnections : Access::None;
+    if (it != m_targets.end() && it->second.failure != Failure::None)
+        return it->second.failure == Failure::Refused ? Access::OpenConnections : Access::None;
     if (!isCutOff(targets))
         return Access::Full;
     return find(registration.service)->areAllRefused ? Access::OpenConnections : Access::None;
@@ -176,7 +175,7 @@
     Milliseconds interval = minProbeInterval * (1 << std::min(target.repeatedProbes, maxProbeDoublings));
     if (target.isProbing || (target.checkedAt != TimePoint::min() && now - target.checkedAt < interval))
         return false;
-    if (target.failure)
+    if (target.failure != Failure::None)
         return true;
     if (target.inFlight == 0)
         return false;
@@ -218,7 +217,7 @@
     auto checked = static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const Registration* it) { return isChecked(*it); }));
     for (const Registration* it : candidates) {
         const Target& target = m_targets[it->id];
-        bool isSample = isSuspicious(service) && !target.failure && !isChecked(*it);
+        bool isSample = isSuspicious(service) && target.failure == Failure::None && !isChecked(*it);
         if (isSample ? checked >= evidenceFor(candidates) : !isProbeDue(target, service, isSilent, now))
             continue;
         ++checked;
