--- a/unittests/Platform/CutDay.h
+++ b/unittests/Platform/CutDay.h
@@ -33,7 +33,7 @@
         for (FakeTarget* it : targets())
             it->delay = 10ms;
         for (const std::string& it : gateways) {
-            links[it] = deployment.addLinks(it, targets());
+            deployment.linkTargets(it);
             deployment.start(it, true);
         }
         BOOST_REQUIRE(eventually([&] { return std::all_of(gateways.begin(), gateways.end(), [&](const std::string& it) { return deployment.isReady(it) && deployment.store.has("daemons/" + it) && knowsAll(it); }); }));
@@ -50,17 +50,8 @@
         return all;
     }
 
-    void cut(const std::string& gateway, CutKind kind)
-    {
-        for (const auto& it : links[gateway])
-            it->cut(kind);
-    }
-
-    void heal(const std::string& gateway)
-    {
-        for (const auto& it : links[gateway])
-            it->heal();
-    }
+    void cut(const std::string& gateway, CutKind kind) { deployment.cut(gateway, kind); }
+    void heal(const std::string& gateway) { deployment.heal(gateway); }
 
     HttpResponse work(const std::string& gateway, const std::string& body = "w", const char* path = workPath)
     {
@@ -167,16 +158,12 @@
     void end()
     {
         awaitCallers();
-        for (const auto& [name, ownLinks] : links)
-            for (const auto& it : ownLinks)
-                it->stop();
         deployment.end();
     }
 
     // Never deleted, since fibers of the fakes use it until the process ends.
     Deployment& deployment;
     std::vector<std::string> gateways;
-    std::map<std::string, std::vector<std::shared_ptr<FakeLink>>> links;
     unsigned callers = 0;
     unsigned turns = 0;
     unsigned works = 0;
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -31,6 +31,9 @@
 void Deployment::end()
 {
     processes.clear();
+    for (const auto& [name, its] : links)
+        for (const auto& [address, link] : its.byAddress)
+            link->stop();
     std::filesystem::remove_all(folder);
     // The runtime stops only once no fiber is left.
     store.stop();
@@ -75,23 +78,46 @@
     processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
 }
 
-std::vector<std::shared_ptr<FakeLink>> Deployment::addLinks(const std::string& name, const std::vector<FakeTarget*>& targets)
+static std::shared_ptr<FakeLink>& linkTo(Deployment::Links& links, const std::string& address)
 {
-    std::vector<std::shared_ptr<FakeLink>> links;
-    std::map<std::string, std::string> addresses;
-    for (const FakeTarget* it : targets) {
-        links.push_back(std::make_shared<FakeLink>(testRuntime().io(), it->endpoint()));
-        addresses[it->endpoint().text()] = links.back()->endpoint().text();
+    auto& link = links.byAddress[address];
+    if (!link) {
+        auto colon = address.rfind(':');
+        link = std::make_shared<FakeLink>(testRuntime().io(), Endpoint { address.substr(0, colon), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) });
+        if (links.cut)
+            link->cut(*links.cut);
     }
-    storeAddresses[name] = store.addView([addresses](const std::string& value) {
+    return link;
+}
+
+void Deployment::linkTargets(const std::string& name)
+{
+    storeAddresses[name] = store.addView([this, name](const std::string& value) {
         Json json = Json::parse(value, nullptr, false);
-        auto link = json.is_object() && json.contains("addr") ? addresses.find(json["addr"].get<std::string>()) : addresses.end();
-        if (link == addresses.end())
+        if (!json.is_object() || !json.contains("addr"))
             return value;
-        json["addr"] = link->second;
+        json["addr"] = test::linkTo(links[name], json["addr"].get<std::string>())->endpoint().text();
         return json.dump();
     });
-    return links;
+}
+
+FakeLink& Deployment::linkTo(const std::string& name, const FakeTarget& target)
+{
+    return *test::linkTo(links[name], target.endpoint().text());
+}
+
+void Deployment::cut(const std::string& name, CutKind kind)
+{
+    links[name].cut = kind;
+    for (const auto& [address, link] : links[name].byAddress)
+        link->cut(kind);
+}
+
+void Deployment::heal(const std::string& name)
+{
+    links[name].cut.reset();
+    for (const auto& [address, link] : links[name].byAddress)
+        link->heal();
 }
 
 // Whether the process's main function has begun, which decides about SIGHUP before anything else.
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -10,6 +10,7 @@
 
 #include <filesystem>
 #include <functional>
+#include <optional>
 
 namespace basilpoint::test {
 
@@ -42,8 +43,14 @@
     /// Kills a process. \returns whether it has ended.
     bool kill(const std::string& name);
 
-    /// Makes the process find the targets at the ends of links of its own, which can be cut. Call before start().
-    std::vector<std::shared_ptr<FakeLink>> addLinks(const std::string& name, const std::vector<FakeTarget*>&);
+    /// Makes the process find each target at the end of a link of its own, which can be cut. Call before start(). Processes
+    /// must read the list of targets from the store and not through keepers.
+    void linkTargets(const std::string& name);
+    /// Link of the process to a target that it has found.
+    FakeLink& linkTo(const std::string& name, const FakeTarget&);
+    /// Cuts the process off from all targets until heal().
+    void cut(const std::string& name, CutKind);
+    void heal(const std::string& name);
 
     /// Makes one call on a new connection. \returns status 0 if no answer arrives.
     HttpResponse call(unsigned port, const std::string& method, const std::string& target, HttpHeaders headers = {}, const std::string& body = {});
@@ -55,6 +62,12 @@
 
     int turn(const std::string& at, const std::string& id, const std::string& previous, const std::string& input, const std::string& program = "p1", int budget = 1000);
 
+    struct Links {
+        /// By the address of the target.
+        std::map<std::string, std::shared_ptr<FakeLink>> byAddress;
+        std::optional<CutKind> cut;
+    };
+
     struct Instance {
         unsigned callers = 0;
         unsigned readiness = 0;
@@ -71,6 +84,8 @@
     FakeStore store;
     /// Addresses at which processes find the store, if not at its own.
     std::map<std::string, Endpoint> storeAddresses;
+    /// By process.
+    std::map<std::string, Links> links;
     FakeTarget engine;
     FakeTarget spare;
     FakeTarget tool;
--- a/unittests/Platform/SoakTest.cpp
+++ b/unittests/Platform/SoakTest.cpp
@@ -33,19 +33,24 @@
 /// their connections and check what must always hold.
 class Soak {
 public:
-    Soak(RandomEngine::result_type soakSeed, bool soakIsScarce)
-        : m_deployment(*new Deployment(1, 2))
+    /// \param soakHasCuts cuts gateways off from targets; there are no keepers then.
+    Soak(RandomEngine::result_type soakSeed, bool soakIsScarce, bool soakHasCuts)
+        : m_deployment(*new Deployment(soakHasCuts ? 0 : 1, 2))
         , m_seed(soakSeed)
         , m_isScarce(soakIsScarce)
+        , m_hasCuts(soakHasCuts)
         , m_random(soakSeed)
     {
+        if (m_hasCuts)
+            for (const char* it : { "a", "b", "c" })
+                m_deployment.linkTargets(it);
         if (m_isScarce)
             m_deployment.descriptors = scarceDescriptors;
         m_deployment.putConfiguration(++m_version, m_prefixes);
         m_deployment.put(m_deployment.spare);
         for (FakeTarget* it : targets())
             it->delay = 15ms;
-        startAll(m_deployment, { { "k1", "z" }, { "k2", "y" }, { "k3", "x" } });
+        startAll(m_deployment, m_hasCuts ? std::map<std::string, std::string>() : std::map<std::string, std::string> { { "k1", "z" }, { "k2", "y" }, { "k3", "x" } });
         if (m_isScarce)
             for (const char* it : { "a", "b" })
                 m_deployment.limitDescriptors(it);
@@ -62,7 +67,7 @@
             start([this, n] { n % 3 == 0 ? runProgram(n) : runTools(n); });
         start([this] { disturbGateways(); });
         start([this] { disturbGateways(); });
-        start([this] { disturbKeepers(); });
+        start([this] { m_hasCuts ? disturbPaths() : disturbKeepers(); });
         start([this] { disturbStore(); });
         start([this] { disturbTargets(); });
         start([this] { changeConfiguration(); });
@@ -277,6 +282,7 @@
             case 2:
                 m_disturbedAt[name] = std::chrono::steady_clock::now() + 1h;
                 process->signal(SIGKILL);
+                disturb(name, std::chrono::steady_clock::now());
                 restartOnceEnded(name);
                 m_disturbedAt[name] = std::chrono::steady_clock::now();
                 break;
@@ -286,6 +292,7 @@
                 pause(std::chrono::milliseconds(100 + draw(1'500)));
                 process->signal(SIGCONT);
                 m_disturbedAt[name] = std::chrono::steady_clock::now() + 500ms;
+                disturb(name, m_disturbedAt[name]);
                 break;
             case 4:
             case 5:
@@ -342,6 +349,31 @@
         }
     }
 
+    // A gateway that is disturbed may be the relay of the others.
+    void disturb(const std::string& name, Time until)
+    {
+        for (auto& [gateway, at] : m_disturbedAt)
+            if (m_hasCuts || gateway == name)
+                at = std::max(at, until);
+    }
+
+    // Cuts of all gateways may overlap.
+    void disturbPaths()
+    {
+        for (const char* it : { "a", "b", "c" })
+            start([this, name = std::string(it)] {
+                while (!m_isOver) {
+                    wait(3s);
+                    auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(100 + draw(3'000));
+                    disturb(name, end);
+                    m_deployment.cut(name, static_cast<CutKind>(draw(3)));
+                    pause(std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()));
+                    m_deployment.heal(name);
+                    disturb(name, std::chrono::steady_clock::now());
+                }
+            });
+    }
+
     void disturbStore()
     {
         while (!m_isOver) {
@@ -429,6 +461,7 @@
     Deployment& m_deployment;
     RandomEngine::result_type m_seed;
     bool m_isScarce;
+    bool m_hasCuts;
     RandomEngine m_random;
     int m_version = 3;
     std::vector<std::string> m_prefixes { "/work/" };
@@ -447,10 +480,10 @@
     Time m_storeBackAt = Time::min();
 };
 
-std::vector<RandomEngine::result_type> seeds()
+std::vector<RandomEngine::result_type> seeds(const std::vector<RandomEngine::result_type>& usual)
 {
     const char* text = std::getenv("BASILPOINT_SOAK_SEED");
-    return text ? std::vector<RandomEngine::result_type> { std::strtoull(text, nullptr, 10) } : std::vector<RandomEngine::result_type> { 1, 2, 3 };
+    return text ? std::vector<RandomEngine::result_type> { std::strtoull(text, nullptr, 10) } : usual;
 }
 
 } // namespace
@@ -461,8 +494,17 @@
 BOOST_AUTO_TEST_CASE(overlappingDisturbancesBreakNoPromiseToCallers)
 {
     inFiber([] {
-        for (auto it : seeds())
-            (new Soak(it, it % 3 == 0))->run();
+        for (auto it : seeds({ 1, 2, 3 }))
+            (new Soak(it, it % 3 == 0, false))->run();
+    });
+}
+
+// Takes seeds as above.
+BOOST_AUTO_TEST_CASE(cutsBesideOtherDisturbancesBreakNoPromiseToCallers)
+{
+    inFiber([] {
+        for (auto it : seeds({ 1 }))
+            (new Soak(it, it % 3 == 0, true))->run();
     });
 }
 
--- a/unittests/Platform/TargetCutTest.cpp
+++ b/unittests/Platform/TargetCutTest.cpp
@@ -87,10 +87,10 @@
 {
     inFiber([] {
         auto& day = *new CutDay;
-        // The only target of the tools that remains within reach is the last one.
-        auto& links = day.links["a"];
-        for (std::size_t n = 0; n + 1 < links.size(); ++n)
-            links[n]->cut(CutKind::Silent);
+        // One of the tools remains within reach.
+        for (FakeTarget* it : day.targets())
+            if (it != day.deployment.moreTools.back().get())
+                day.deployment.linkTo("a", *it).cut(CutKind::Silent);
         day.serveFor(detectionLimit);
         auto counts = day.serveFor(3s);
         BOOST_TEST(counts["a"].isServed());
