Decode organisations, keys, reservations and affinity keys

Configurations of new deployments name organisations with keys, a priority and an allowance, routes that are public, resumable or sticky, and engines that take reservations. The gateway did not read any of them, so keys were passed to targets and no allowance was kept. This adds the types, their decoding, and the checks of a configuration: one with an organisation without a name, a key of two organisations or a negative rate is refused with a typed error, and the version in force stays. Nothing uses the new values yet; configurations without them decode as before.

--- a/include/basilpoint/Forwarding/Configuration.h
+++ b/include/basilpoint/Forwarding/Configuration.h
@@ -45,6 +45,12 @@
     unsigned maxAttempts = 1;
     /// How long a turn is kept after its end; zero if the route keeps none.
     Milliseconds turnRetention { 0 };
+    /// Whether callers need no key.
+    bool isPublic = false;
+    /// Whether a stream that broke off may be continued at another target.
+    bool isResumable = false;
+    /// Whether a target that has handled an object or prompt lately serves it faster.
+    bool isSticky = false;
 
     bool keepsTurns() const { return turnRetention.count() > 0; }
     bool operator==(const ForwardingRoute&) const = default;
@@ -57,6 +63,8 @@
     TokenCount memoryTokens = 0;
     /// Number of tokens per event of a stream.
     TokenCount tokensPerEvent = 1;
+    /// Longest time for which a slot and memory can be reserved; zero if engines take no reservations.
+    Milliseconds maxReservation { 0 };
 
     bool operator==(const EngineTraits&) const = default;
 };
@@ -70,6 +78,21 @@
     bool operator==(const ForwardingService&) const = default;
 };
 
+/// A customer of the deployment, whose callers identify themselves by keys.
+struct Organisation {
+    std::string name;
+    std::vector<std::string> keys;
+    /// Precedes the priority of routes; 0 is the most urgent. Empty if the organisation has none.
+    std::optional<unsigned> priority;
+    /// Allowance over all gateways together; 0 if it is not limited.
+    double requestsPerSecond = 0;
+    /// Requests that may exceed \ref requestsPerSecond at once.
+    double burst = 0;
+
+    bool isLimited() const { return requestsPerSecond > 0; }
+    bool operator==(const Organisation&) const = default;
+};
+
 /// Limits on the size and duration of callers' requests.
 struct CallerLimits {
     std::size_t maxHeaderBytes = 16 * 1024;
@@ -86,8 +109,14 @@
     std::vector<ForwardingRoute> routes;
     std::vector<ForwardingService> services;
     CallerLimits limits;
+    /// Empty if callers are not identified.
+    std::optional<std::vector<Organisation>> organisations {};
 
     bool operator==(const ForwardingConfiguration&) const = default;
 };
 
+/// \throws InvalidInputError if the organisations are invalid: one without a name, a name or key that occurs twice, an empty key,
+/// or a rate or burst that is no number of at least 0. The error names the organisation but never a key.
+void validateOrganisations(const std::vector<Organisation>&);
+
 } // namespace basilpoint
--- a/include/basilpoint/Forwarding/RouteTable.h
+++ b/include/basilpoint/Forwarding/RouteTable.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 
 namespace basilpoint {
@@ -11,6 +12,7 @@
 /// Looks up routes and services of one configuration version.
 class RouteTable {
 public:
+    /// \throws InvalidInputError as validateOrganisations().
     explicit RouteTable(ForwardingConfiguration);
 
     /// Route of \p host with the longest prefix of \p path; null if there is none.
@@ -19,18 +21,24 @@
     /// Service by name; null if it is not in the configuration.
     const ForwardingService* service(const ServiceId&) const;
 
+    /// Whether calls to the service reserve room at its engines and wait until there is some: the engines take reservations, and
+    /// the configuration has organisations or a resumable route to the service.
+    bool managesRoom(const ServiceId&) const;
+
     const ForwardingConfiguration& configuration() const { return m_configuration; }
 
 private:
     ForwardingConfiguration m_configuration;
     /// Indices of routes in the configuration, by host and prefix.
     std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_routes;
+    std::set<ServiceId> m_managedServices;
 };
 
 /// Holds the active configuration. Its version never decreases.
 class ConfigurationHolder {
 public:
     /// Activates \p configuration if it is newer than the active one. \returns whether it was.
+    /// \throws InvalidInputError if it is newer but invalid; the active one stays.
     bool offer(ForwardingConfiguration configuration);
 
     /// Table of the active configuration; null until the first offer(). Each call keeps the table with which it started.
--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -43,10 +43,15 @@
     TargetId cacheHolder;
     /// Number of prompt tokens in the cache of \ref cacheHolder.
     TokenCount cachedTokens = 0;
+    /// Number of tokens of the whole prompt; 0 if not known.
+    TokenCount promptTokens = 0;
     /// Targets to which this call has already been sent.
     std::set<TargetId> tried;
     /// If set, the target is chosen by a hash of this value and not by its cost, so that all daemons choose the same one.
     std::optional<std::uint64_t> placement {};
+
+    /// Number of prompt tokens that the target is known to have in its cache.
+    TokenCount cachedAt(const TargetId& target) const { return target == cacheHolder ? cachedTokens : 0; }
 };
 
 /// Chooses a target by this daemon's own calls there, the cached prompt, and the data centre.
--- a/include/basilpoint/Gateway/WireFormat.h
+++ b/include/basilpoint/Gateway/WireFormat.h
@@ -37,6 +37,10 @@
     /// Turn to continue; empty at the start of a chain.
     CallId previousTurn;
     std::vector<PromptPart> promptParts;
+    /// Key that identifies the caller's organisation; empty if not stated. Must not be logged or passed on.
+    std::string key {};
+    /// Names the object that the call concerns; empty if not stated.
+    std::string affinityKey {};
 
     bool operator==(const CallAttributes&) const = default;
 };
@@ -47,6 +51,18 @@
     Milliseconds timeLeft { 0 };
     /// 0 is the most urgent; empty if the target does not order calls by urgency.
     std::optional<unsigned> urgency;
+    /// Name of the caller's organisation; empty if callers are not identified.
+    std::string organisation {};
+    /// Reservation at the target that the call uses; empty if it has none.
+    std::string reservation {};
+};
+
+/// Calls by which slots and memory of an engine are reserved.
+struct ReservationFormat {
+    std::function<HttpRequest(TokenCount, Milliseconds lifetime)> make;
+    /// Id of the reservation; empty if the engine refused it.
+    std::function<std::string(const HttpResponse&)> read;
+    std::function<HttpRequest(const std::string& reservation)> drop;
 };
 
 /// Attributes of a response as stated by the target.
@@ -88,6 +104,9 @@
     std::string emptiedState;
     /// Path of readiness probes.
     std::string readinessPath;
+    /// Removes the caller's key and every statement of its organisation from a request.
+    std::function<void(HttpRequest&)> removeCallerIdentity {};
+    ReservationFormat reservations {};
 };
 
 } // namespace basilpoint
--- a/lib/Forwarding/RouteTable.cpp
+++ b/lib/Forwarding/RouteTable.cpp
@@ -4,11 +4,28 @@
 
 namespace basilpoint {
 
+static bool hasResumableRoute(const ForwardingConfiguration& configuration, const ServiceId& service)
+{
+    return std::any_of(configuration.routes.begin(), configuration.routes.end(), [&](const ForwardingRoute& route) {
+        return route.isResumable && std::any_of(route.services.begin(), route.services.end(), [&](const ServiceShare& it) { return it.service == service; });
+    });
+}
+
 RouteTable::RouteTable(ForwardingConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
     for (std::size_t n = 0; n < m_configuration.routes.size(); ++n)
         m_routes[m_configuration.routes[n].host][m_configuration.routes[n].prefix] = n;
+    if (m_configuration.organisations)
+        validateOrganisations(*m_configuration.organisations);
+    for (const ForwardingService& it : m_configuration.services)
+        if (it.engine && it.engine->maxReservation.count() > 0 && (m_configuration.organisations || hasResumableRoute(m_configuration, it.name)))
+            m_managedServices.insert(it.name);
+}
+
+bool RouteTable::managesRoom(const ServiceId& name) const
+{
+    return m_managedServices.contains(name);
 }
 
 const ForwardingRoute* RouteTable::match(std::string_view host, std::string_view path) const
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -90,8 +90,7 @@
     double total = costPerCall * calls;
     if (calls >= target.slots)
         total += costPerQueuedCall * (calls - target.slots + 1);
-    if (target.id != query.cacheHolder)
-        total += static_cast<double>(query.cachedTokens) / prefillTokensPerMillisecond;
+    total += static_cast<double>(query.cachedTokens - query.cachedAt(target.id)) / prefillTokensPerMillisecond;
     if (target.dataCentre != query.dataCentre)
         total += otherDataCentreCost;
     if (slowness > normalSpread && baseline != m_baselines.end())
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -516,6 +516,7 @@
 {
     call.query.service = chooseService(call.route, call.attributes);
     call.query.kind = call.route.name;
+    call.query.promptTokens = call.attributes.promptTokens;
     unsigned runs = 0;
     unsigned refusals = 0;
     ForwardEnd end = ForwardEnd::NotRun;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -194,8 +194,13 @@
         return;
     }
     std::uint64_t version = configuration->version;
-    if (!m_configuration.offer(std::move(*configuration)))
+    try {
+        if (!m_configuration.offer(std::move(*configuration)))
+            return;
+    } catch (const InvalidInputError& error) {
+        m_log.write(LogLine("configuration-refused").field("version", version).field("code", error.code()).field("reason", error.what()));
         return;
+    }
     const CallerLimits& caller = m_configuration.current()->configuration().limits;
     HttpLimits limits = callerLimits(m_settings);
     limits.maxHeaderBytes = caller.maxHeaderBytes;
--- a/unittests/Forwarding/RouteTableTest.cpp
+++ b/unittests/Forwarding/RouteTableTest.cpp
@@ -1,6 +1,9 @@
 #include "basilpoint/Forwarding/RouteTable.h"
 
+#include "basilpoint/Support/Error.h"
+
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace basilpoint;
 
@@ -72,4 +75,46 @@
     BOOST_TEST(held->configuration().version == 4U);
 }
 
+static void refuses(std::vector<Organisation> organisations)
+{
+    ConfigurationHolder holder;
+    holder.offer({ 3, {}, {}, {}, std::vector<Organisation> { { "o1", { "k1" }, {}, 1, 1 } } });
+    BOOST_CHECK_THROW(holder.offer({ 4, {}, {}, {}, std::move(organisations) }), InvalidInputError);
+    BOOST_TEST(holder.current()->configuration().version == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(versionsWithInvalidOrganisationsAreNotTaken)
+{
+    refuses({ { "", { "k1" }, {}, 1, 1 } });
+    refuses({ { "o1", { "k1" }, {}, 1, 1 }, { "o1", { "k2" }, {}, 1, 1 } });
+    refuses({ { "o1", { "k1" }, {}, 1, 1 }, { "o2", { "k1" }, {}, 1, 1 } });
+    refuses({ { "o1", { "" }, {}, 1, 1 } });
+    refuses({ { "o1", { "k1" }, {}, -1, 1 } });
+    refuses({ { "o1", { "k1" }, {}, 1, -0.5 } });
+    refuses({ { "o1", { "k1" }, {}, std::numeric_limits<double>::quiet_NaN(), 1 } });
+}
+
+BOOST_AUTO_TEST_CASE(errorsOfOrganisationsShowNoKey)
+{
+    try {
+        validateOrganisations({ { "o1", { "secret" }, {}, 1, 1 }, { "o2", { "secret" }, {}, 1, 1 } });
+        BOOST_FAIL("two organisations with one key are accepted");
+    } catch (const InvalidInputError& error) {
+        BOOST_TEST(std::string(error.what()).find("secret") == std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(roomIsManagedOnlyWhereConfigurationAsksForIt)
+{
+    ForwardingService engines { ServiceId("s"), "", EngineTraits { 8, 1000, 1, Milliseconds(2'000) } };
+    ForwardingRoute route;
+    route.services = { { ServiceId("s") } };
+    BOOST_TEST(!RouteTable({ 1, { route }, { engines }, {}, {} }).managesRoom(ServiceId("s")));
+    BOOST_TEST(RouteTable({ 1, { route }, { engines }, {}, std::vector<Organisation>() }).managesRoom(ServiceId("s")));
+    route.isResumable = true;
+    BOOST_TEST(RouteTable({ 1, { route }, { engines }, {}, {} }).managesRoom(ServiceId("s")));
+    engines.engine->maxReservation = Milliseconds(0);
+    BOOST_TEST(!RouteTable({ 1, { route }, { engines }, {}, {} }).managesRoom(ServiceId("s")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Platform/CallFormatTest.cpp
+++ b/unittests/Platform/CallFormatTest.cpp
@@ -41,6 +41,33 @@
     BOOST_TEST((request.headers == expected));
 }
 
+BOOST_AUTO_TEST_CASE(keysAreReadAndRemovedAndOrganisationsAreSet)
+{
+    WireFormat format = platform::callFormat();
+    HttpRequest request { "POST", "/a", { { "x-api-key", "secret" }, { "x-basilpoint-tenant", "forged" }, { "x-basilpoint-affinity-key", "o" } }, "" };
+    BOOST_TEST(format.readCall(request).key == "secret");
+    BOOST_TEST(format.readCall(request).affinityKey == "o");
+    format.removeCallerIdentity(request);
+    format.writeTargetCall(request, { TargetId("i-1"), Milliseconds(120), {}, "org", "h-1" });
+    HttpHeaders expected { { "x-basilpoint-expect-instance", "i-1" }, { "x-basilpoint-deadline-ms", "120" }, { "x-basilpoint-affinity-key", "o" }, { "x-basilpoint-tenant", "org" }, { "x-basilpoint-hold", "h-1" } };
+    BOOST_TEST((request.headers == expected));
+}
+
+BOOST_AUTO_TEST_CASE(reservationsAreMadeReadAndDropped)
+{
+    ReservationFormat format = platform::callFormat().reservations;
+    HttpRequest request = format.make(1200, Milliseconds(900));
+    BOOST_TEST(request.method == "POST");
+    BOOST_TEST(request.target == "/-/hold-take");
+    BOOST_TEST(request.body == R"({"tokens":1200,"ttlMs":900})");
+    BOOST_TEST(format.read({ 200, {}, R"({"hold":"h-7"})" }) == "h-7");
+    for (const char* it : { "", "[]", "{}", R"({"hold":7})" })
+        BOOST_TEST(format.read({ 200, {}, it }).empty());
+    BOOST_TEST(format.read({ 503, {}, R"({"hold":"h-7"})" }).empty());
+    BOOST_TEST(format.drop("h-7").method == "DELETE");
+    BOOST_TEST(format.drop("h-7").target == "/-/hold-drop/h-7");
+}
+
 BOOST_AUTO_TEST_CASE(distinguishesRefusalsFromOtherResponses)
 {
     auto read = platform::callFormat().readResponse;
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -36,6 +36,19 @@
     BOOST_TEST(configuration->limits.maxBodyBytes == 1000U);
 }
 
+BOOST_AUTO_TEST_CASE(decodesOrganisations)
+{
+    BOOST_TEST(!decodeConfiguration(configurationText)->organisations);
+    auto configuration = decodeConfiguration(R"({"version":8,"services":[],"routes":[{"host":"a","prefix":"/x/","kind":"stream","service":"s","public":true,"resumable":true,"sticky":true}],
+      "tenants":[{"name":"o1","apiKeys":["k1","k2"],"priority":1,"ratePerS":946,"burst":12.5},{"name":"o2"}]})");
+    BOOST_REQUIRE(configuration && configuration->organisations);
+    std::vector<Organisation> expected { { "o1", { "k1", "k2" }, 1, 946, 12.5 }, { "o2", {}, {}, 0, 0 } };
+    BOOST_TEST((*configuration->organisations == expected));
+    BOOST_TEST(configuration->routes[0].isPublic);
+    BOOST_TEST(configuration->routes[0].isResumable);
+    BOOST_TEST(configuration->routes[0].isSticky);
+}
+
 BOOST_AUTO_TEST_CASE(decodesARegistration)
 {
     auto registration = decodeRegistration("servers/i-1", registrationText);
