Keep the budgets of programs whose turns are not kept

Callers of stream routes without kept turns send program and budget as others do, but their turns were forwarded as plain streams.

The ledger and TurnController now serve both kinds; of a turn that is not kept they only charge the tokens. Its answer does not wait for the settlement, which is deferred while the hold covers the next turn.

Ruled out: recording such turns like kept ones (two more entries a turn for records that nobody reads).

--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -28,6 +28,9 @@
     TokenCount maxTokens = 0;
     /// When the turn, its chain and the program's account expire.
     WallTimePoint keepUntil;
+    /// Whether the turn is recorded, so that others can continue it. A turn that is not kept continues none, even if its program
+    /// has had turns before.
+    bool isKept = true;
 };
 
 /// Identifies a change, so that callers can wait until it is stored.
@@ -219,8 +222,9 @@
     /// Revision of the program's account up to which all its records are known here; 0 for none.
     std::int64_t completeUpTo(const ProgramId&) const;
 
-    /// Ends an admitted turn. \p record is set if it was answered completely.
-    /// \returns the change that must be stored before the caller may see the end of the answer, if any.
+    /// Ends an admitted turn. \p record is set if it is kept and was answered completely.
+    /// \returns the change that charges the turn, if it has a record or ran under a grant. One with a record must be stored before
+    /// the caller may see the end of the answer.
     std::optional<ChangeId> end(const TurnRequest&, TokenCount handedOut, std::optional<TurnRecord> record, const TurnEnd& = {});
 
     /// Journal entry with the program's changes up to \p change that are not stored yet; empty if \p change is stored.
@@ -268,7 +272,13 @@
     /// Accounts that are known here and may not have expired at \p now.
     std::vector<KnownAccount> knownAccounts(TimePoint now) const;
 
-    /// Whether changes are waiting or in flight.
+    /// Makes the settlements of turns that are not kept ready to be written, if they have been deferred for \ref maxDeferral.
+    void writeDeferred(TimePoint now);
+
+    /// Longest time for which a settlement is deferred.
+    static constexpr Milliseconds maxDeferral { 1'000 };
+
+    /// Whether changes are waiting or in flight. Deferred changes are not waiting yet.
     bool hasWork() const { return !m_waiting.empty() || !m_batches.empty(); }
     std::size_t cachedBytes() const { return m_cachedBytes; }
     std::size_t programs() const { return m_programs.size(); }
@@ -297,6 +307,8 @@
         bool wasSent = false;
         /// Tokens of a reservation that its own turn needs; the rest is for the next turn.
         TokenCount needed = 0;
+        /// Whether a reservation may be reduced to what the daemon's hold lacks for its turn.
+        bool mayReduce = false;
     };
 
     struct Program {
@@ -349,6 +361,8 @@
     Program& touch(const ProgramId&);
     TokenCount usableHold(const Program&) const;
     TokenCount freeHold(const Program&) const;
+    /// Part of this daemon's hold that is free once all ended turns are settled.
+    TokenCount spareHold(const Program&) const;
     /// \param missing set to a turn of the chain that the program does not have, if the history is incomplete.
     static std::optional<std::string> historyOf(const Program&, const CallId& turn, CallId& missing);
     std::variant<std::string, TurnDecision> findHistory(Program&, const TurnRequest&, const TurnKnowledge&);
@@ -367,6 +381,8 @@
     void cancel(Program&, ChangeId);
     std::map<DaemonLifetime, TokenCount> holdersToAsk(Program&, const TurnRequest&, TimePoint now) const;
     ChangeId addChange(const ProgramId&, Program&, AccountChange);
+    /// Adds a settlement that need not be written now, to the last one if possible.
+    ChangeId deferChange(const ProgramId&, Program&, AccountChange);
     /// Drops all changes up to \p step, which the account includes.
     void dropStored(Program&, std::uint64_t step);
     /// Resets the effects of batches based on an older account: they took effect before the known one or never will.
@@ -382,6 +398,8 @@
     /// Least recently used first.
     std::list<ProgramId> m_recent;
     std::deque<ProgramId> m_waiting;
+    /// Programs with deferred changes, and when these were made; may name programs whose changes have been written since.
+    std::deque<std::pair<TimePoint, ProgramId>> m_deferred;
     std::map<std::uint64_t, BatchState> m_batches;
     std::vector<std::pair<ChangeId, ChangeOutcome>> m_outcomes;
     std::uint64_t m_nextBatch = 1;
--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -68,7 +68,8 @@
             call->cancellation.cancel();
         m_writer.wakeWaiters();
     });
-    bool isTurn = route.kind == CallKind::Stream && route.keepsTurns();
+    bool hasBudget = call->attributes.budget && !call->attributes.program.empty();
+    bool isTurn = route.kind == CallKind::Stream && (route.keepsTurns() || hasBudget);
     auto refusal = isTurn ? m_turns.serve(*call, writer) : route.kind == CallKind::NonIdempotent ? forwardOnce(*call, writer)
                                                                                                  : forward(*call, writer);
     m_metrics.observe("request_seconds", m_clock.now() - arrivedAt);
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -430,6 +430,7 @@
         dropTarget(it);
     if (m_monitor.isCutOff() && !m_relaySelector.hasUsable(now))
         m_withoutPathAt = now;
+    m_ledger.writeDeferred(m_isDraining ? TimePoint::max() : now);
     m_writer.startWrites();
     m_accounts.refreshOutstandingGrants();
     logReadinessChange();
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -32,6 +32,9 @@
 static constexpr int maxRecalls = 2;
 static constexpr Milliseconds readRetryInterval { 30 };
 
+// How long the account of a program is kept after a turn that is not itself kept.
+static constexpr std::chrono::minutes accountRetention { 1 };
+
 /// A turn from its admission to its end.
 struct TurnController::Turn {
     TurnRequest request;
@@ -493,6 +496,21 @@
     return *isKept || outcome == ChangeOutcome::Stored;
 }
 
+// What was handed out is covered by the hold or by a grant, both of which were stored before the first event. So nobody waits
+// for the settlement, and a daemon that ends before it is stored loses capacity of the budget, not its limit.
+void TurnController::settle(Turn& turn)
+{
+    turn.isEnded = true;
+    auto change = m_ledger.end(turn.request, turn.handedOut, std::nullopt, endOf(turn));
+    if (change && turn.grant)
+        spawnFiber([this, stored = m_writer.expect(*change), grant = *std::exchange(turn.grant, std::nullopt), used = turn.handedOut] {
+            m_journal.endGrant(grant, used, m_clock.now() + journalTimeout);
+            if (m_writer.await(stored, m_clock.now() + maxOutage, [] { return false; }) == ChangeOutcome::Stored)
+                m_journal.grantStored(grant.program, grant.daemon, grant.step, grant.keepUntil);
+        });
+    m_writer.startWrites();
+}
+
 void TurnController::dropOnceStored(const JournalEntry& entry, const LedgerWriter::SharedOutcome& stored)
 {
     auto outcome = m_writer.await(stored, m_clock.now() + maxOutage, [] { return false; });
@@ -526,11 +544,16 @@
         if (!mayHandOut(turn, tokens))
             return turn.stop(call, "grant-used-up");
         turn.handedOut += tokens;
-        turn.output.append(event.data).append("\n");
+        if (turn.request.isKept)
+            turn.output.append(event.data).append("\n");
         return true;
     };
     hooks.beforeEnd = [this, &call, &turn](const TargetId& target) {
         TimePoint start = m_clock.now();
+        if (!turn.request.isKept) {
+            settle(turn);
+            return true;
+        }
         bool isRecorded = record(call, turn, target) || turn.stop(call, "end-not-recorded");
         countEnd(isRecorded ? "recorded" : turn.stoppedBy, m_clock.now() - start);
         return isRecorded;
@@ -544,8 +567,10 @@
     Turn turn;
     // Turns without a program id belong to a program named after their session.
     ProgramId program = attributes.program.empty() ? ProgramId("line-" + attributes.session) : attributes.program;
-    auto keepFor = std::chrono::duration_cast<Milliseconds>(call.deadline - call.arrivedAt) + call.route.turnRetention + retentionMargin;
-    turn.request = { program, attributes.call, attributes.previousTurn, attributes.budget.value_or(ProgramAccount::unlimited), attributes.maxTokens, m_clock.wallNow() + keepFor };
+    bool isKept = call.route.keepsTurns();
+    Milliseconds retention = isKept ? call.route.turnRetention : accountRetention;
+    auto keepFor = std::chrono::duration_cast<Milliseconds>(call.deadline - call.arrivedAt) + retention + retentionMargin;
+    turn.request = { program, attributes.call, isKept ? attributes.previousTurn : CallId(), attributes.budget.value_or(ProgramAccount::unlimited), attributes.maxTokens, m_clock.wallNow() + keepFor, isKept };
     // Before the history is read and tokens are reserved in vain.
     if (!m_forwarder.hasPath(call))
         return Refusal { 503, "no-target", "no target within reach" };
@@ -565,15 +590,18 @@
         // A denied reservation may lack only tokens that are reserved for grants.
         refusal = turn.refusalWithoutGrant ? *turn.refusalWithoutGrant : turn.isDenied && !m_accounts.mayMissGrants(program) && !m_store.hasManyDaemons() ? Refusal { 402, "budget-spent", "budget spent" }
                                                                                                                                                           : Refusal { 503, "reservation-not-recorded", "reservation not recorded" };
-    if (!refusal) {
+    if (!refusal && isKept) {
         call.body = std::move(turn.admitted.history);
         call.body->append(call.request.body);
         call.query.cacheHolder = turn.admitted.lastTarget;
         call.query.cachedTokens = turn.admitted.lastTarget.empty() ? 0 : attributes.promptTokens;
-        refusal = forward(call, turn, writer);
     }
-    if (!turn.isEnded)
+    if (!refusal)
+        refusal = forward(call, turn, writer);
+    if (!turn.isEnded && isKept)
         m_ledger.end(turn.request, turn.handedOut, std::nullopt, endOf(turn));
+    else if (!turn.isEnded)
+        settle(turn);
     if (turn.grant)
         spawnFiber([this, grant = *turn.grant, used = turn.handedOut] { m_journal.endGrant(grant, used, m_clock.now() + journalTimeout); });
     m_writer.startWrites();
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -11,7 +11,8 @@
 
 namespace basilpoint {
 
-/// Serves turns: finds their history, enforces their program's budget, and stores their records.
+/// Serves turns: finds their history, enforces their program's budget, and stores their records. Of turns on routes that keep
+/// none it only enforces the budget.
 class TurnController {
 public:
     TurnController(Forwarder&, StoreClient&, TurnLedger&, LedgerWriter&, TurnJournalClient&, AccountPeers&, const Clock&, JsonLog&, Metrics&);
@@ -55,6 +56,8 @@
     std::optional<Refusal> findOnKeepers(const ForwardedCall&, const ProgramId&, const CallId& missing, TurnKnowledge&);
     std::optional<Refusal> recheckOrigin(const CallId& missing, bool isPrevious, TurnKnowledge&);
     bool keepOnKeepers(ForwardedCall&, Turn&, ChangeId, const LedgerWriter::SharedOutcome&);
+    /// Ends a turn that is not kept.
+    void settle(Turn&);
     void dropOnceStored(const JournalEntry&, const LedgerWriter::SharedOutcome&);
     bool ensureReserved(const ForwardedCall&, Turn&);
     bool takeGrant(const ForwardedCall&, Turn&);
--- a/lib/Turns/AccountChange.cpp
+++ b/lib/Turns/AccountChange.cpp
@@ -16,18 +16,16 @@
 
 static bool reserve(ProgramAccount& account, const DaemonLifetime& daemon, const AccountChange& change)
 {
-    TokenCount budget = std::min(account.budget, change.budget);
-    TokenCount remaining = 0;
-    {
-        ProgramAccount limited = account;
-        limited.budget = budget;
-        limited.grantReserve = change.grantReserve.value_or(account.grantReserve);
-        remaining = limited.remaining();
-    }
-    if (remaining < change.maxTokens + change.outstanding)
+    ProgramAccount limited = account;
+    limited.budget = std::min(account.budget, change.budget);
+    // A daemon that did not know the account may have taken it for a new one. Only closing changes the reserve of others.
+    bool isNew = account.spent == 0 && account.holds.empty();
+    if (change.grantReserve && (isNew || *change.grantReserve == 0))
+        limited.grantReserve = *change.grantReserve;
+    if (limited.remaining() < change.maxTokens + change.outstanding)
         return false;
-    account.budget = budget;
-    account.grantReserve = change.grantReserve.value_or(account.grantReserve);
+    account.budget = limited.budget;
+    account.grantReserve = limited.grantReserve;
     DaemonHold& hold = account.holds[daemon];
     hold.tokens += change.maxTokens;
     hold.step = change.step;
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -99,6 +99,13 @@
     return hold > used ? hold - used : 0;
 }
 
+TokenCount TurnLedger::spareHold(const Program& program) const
+{
+    auto it = program.account.holds.find(m_self);
+    TokenCount hold = it == program.account.holds.end() ? 0 : it->second.tokens;
+    return hold - std::min(hold, program.running + program.unsettled);
+}
+
 std::optional<std::string> TurnLedger::historyOf(const Program& program, const CallId& turn, CallId& missing)
 {
     std::vector<const TurnRecord*> chain;
@@ -187,8 +194,9 @@
 {
     auto it = m_programs.find(request.program);
     bool isAccountKnown = it != m_programs.end() && it->second.revision != 0;
+    // A turn that is not kept names no previous turn, so it does not show whether the program is new.
     if (!isAccountKnown)
-        return request.maxTokens + (request.previous.empty() ? reserveFor(request.budget) : 0);
+        return request.maxTokens + (request.isKept && request.previous.empty() ? reserveFor(request.budget) : 0);
     const ProgramAccount& account = it->second.account;
     if (now - it->second.accountAt > maxReserveAge)
         return request.maxTokens;
@@ -229,7 +237,9 @@
     for (const Change& it : program.changes)
         if (it.change.kind == AccountChange::Kind::Reserve)
             remaining -= std::min(remaining, it.change.maxTokens);
-    if (remaining < request.maxTokens + reserved) {
+    // The answer of a turn that is not kept does not wait for its settlement, so the next turn may come before it.
+    bool awaitsSettlement = !request.isKept && remaining < request.maxTokens + reserved && remaining + spareHold(program) >= request.maxTokens + reserved;
+    if (remaining < request.maxTokens + reserved && !awaitsSettlement) {
         bool isRecentlySeen = program.seenSpentAt != TimePoint::min() && now - program.seenSpentAt < spentCacheDuration;
         bool isFresh = knowledge.isProgramFresh || knowledge.isBudgetFresh;
         if (!isFresh && !isRecentlySeen)
@@ -242,9 +252,12 @@
     }
     program.running += request.maxTokens;
     admitted.mayRunAhead = remaining >= turnsToRunAhead * request.maxTokens;
-    TokenCount taken = knowledge.holdsAhead && admitted.mayRunAhead ? turnsToHoldAhead * request.maxTokens : request.maxTokens;
+    // The settlement of a turn that is not kept tops up nothing while it is deferred, so its reservation takes more.
+    bool holdsAhead = knowledge.holdsAhead || !request.isKept;
+    TokenCount taken = holdsAhead && admitted.mayRunAhead ? turnsToHoldAhead * request.maxTokens : request.maxTokens;
     admitted.reservation = addChange(request.program, program, { AccountChange::Kind::Reserve, m_nextStep++, taken, 0, reserved, request.budget, request.keepUntil, {}, 0, reserve });
     program.changes.back().needed = request.maxTokens;
+    program.changes.back().mayReduce = !request.isKept;
     return admitted;
 }
 
@@ -311,12 +324,16 @@
     if (end.grant == 0)
         program.unsettled += handedOut;
     bool isAmple = program.account.remaining() >= turnsToRunAhead * request.maxTokens;
-    TokenCount kept = end.mayMissGrants ? 0 : end.holdsAhead && isAmple ? turnsToHoldAhead * request.maxTokens
-                                                                        : request.maxTokens;
+    bool holdsAhead = end.holdsAhead || !request.isKept;
+    TokenCount kept = end.mayMissGrants ? 0 : holdsAhead && isAmple ? turnsToHoldAhead * request.maxTokens
+                                                                    : request.maxTokens;
     auto reserve = end.grant != 0 && end.reservesForGrants ? std::optional(reserveFor(request.budget)) : std::nullopt;
-    ChangeId id = addChange(request.program, program, { AccountChange::Kind::Settle, m_nextStep++, kept, handedOut, 0, request.budget, request.keepUntil, std::move(record), end.grant, reserve });
+    AccountChange change { AccountChange::Kind::Settle, m_nextStep++, kept, handedOut, 0, request.budget, request.keepUntil, std::move(record), end.grant, reserve };
+    // While the hold covers the program's next turn, nothing depends on the write.
+    bool mayDefer = !request.isKept && end.grant == 0 && freeHold(program) >= request.maxTokens;
+    ChangeId id = mayDefer ? deferChange(request.program, program, std::move(change)) : addChange(request.program, program, std::move(change));
     evict();
-    return mustStore ? std::optional(id) : std::nullopt;
+    return mustStore || end.grant != 0 ? std::optional(id) : std::nullopt;
 }
 
 std::optional<ChangeId> TurnLedger::releaseHold(const ProgramId& id)
@@ -362,6 +379,34 @@
     return number;
 }
 
+ChangeId TurnLedger::deferChange(const ProgramId& id, Program& program, AccountChange change)
+{
+    m_deferred.emplace_back(m_now, id);
+    bool canMerge = !program.changes.empty() && !program.changes.back().wasSent && program.changes.back().change.kind == AccountChange::Kind::Settle && program.changes.back().change.grant == 0 && !program.changes.back().change.record;
+    if (!canMerge) {
+        Change& added = program.changes.emplace_back();
+        added.id = ChangeId(m_nextChange++);
+        added.change = std::move(change);
+        return added.id;
+    }
+    Change& last = program.changes.back();
+    last.change.used += change.used;
+    last.change.maxTokens = std::max(last.change.maxTokens, change.maxTokens);
+    last.change.budget = std::min(last.change.budget, change.budget);
+    last.change.keepUntil = std::max(last.change.keepUntil, change.keepUntil);
+    return last.id;
+}
+
+void TurnLedger::writeDeferred(TimePoint now)
+{
+    while (!m_deferred.empty() && now - maxDeferral >= m_deferred.front().first) {
+        auto program = m_programs.find(m_deferred.front().second);
+        if (program != m_programs.end())
+            queue(program->first, program->second);
+        m_deferred.pop_front();
+    }
+}
+
 std::optional<JournalEntry> TurnLedger::entryFor(const ProgramId& id, ChangeId change) const
 {
     auto program = m_programs.find(id);
@@ -473,16 +518,28 @@
 {
     clearVoidedHolds(program);
     ProgramAccount account = program.account;
+    TokenCount unsettled = program.unsettled;
     std::erase_if(program.changes, [&](Change& it) {
         bool isReservation = it.change.kind == AccountChange::Kind::Reserve;
         bool isVoidReservation = it.isVoided && isReservation;
-        if (!isVoidReservation && applyChange(account, m_self, it.change))
+        if (!isVoidReservation && applyChange(account, m_self, it.change)) {
+            if (it.change.grant == 0)
+                unsettled -= std::min(unsettled, it.change.used);
             return false;
+        }
         // Retries without the part for the next turn.
         if (isReservation)
             it.change.maxTokens = std::min(it.change.maxTokens, it.needed);
         if (!isVoidReservation && applyChange(account, m_self, it.change))
             return false;
+        TokenCount hold = account.holds[m_self].tokens;
+        TokenCount lacking = program.running + unsettled - std::min(hold, program.running + unsettled);
+        if (it.mayReduce && lacking < it.needed) {
+            it.needed = lacking;
+            it.change.maxTokens = lacking;
+            if (!isVoidReservation && applyChange(account, m_self, it.change))
+                return false;
+        }
         m_outcomes.emplace_back(it.id, ChangeOutcome::Denied);
         return true;
     });
--- a/unittests/Gateway/BudgetFuzzTest.cpp
+++ b/unittests/Gateway/BudgetFuzzTest.cpp
@@ -33,8 +33,10 @@
 /// In a large fleet nothing is attested; grants use a reserve that accounts set aside.
 class Fleet {
 public:
-    explicit Fleet(bool isLarge)
+    /// \param keepsTurns whether turns are recorded and continue each other.
+    Fleet(bool isLarge, bool keepsTurns)
         : m_isLarge(isLarge)
+        , m_keepsTurns(keepsTurns)
     {
         for (int n = 0; n < daemons; ++n)
             restart(n);
@@ -52,7 +54,7 @@
     void begin(int n)
     {
         TurnLedger& ledger = *m_ledgers[n];
-        TurnRequest request { ProgramId("p"), CallId("t" + std::to_string(m_nextTurn++)), m_last, budget, maxTokens, {} };
+        TurnRequest request { ProgramId("p"), CallId("t" + std::to_string(m_nextTurn++)), m_last, budget, maxTokens, {}, m_keepsTurns };
         TurnKnowledge knowledge;
         knowledge.mayReserve = !m_isStoreDown;
         knowledge.holdsAhead = m_nextTurn % 3 == 0;
@@ -87,6 +89,8 @@
             takeGrant(n, m_running[n].back());
     }
 
+    void writeDeferred(int n) { m_ledgers[n]->writeDeferred(TimePoint::max()); }
+
     void toggleStore() { m_isStoreDown = !m_isStoreDown; }
 
     /// A keeper stores the oldest entry that a daemon appended to the keepers' journals.
@@ -193,8 +197,10 @@
         m_handedOut += used;
         // Outages may exceed the budget by one turn's maximum tokens.
         RC_ASSERT(m_handedOut <= budget + (m_hadOutage ? maxTokens : 0));
-        if (!isComplete) {
-            m_ledgers[n]->end(turn.request, used, std::nullopt, end);
+        if (!isComplete || !m_keepsTurns) {
+            auto change = m_ledgers[n]->end(turn.request, used, std::nullopt, end);
+            if (change && turn.grant != 0 && !m_keepsTurns)
+                m_underGrant[n][*change] = turn.grant;
             return;
         }
         TurnRecord record { turn.request.turn, turn.request.previous, turn.request.turn.text() + ":", "out;", {} };
@@ -319,6 +325,7 @@
     std::map<CallId, std::string> m_history { { CallId(), "" } };
     CallId m_last;
     bool m_isLarge;
+    bool m_keepsTurns;
     TokenCount m_handedOut = 0;
     int m_closings = 0;
     int m_nextTurn = 0;
@@ -333,8 +340,8 @@
 // outages and restarts.
 RC_BOOST_PROP(budgetIsNotExceededDespiteLostResponsesAndRestarts, ())
 {
-    Fleet fleet(*rc::gen::arbitrary<bool>());
-    auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(rc::gen::inRange(0, 28), rc::gen::inRange(0, daemons), rc::gen::inRange(0, 100)));
+    Fleet fleet(*rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>());
+    auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(rc::gen::inRange(0, 30), rc::gen::inRange(0, daemons), rc::gen::inRange(0, 100)));
     for (auto [kind, n, draw] : steps) {
         if (kind < 7)
             fleet.begin(n);
@@ -351,8 +358,11 @@
             fleet.toggleStore();
         else if (kind == 25)
             fleet.upload();
-        else if (draw < 8)
-            fleet.restart(n);
+        else if (kind < 28) {
+            if (draw < 8)
+                fleet.restart(n);
+        } else
+            fleet.writeDeferred(n);
     }
 }
 
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -52,6 +52,7 @@
 void Deployment::putConfiguration(int version, const std::vector<std::string>& morePrefixes)
 {
     Json routes = Json::array({ { { "name", "turns" }, { "host", "h.example" }, { "prefix", "/stream/" }, { "kind", "stream" }, { "timeoutMs", 4000 }, { "targetLatencyMs", 250 }, { "priority", 0 }, { "service", "models" }, { "maxAttempts", 2 }, { "stateful", true }, { "retainS", 60.0 } },
+        { { "name", "chat" }, { "host", "h.example" }, { "prefix", "/chat/" }, { "kind", "stream" }, { "timeoutMs", 4000 }, { "targetLatencyMs", 250 }, { "priority", 0 }, { "service", "models" }, { "maxAttempts", 1 }, { "stateful", false }, { "retainS", 60.0 } },
         { { "name", "pay" }, { "host", "h.example" }, { "prefix", "/pay/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "service", "tools" }, { "maxAttempts", 1 } } });
     for (const std::string& prefix : morePrefixes)
         routes.push_back({ { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "kind", "idempotent" }, { "timeoutMs", 1000 }, { "service", "tools" } });
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -170,7 +170,7 @@
     std::string call(request.header("x-basilpoint-request-id"));
     if (request.header("x-basilpoint-expect-instance") != m_id)
         return writer.send({ 421, { { "x-basilpoint-instance-id", m_id } }, {} });
-    runs.push_back({ call, request.body, request.headers, !request.target.starts_with("/stream/") && !request.target.starts_with("/pay/"), std::chrono::steady_clock::now() });
+    runs.push_back({ call, request.body, request.headers, request.target.find("/stream/") == std::string::npos && !request.target.starts_with("/pay/"), std::chrono::steady_clock::now() });
     writer.notifyOnDisconnect([this] { ++abandoned; });
     if (!crashesOn.empty() && request.body.ends_with(crashesOn))
         crash();
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -72,6 +72,77 @@
     BOOST_TEST(admitted.lastTarget.text() == "t");
 }
 
+// Guards against turns of routes that keep none running without a budget, or with a write for each of them.
+BOOST_AUTO_TEST_CASE(turnsThatAreNotKeptAreChargedWithFewerWrites)
+{
+    int writes = 0;
+    auto write = [&] {
+        while (auto batch = a.nextBatch()) {
+            ++writes;
+            BOOST_TEST(batch->puts.size() == 1U);
+            a.batchStored(batch->number, store.commit(*batch));
+        }
+        a.takeOutcomes();
+    };
+    TokenCount spent = 0;
+    for (int n = 0; n < 8; ++n) {
+        TurnRequest turn = request(std::to_string(n), "", "p", 3'000);
+        turn.isKept = false;
+        admit(a, turn);
+        write();
+        BOOST_TEST(!a.end(turn, 30, std::nullopt));
+        write();
+        spent += 30;
+    }
+    a.writeDeferred(now + TurnLedger::maxDeferral);
+    write();
+    BOOST_TEST(account().spent == spent);
+    // A kept turn makes one write, the first turn another one.
+    BOOST_TEST(writes < 8);
+}
+
+BOOST_AUTO_TEST_CASE(deferredSettlementsAreWrittenAfterTheLimit)
+{
+    TurnRequest turn = request("1", "", "p", 3'000);
+    turn.isKept = false;
+    admit(a, turn);
+    flush(a, store);
+    a.end(turn, 30, std::nullopt);
+    a.writeDeferred(now + TurnLedger::maxDeferral - Milliseconds(1));
+    BOOST_TEST(!a.hasWork());
+    a.writeDeferred(now + TurnLedger::maxDeferral);
+    BOOST_TEST(a.hasWork());
+    flush(a, store);
+    BOOST_TEST(account().spent == 30U);
+}
+
+// Guards against a program refused elsewhere because of a hold that nobody gives back.
+BOOST_AUTO_TEST_CASE(releasedHoldIncludesDeferredSettlements)
+{
+    TurnRequest turn = request("1", "", "p", 500);
+    turn.isKept = false;
+    admit(a, turn);
+    flush(a, store);
+    a.end(turn, 30, std::nullopt);
+    // Holds the rest of the budget.
+    for (const char* it : { "2", "3", "4" }) {
+        admit(b, request(it, "", "p", 500));
+        flush(b, store);
+    }
+    a.releaseHold(turn.program);
+    flush(a, store);
+    BOOST_TEST(account().spent == 30U);
+    BOOST_TEST(!account().holds[a.self()].tokens);
+}
+
+BOOST_AUTO_TEST_CASE(programOfTurnsThatAreNotKeptDoesNotCountAsNewWhereItIsUnknown)
+{
+    TurnRequest turn = request("1");
+    BOOST_TEST(a.grantAllowance(turn, now) > maxTokens);
+    turn.isKept = false;
+    BOOST_TEST(a.grantAllowance(turn, now) == maxTokens);
+}
+
 // With a slow store, the next turn begins before the settlement of the previous one is stored.
 BOOST_AUTO_TEST_CASE(storedSettlementConfirmsTheReservationOfTheNextTurn)
 {
