Join the values of headers that occur several times

Cause: the HTTP server kept only the last value of a repeated header, so a caller with two keys or two hosts was served as one with the last of them. Change: values are joined by a comma and a space (RFC 9110, section 5.3), in the order in which they arrive.

--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -201,7 +201,10 @@
     for (const auto& field : message) {
         std::string name(field.name_string());
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        request.headers[name] = std::string(field.value());
+        auto [it, isFirst] = request.headers.try_emplace(name, field.value());
+        // A header that occurs several times has the values of all (RFC 9110, section 5.3).
+        if (!isFirst)
+            it->second.append(", ").append(field.value());
     }
     return request;
 }
