Identify callers by the keys of their organisations

Cause: deployments with organisations need keys, priorities, and turns and budgets that no other organisation reaches. Change: where the configuration has organisations, each call on a route that is not public needs a key of one (401, unknown-key, otherwise). The key is dropped once the caller is identified; targets get the organisation's name, through a relay as well, whose message carries name and priority in optional fields. Urgencies follow the priorities of organisation and route. Requests are counted by organisation, and the log event refused names it. Without organisations nothing changes.

--- a/include/basilpoint/Forwarding/RouteTable.h
+++ b/include/basilpoint/Forwarding/RouteTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "basilpoint/Forwarding/Configuration.h"
+#include "basilpoint/Forwarding/OrganisationTable.h"
 
 #include <map>
 #include <memory>
@@ -25,6 +25,12 @@
     /// the configuration has organisations or a resumable route to the service.
     bool managesRoom(const ServiceId&) const;
 
+    /// Whether callers are identified: the configuration has organisations.
+    bool identifiesCallers() const { return m_configuration.organisations.has_value(); }
+
+    /// Organisation that has the key; null if none has. Belongs to this table.
+    const Organisation* organisationWith(std::string_view key) const;
+
     const ForwardingConfiguration& configuration() const { return m_configuration; }
 
 private:
@@ -32,6 +38,7 @@
     /// Indices of routes in the configuration, by host and prefix.
     std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_routes;
     std::set<ServiceId> m_managedServices;
+    OrganisationTable m_organisations;
 };
 
 /// Holds the active configuration. Its version never decreases.
--- a/lib/Forwarding/RouteTable.cpp
+++ b/lib/Forwarding/RouteTable.cpp
@@ -1,6 +1,7 @@
 #include "basilpoint/Forwarding/RouteTable.h"
 
 #include <algorithm>
+#include <random>
 
 namespace basilpoint {
 
@@ -11,13 +12,21 @@
     });
 }
 
+static std::uint64_t randomSeed()
+{
+    std::random_device random;
+    return (static_cast<std::uint64_t>(random()) << 32U) | random();
+}
+
 RouteTable::RouteTable(ForwardingConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
     for (std::size_t n = 0; n < m_configuration.routes.size(); ++n)
         m_routes[m_configuration.routes[n].host][m_configuration.routes[n].prefix] = n;
-    if (m_configuration.organisations)
+    if (m_configuration.organisations) {
         validateOrganisations(*m_configuration.organisations);
+        m_organisations = OrganisationTable(*m_configuration.organisations, randomSeed());
+    }
     for (const ForwardingService& it : m_configuration.services)
         if (it.engine && it.engine->maxReservation.count() > 0 && (m_configuration.organisations || hasResumableRoute(m_configuration, it.name)))
             m_managedServices.insert(it.name);
@@ -49,6 +58,12 @@
     return it == m_configuration.services.end() ? nullptr : &*it;
 }
 
+const Organisation* RouteTable::organisationWith(std::string_view key) const
+{
+    auto index = m_organisations.find(key);
+    return index ? &(*m_configuration.organisations)[*index] : nullptr;
+}
+
 bool ConfigurationHolder::offer(ForwardingConfiguration configuration)
 {
     if (m_current && configuration.version <= m_current->configuration().version)
--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -1,5 +1,7 @@
 #include "CallController.h"
 
+#include "OrganisationScope.h"
+
 #include "basilpoint/Net/Errors.h"
 
 #include <algorithm>
@@ -17,6 +19,7 @@
 static constexpr int statusNotRun = 503;
 // Callers do not repeat a request after this status.
 static constexpr int statusQuarantined = 400;
+static constexpr int statusUnknownKey = 401;
 
 CallController::CallController(const ConfigurationHolder& configuration, Forwarder& forwarder, TurnController& turns, LedgerWriter& writer, const WireFormat& format, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_configuration(configuration)
@@ -28,6 +31,7 @@
     , m_clock(clock)
     , m_log(log)
     , m_metrics(metrics)
+    , m_organisationMetrics(metrics)
 {
 }
 
@@ -43,24 +47,37 @@
     std::shared_ptr<const RouteTable> table = m_configuration.current();
     Milliseconds timeLeft = attributes.timeLeft.value_or(maxRetryAfter);
     if (!table)
-        return refuse(attributes, { 503, "no-configuration", "no configuration yet" }, timeLeft, arrivedAt, writer);
+        return refuse(attributes, nullptr, { 503, "no-configuration", "no configuration yet" }, timeLeft, arrivedAt, writer);
     if (attributes.call.empty())
-        return refuse(attributes, { 400, "no-request-id", "no request id" }, timeLeft, arrivedAt, writer);
+        return refuse(attributes, nullptr, { 400, "no-request-id", "no request id" }, timeLeft, arrivedAt, writer);
     const ForwardingRoute* route = table->match(hostWithoutPort(request.header("host")), request.path());
     if (!route)
-        return refuse(attributes, { 404, "no-route", "no route" }, timeLeft, arrivedAt, writer);
-    serve(*route, table, request, std::move(attributes), arrivedAt, writer);
+        return refuse(attributes, nullptr, { 404, "no-route", "no route" }, timeLeft, arrivedAt, writer);
+    std::shared_ptr<const Organisation> organisation = identify(table, attributes);
+    // Nothing after this may pass the key on or log it.
+    attributes.key.clear();
+    if (table->identifiesCallers() && !organisation && !route->isPublic)
+        return refuse(attributes, nullptr, { statusUnknownKey, "unknown-key", "missing or unknown key" }, timeLeft, arrivedAt, writer);
+    if (organisation)
+        m_organisationMetrics.countRequest(organisation->name);
+    serve(*route, table, std::move(organisation), request, std::move(attributes), arrivedAt, writer);
+}
+
+std::shared_ptr<const Organisation> CallController::identify(const std::shared_ptr<const RouteTable>& table, const CallAttributes& attributes)
+{
+    return { table, table->organisationWith(attributes.key) };
 }
 
-void CallController::serve(const ForwardingRoute& route, const std::shared_ptr<const RouteTable>& table, const HttpRequest& request, CallAttributes attributes, TimePoint arrivedAt, ResponseWriter& writer)
+void CallController::serve(const ForwardingRoute& route, const std::shared_ptr<const RouteTable>& table, std::shared_ptr<const Organisation> organisation, const HttpRequest& request, CallAttributes attributes, TimePoint arrivedAt, ResponseWriter& writer)
 {
     Milliseconds limit = std::min(attributes.timeLeft.value_or(route.timeout), route.timeout);
     // Shared, since the server may call the disconnect handler after this function has returned.
     auto call = std::make_shared<ForwardedCall>(ForwardedCall { request, std::move(attributes), table, route, arrivedAt, arrivedAt + limit });
     call->query.dataCentre = m_dataCentre;
-    call->content = contentOf(request, call->attributes);
+    call->organisation = std::move(organisation);
+    call->content = contentOf(request, call->attributes, call->organisation.get());
     if (m_forwarder.isQuarantined(call->content))
-        return refuse(call->attributes, { statusQuarantined, "request-quarantined", "not run: this request has repeatedly crashed the targets that ran it" }, limit, arrivedAt, writer);
+        return refuse(call->attributes, call->organisation.get(), { statusQuarantined, "request-quarantined", "not run: this request has repeatedly crashed the targets that ran it" }, limit, arrivedAt, writer);
     writer.notifyOnDisconnect([this, call] {
         call->isCallerGone = true;
         // A non-idempotent call cannot be repeated, so it runs to its end.
@@ -83,7 +100,7 @@
         m_log.write(LogLine("broken-off").field("request", call->attributes.call.text()).field("callerGone", call->isCallerGone).field("reason", refusal->reason).field("cause", refusal->code));
         throw ConnectionLostError(refusal->reason);
     }
-    refuse(call->attributes, *refusal, std::chrono::duration_cast<Milliseconds>(call->deadline - m_clock.now()), arrivedAt, writer);
+    refuse(call->attributes, call->organisation.get(), *refusal, std::chrono::duration_cast<Milliseconds>(call->deadline - m_clock.now()), arrivedAt, writer);
 }
 
 std::optional<TurnController::Refusal> CallController::forward(ForwardedCall& call, ResponseWriter& writer)
@@ -105,7 +122,7 @@
 // A caller whose answer was lost may repeat the call with the same id.
 std::optional<TurnController::Refusal> CallController::forwardOnce(ForwardedCall& call, ResponseWriter& writer)
 {
-    const std::string& id = call.attributes.call.text();
+    std::string id = OrganisationScope(call.organisation.get(), call.identifiesCallers()).scoped(call.attributes.call.text());
     if (!m_submitted.begin(id, m_clock.now()))
         return TurnController::Refusal { 502, "already-submitted", "a call with this id may have run" };
     auto refusal = forward(call, writer);
@@ -113,13 +130,15 @@
     return refusal;
 }
 
-void CallController::refuse(const CallAttributes& attributes, const TurnController::Refusal& refusal, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter& writer)
+void CallController::refuse(const CallAttributes& attributes, const Organisation* organisation, const TurnController::Refusal& refusal, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter& writer)
 {
     m_metrics.count(fmt::format("requests_total{{status=\"{}\"}}", refusal.status));
     m_metrics.count(fmt::format("refusals_total{{code=\"{}\"}}", refusal.code));
     HttpResponse response { refusal.status, { { "content-type", "text/plain" } }, refusal.reason };
     LogLine line("refused");
     line.field("request", attributes.call.text()).field("program", attributes.program.text()).field("previous", attributes.previousTurn.text()).field("status", refusal.status).field("reason", refusal.reason).field("code", refusal.code);
+    if (organisation)
+        line.field("organisation", organisation->name);
     line.field("configuration", m_configuration.current() ? m_configuration.current()->configuration().version : 0);
     line.field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - arrivedAt));
     if (refusal.status == 503) {
--- a/lib/Gateway/CallController.h
+++ b/lib/Gateway/CallController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "OrganisationMetrics.h"
 #include "TurnController.h"
 
 #include "basilpoint/Forwarding/SubmittedCalls.h"
@@ -14,11 +15,13 @@
     void handle(const HttpRequest&, ResponseWriter&);
 
 private:
-    void serve(const ForwardingRoute&, const std::shared_ptr<const RouteTable>&, const HttpRequest&, CallAttributes, TimePoint arrivedAt, ResponseWriter&);
+    /// The caller's organisation, which lives as long as the table; null if there is none.
+    static std::shared_ptr<const Organisation> identify(const std::shared_ptr<const RouteTable>&, const CallAttributes&);
+    void serve(const ForwardingRoute&, const std::shared_ptr<const RouteTable>&, std::shared_ptr<const Organisation>, const HttpRequest&, CallAttributes, TimePoint arrivedAt, ResponseWriter&);
     std::optional<TurnController::Refusal> forward(ForwardedCall&, ResponseWriter&);
     /// As forward(), for a non-idempotent call.
     std::optional<TurnController::Refusal> forwardOnce(ForwardedCall&, ResponseWriter&);
-    void refuse(const CallAttributes&, const TurnController::Refusal&, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter&);
+    void refuse(const CallAttributes&, const Organisation*, const TurnController::Refusal&, Milliseconds timeLeft, TimePoint arrivedAt, ResponseWriter&);
 
     const ConfigurationHolder& m_configuration;
     Forwarder& m_forwarder;
@@ -30,6 +33,7 @@
     const Clock& m_clock;
     JsonLog& m_log;
     Metrics& m_metrics;
+    OrganisationMetrics m_organisationMetrics;
 };
 
 } // namespace basilpoint
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include "Forwarder.h"
 
+#include "CallUrgency.h"
 #include "PeerCall.h"
 #include "RelayedCall.h"
 
@@ -28,9 +29,6 @@
 // Timeout of an attempt at an idempotent call, as a multiple of the route's latency target, if another target may be
 // tried after it.
 static constexpr int attemptTimeoutFactor = 4;
-// Urgencies of routes. Engines accept 0 (most urgent) to 9, and use 5 for calls without one.
-static constexpr unsigned mostUrgentLevel = 4;
-static constexpr unsigned leastUrgentLevel = 9;
 // Events after which a stream's timing is recorded: enough for two intervals.
 static constexpr unsigned minEventsForTiming = 3;
 static constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024;
@@ -158,6 +156,13 @@
     std::erase_if(headers, [](const auto& it) { return isHopHeader(it.first); });
 }
 
+// Keys stay with the gateway that has the caller, and targets learn organisations from gateways only.
+void Forwarder::removeIdentity(const ForwardedCall& call, HttpRequest& request) const
+{
+    if (call.identifiesCallers() && m_format.removeCallerIdentity)
+        m_format.removeCallerIdentity(request);
+}
+
 HttpRequest Forwarder::requestFor(const ForwardedCall& call, const Registration& target) const
 {
     HttpRequest request = call.request;
@@ -168,8 +173,9 @@
     std::optional<unsigned> urgency;
     const ForwardingService* service = call.table->service(call.query.service);
     if (service && service->engine)
-        urgency = std::min(mostUrgentLevel + call.route.priority, leastUrgentLevel);
-    m_format.writeTargetCall(request, { target.id, std::max(timeLeft, Milliseconds(1)), urgency });
+        urgency = urgencyOf(call.route, call.organisation.get(), call.identifiesCallers());
+    removeIdentity(call, request);
+    m_format.writeTargetCall(request, { target.id, std::max(timeLeft, Milliseconds(1)), urgency, call.organisation ? call.organisation->name : std::string() });
     return request;
 }
 
@@ -182,15 +188,21 @@
     for (const TargetId& it : call.unreachable)
         message.query.tried.erase(it);
     dropHopHeaders(message.request.headers);
+    removeIdentity(call, message.request);
+    if (call.organisation)
+        message.organisation = Organisation { call.organisation->name, {}, call.organisation->priority };
     return { "POST", peerpaths::forward, {}, encodeRelayedCall(message) };
 }
 
-Digest contentOf(const HttpRequest& request, const CallAttributes& attributes)
+Digest contentOf(const HttpRequest& request, const CallAttributes& attributes, const Organisation* organisation)
 {
     // Lengths are included, so that no two lists of parts have the same bytes.
     std::string head;
+    auto append = [&head](std::string_view part) { head.append(fmt::format("{}:{},", part.size(), part)); };
     for (std::string_view part : { request.header("host"), std::string_view(request.method), std::string_view(request.target), std::string_view(attributes.program.text()) })
-        head.append(fmt::format("{}:{},", part.size(), part));
+        append(part);
+    if (organisation)
+        append(organisation->name);
     return extendDigest(digestOf(head), request.body);
 }
 
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -45,8 +45,13 @@
     std::set<TargetId> unreachable {};
     /// Lifetime of the target that was tried last; empty if none was.
     std::string lastTarget {};
+    /// Organisation of the caller; null if it has none. A relayed call has only its name and priority.
+    std::shared_ptr<const Organisation> organisation {};
     /// Whether a target has refused the call.
     bool isRefusedByTarget = false;
+
+    /// Whether the caller's statements about its identity are replaced, here or by the gateway that handed the call over.
+    bool identifiesCallers() const { return organisation || (table && table->identifiesCallers()); }
 };
 
 /// Hooks into a stream on its way from the target to the caller.
@@ -71,8 +76,9 @@
     BrokenOff,
 };
 
-/// Digest of what a caller sends again when it repeats a request: host, method, path, program and body.
-Digest contentOf(const HttpRequest&, const CallAttributes&);
+/// Digest of what a caller sends again when it repeats a request: host, method, path, program, body, and its organisation if it
+/// has one.
+Digest contentOf(const HttpRequest&, const CallAttributes&, const Organisation* = nullptr);
 
 /// Identifies one lifetime of a target; connections are pooled per lifetime.
 std::string lifetimeOf(const Registration&);
@@ -101,6 +107,7 @@
     ServiceId chooseService(const ForwardingRoute&, const CallAttributes&) const;
     const Registration* chooseTarget(ForwardedCall&);
     std::optional<RelayAddress> chooseRelay(const ForwardedCall&, const Registration* target);
+    void removeIdentity(const ForwardedCall&, HttpRequest&) const;
     HttpRequest requestFor(const ForwardedCall&, const Registration&) const;
     HttpRequest relayRequestFor(const ForwardedCall&) const;
     HttpCallOptions optionsFor(const ForwardedCall&, bool isLast) const;
--- a/lib/Gateway/RelayedCall.cpp
+++ b/lib/Gateway/RelayedCall.cpp
@@ -13,10 +13,15 @@
     Json tried = Json::array();
     for (const TargetId& it : call.query.tried)
         tried.push_back(it.text());
-    return toCbor({ { "method", call.request.method }, { "target", call.request.target }, { "headers", call.request.headers }, { "body", bytesToJson(call.request.body) },
+    Json json { { "method", call.request.method }, { "target", call.request.target }, { "headers", call.request.headers }, { "body", bytesToJson(call.request.body) },
         { "route", call.route.name }, { "kind", static_cast<unsigned>(call.route.kind) }, { "latencyTarget", call.route.latencyTarget.count() }, { "priority", call.route.priority }, { "retention", call.route.turnRetention.count() },
         { "service", call.query.service.text() }, { "cacheHolder", call.query.cacheHolder.text() }, { "cachedTokens", call.query.cachedTokens }, { "tried", std::move(tried) },
-        { "timeLeft", call.timeLeft.count() }, { "content", call.content.text() } });
+        { "timeLeft", call.timeLeft.count() }, { "content", call.content.text() } };
+    if (call.organisation)
+        json["organisation"] = call.organisation->name;
+    if (call.organisation && call.organisation->priority)
+        json["organisationPriority"] = *call.organisation->priority;
+    return toCbor(json);
 }
 
 static CallKind kindFrom(unsigned number)
@@ -26,6 +31,20 @@
     return static_cast<CallKind>(number);
 }
 
+// Absent for callers without an organisation, and in messages of releases that know none.
+static std::optional<Organisation> organisationFrom(const Json& json)
+{
+    if (!json.contains("organisation"))
+        return std::nullopt;
+    Organisation organisation;
+    organisation.name = json.at("organisation").get<std::string>();
+    if (organisation.name.empty())
+        throw InvalidInputError(messageName, "", "name of an organisation");
+    if (json.contains("organisationPriority"))
+        organisation.priority = json.at("organisationPriority").get<unsigned>();
+    return organisation;
+}
+
 static RelayedCall callFrom(const Json& json)
 {
     RelayedCall call;
@@ -44,6 +63,7 @@
     call.route.services = { { call.query.service } };
     call.timeLeft = Milliseconds(json.at("timeLeft").get<Milliseconds::rep>());
     call.content = parseDigest(json.at("content").get<std::string>());
+    call.organisation = organisationFrom(json);
     return call;
 }
 
--- a/lib/Gateway/RelayedCall.h
+++ b/lib/Gateway/RelayedCall.h
@@ -17,6 +17,8 @@
     Milliseconds timeLeft { 0 };
     /// Identifies the request across its caller's attempts.
     Digest content {};
+    /// Name and priority of the caller's organisation; empty if it has none.
+    std::optional<Organisation> organisation {};
 };
 
 /// Encode to and decode from CBOR. \throws InvalidInputError if \p bytes are not a valid call.
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -19,6 +19,8 @@
         call.query = message.query;
         call.content = message.content;
         call.isRelayed = true;
+        if (message.organisation)
+            call.organisation = std::make_shared<const Organisation>(*message.organisation);
     }
     Call(const Call&) = delete;
     Call& operator=(const Call&) = delete;
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -1,5 +1,6 @@
 #include "TurnController.h"
 
+#include "OrganisationScope.h"
 #include "StoreCodec.h"
 
 #include "basilpoint/Net/Errors.h"
@@ -157,12 +158,12 @@
 }
 
 // Searches the keepers for a turn that the store does not have, since they keep turns until these are stored.
-std::optional<TurnController::Refusal> TurnController::findOnKeepers(const ForwardedCall& call, const ProgramId& program, const CallId& missing, TurnKnowledge& knowledge)
+std::optional<TurnController::Refusal> TurnController::findOnKeepers(const ForwardedCall& call, const TurnRequest& request, const CallId& missing, TurnKnowledge& knowledge)
 {
-    auto entries = m_journal.findInAll(program, missing, std::min(call.deadline, m_clock.now() + journalTimeout));
+    auto entries = m_journal.findInAll(request.program, missing, std::min(call.deadline, m_clock.now() + journalTimeout));
     if (!entries)
         return Refusal { 503, "keepers-unavailable", "keepers out of reach" };
-    bool isPrevious = missing == call.attributes.previousTurn;
+    bool isPrevious = missing == request.previous;
     if (entries->empty())
         return recheckOrigin(missing, isPrevious, knowledge);
     adopt(*entries);
@@ -229,7 +230,7 @@
 
 std::optional<TurnController::Refusal> TurnController::learn(Admission& admission, const TurnNotFound& notFound)
 {
-    if (auto refusal = findOnKeepers(admission.call, admission.turn.request.program, notFound.missing, admission.knowledge))
+    if (auto refusal = findOnKeepers(admission.call, admission.turn.request, notFound.missing, admission.knowledge))
         return refusal;
     if (++admission.searches > maxSearches)
         return Refusal { 503, "history-incomplete", "history not whole yet" };
@@ -297,7 +298,7 @@
 // Searches the keepers for the previous turn, which they keep until the store has confirmed it.
 bool TurnController::adoptFromKeepers(Admission& admission)
 {
-    const CallId& previous = admission.call.attributes.previousTurn;
+    const CallId& previous = admission.turn.request.previous;
     if (previous.empty() || std::exchange(admission.hasSearchedKeepers, true))
         return false;
     auto entries = m_journal.find(admission.turn.request.program, previous, std::min(admission.call.deadline, m_clock.now() + journalTimeout));
@@ -570,7 +571,8 @@
     bool isKept = call.route.keepsTurns();
     Milliseconds retention = isKept ? call.route.turnRetention : accountRetention;
     auto keepFor = std::chrono::duration_cast<Milliseconds>(call.deadline - call.arrivedAt) + retention + retentionMargin;
-    turn.request = { program, attributes.call, isKept ? attributes.previousTurn : CallId(), attributes.budget.value_or(ProgramAccount::unlimited), attributes.maxTokens, m_clock.wallNow() + keepFor, isKept };
+    OrganisationScope scope(call.organisation.get(), call.identifiesCallers());
+    turn.request = { scope.scoped(program), scope.scoped(attributes.call), isKept ? scope.scoped(attributes.previousTurn) : CallId(), attributes.budget.value_or(ProgramAccount::unlimited), attributes.maxTokens, m_clock.wallNow() + keepFor, isKept };
     // Before the history is read and tokens are reserved in vain.
     if (!m_forwarder.hasPath(call))
         return Refusal { 503, "no-target", "no target within reach" };
@@ -578,7 +580,7 @@
     if (auto* refusal = std::get_if<Refusal>(&decision))
         return *refusal;
     turn.admitted = std::move(std::get<TurnAdmitted>(decision));
-    m_log.write(LogLine("turn-admitted").field("request", turn.request.turn.text()).field("program", program.text()).field("previous", turn.request.previous.text()).field("budget", turn.request.budget).field("most", turn.request.maxTokens).field("reserving", turn.admitted.reservation.has_value()).field("historyBytes", turn.admitted.history.size()).field("lastTarget", turn.admitted.lastTarget.text()).field("storeFailing", m_store.isFailing()));
+    m_log.write(LogLine("turn-admitted").field("request", attributes.call.text()).field("program", turn.request.program.text()).field("previous", turn.request.previous.text()).field("budget", turn.request.budget).field("most", turn.request.maxTokens).field("reserving", turn.admitted.reservation.has_value()).field("historyBytes", turn.admitted.history.size()).field("lastTarget", turn.admitted.lastTarget.text()).field("storeFailing", m_store.isFailing()));
     std::optional<Refusal> refusal;
     if (turn.admitted.reservation) {
         turn.reserved = m_writer.expect(*turn.admitted.reservation);
@@ -588,8 +590,8 @@
     bool mustReserveFirst = !turn.admitted.mayRunAhead || turn.admitted.needsGrant || m_store.isFailing();
     if (mustReserveFirst && !ensureReserved(call, turn))
         // A denied reservation may lack only tokens that are reserved for grants.
-        refusal = turn.refusalWithoutGrant ? *turn.refusalWithoutGrant : turn.isDenied && !m_accounts.mayMissGrants(program) && !m_store.hasManyDaemons() ? Refusal { 402, "budget-spent", "budget spent" }
-                                                                                                                                                          : Refusal { 503, "reservation-not-recorded", "reservation not recorded" };
+        refusal = turn.refusalWithoutGrant ? *turn.refusalWithoutGrant : turn.isDenied && !m_accounts.mayMissGrants(turn.request.program) && !m_store.hasManyDaemons() ? Refusal { 402, "budget-spent", "budget spent" }
+                                                                                                                                                                       : Refusal { 503, "reservation-not-recorded", "reservation not recorded" };
     if (!refusal && isKept) {
         call.body = std::move(turn.admitted.history);
         call.body->append(call.request.body);
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -53,7 +53,7 @@
     /// Passes turns found on the keepers to the ledger; all belong to one program.
     void adopt(const std::vector<JournalEntry>&);
     std::optional<ProgramId> readOrigin(const CallId& previous);
-    std::optional<Refusal> findOnKeepers(const ForwardedCall&, const ProgramId&, const CallId& missing, TurnKnowledge&);
+    std::optional<Refusal> findOnKeepers(const ForwardedCall&, const TurnRequest&, const CallId& missing, TurnKnowledge&);
     std::optional<Refusal> recheckOrigin(const CallId& missing, bool isPrevious, TurnKnowledge&);
     bool keepOnKeepers(ForwardedCall&, Turn&, ChangeId, const LedgerWriter::SharedOutcome&);
     /// Ends a turn that is not kept.
--- a/unittests/Gateway/RelayedCallTest.cpp
+++ b/unittests/Gateway/RelayedCallTest.cpp
@@ -42,9 +42,31 @@
     BOOST_TEST((call.content == sent.content));
 }
 
+// Guards against targets that get another organisation's name, or none, from the gateway that makes the call.
+BOOST_AUTO_TEST_CASE(organisationArrivesWithItsPriority)
+{
+    RelayedCall sent = someCall();
+    BOOST_TEST(!decodeRelayedCall(encodeRelayedCall(sent)).organisation);
+    sent.organisation = Organisation { "acme", {}, {} };
+    BOOST_TEST((decodeRelayedCall(encodeRelayedCall(sent)).organisation == sent.organisation));
+    sent.organisation->priority = 2;
+    BOOST_TEST((decodeRelayedCall(encodeRelayedCall(sent)).organisation == sent.organisation));
+}
+
+// Guards against keys that leave the gateway of the caller.
+BOOST_AUTO_TEST_CASE(messageHasNoKeys)
+{
+    RelayedCall sent = someCall();
+    sent.organisation = Organisation { "acme", { "very-secret" }, 1 };
+    BOOST_TEST(encodeRelayedCall(sent).find("very-secret") == std::string::npos);
+}
+
 RC_BOOST_PROP(damagedBytesGiveATypedError, ())
 {
-    std::string bytes = encodeRelayedCall(someCall());
+    RelayedCall call = someCall();
+    if (*rc::gen::arbitrary<bool>())
+        call.organisation = Organisation { "acme", {}, 1 };
+    std::string bytes = encodeRelayedCall(call);
     std::size_t at = *rc::gen::inRange<std::size_t>(0, bytes.size());
     if (*rc::gen::arbitrary<bool>())
         bytes.resize(at);
