--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -104,7 +104,8 @@
         , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
         , crashes(client, directory, notices, clock, log, metrics)
         , limits("g", notices, clock, log, metrics)
-        , forwarder(client, directory, selector, monitor, relays, crashes, limits, receiveBudget, format, clock, log, metrics)
+        , paces(selector, notices, clock, log, metrics)
+        , forwarder(client, directory, selector, monitor, relays, crashes, limits, paces, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -153,6 +154,7 @@
     NoticeController notices;
     CrashTracker crashes;
     RateLimitTracker limits;
+    PaceTracker paces;
     Forwarder forwarder;
     TurnLedger ledger;
     LedgerWriter writer;
