--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -1,8 +1,13 @@
 #pragma once
 
-#include "basilpoint/Forwarding/TargetDirectory.h"
+#include "basilpoint/Forwarding/AffinityMap.h"
+#include "basilpoint/Forwarding/PaceShares.h"
+#include "basilpoint/Forwarding/PrefillRate.h"
+#include "basilpoint/Forwarding/PromptCacheMap.h"
+#include "basilpoint/Forwarding/TargetPaces.h"
 #include "basilpoint/Support/Random.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,6 +38,19 @@
     std::optional<double> totalMilliseconds {};
 };
 
+/// Durations of a stream at a target of a service with managed room.
+struct StreamTiming {
+    /// Name of a group of similar calls, as in \ref CallTiming.
+    std::string kind;
+    /// Time between two events, without the longest pause, which may be a stall.
+    double eventMilliseconds = 0;
+    double firstEventMilliseconds = 0;
+    /// From the first event to the last.
+    double outputMilliseconds = 0;
+    /// Prompt tokens that were not known to be cached at the target.
+    TokenCount uncachedTokens = 0;
+};
+
 /// Criteria by which to choose a target for a call.
 struct TargetQuery {
     ServiceId service;
@@ -50,8 +68,21 @@
     /// If set, the target is chosen by a hash of this value and not by its cost, so that all daemons choose the same one.
     std::optional<std::uint64_t> placement {};
 
+    /// Whether costs include what is learned over the long term: prompt parts, affinity and pace. False for services without
+    /// managed room, whose costs stay as they were.
+    bool isManaged = false;
+    /// Prompt tokens that targets have read in calls that shared parts with this one.
+    CachedTokens cachedParts {};
+    /// Target that has handled the call's affinity key lately; empty if there is none.
+    TargetId affinityHolder {};
+
     /// Number of prompt tokens that the target is known to have in its cache.
-    TokenCount cachedAt(const TargetId& target) const { return target == cacheHolder ? cachedTokens : 0; }
+    TokenCount cachedAt(const TargetId& target) const
+    {
+        TokenCount tokens = target == cacheHolder ? cachedTokens : 0;
+        auto parts = cachedParts.find(target);
+        return parts == cachedParts.end() ? tokens : std::max(tokens, parts->second);
+    }
 };
 
 /// Chooses a target by this daemon's own calls there, the cached prompt, and the data centre.
@@ -68,11 +99,25 @@
     const Registration* choose(const std::vector<const Registration*>& candidates, const TargetQuery&, TimePoint now);
 
     void sent(const TargetId&);
+    /// Also records the work for the shares of fast and slow targets, if the service is managed.
+    void sent(const Registration&, const TargetQuery&, TimePoint now);
     void ended(const TargetId&, TargetOutcome, TimePoint now);
 
     /// Records the timing of a call at the target; may be called during the call, and once more after it.
     void recordTiming(const TargetId&, const CallTiming&, TimePoint now);
-    void forget(const TargetId& id) { m_targets.erase(id); }
+
+    /// Records the durations of a stream that has ended.
+    void recordStream(const Registration&, const StreamTiming&, TimePoint now);
+
+    TargetPaces& paces() { return m_paces; }
+
+    /// Completes a query for a managed service by what earlier calls with the same prompt parts or affinity key show.
+    /// \param affinityKey empty if the call has none, or its route does not regard it.
+    void recall(TargetQuery&, const std::vector<PromptPart>&, const std::string& affinityKey, TimePoint now) const;
+    /// Records for \ref recall() that the target has read the prompt of a call.
+    void remember(const TargetId&, const std::vector<PromptPart>&, const std::string& affinityKey, TimePoint now);
+
+    void forget(const TargetId&);
 
     unsigned inFlight(const TargetId&) const;
     bool isSuspended(const TargetId&, TimePoint now) const;
@@ -94,10 +139,25 @@
     };
 
     static double slownessOf(const Load&, TimePoint now);
+    double usualOutput(const std::string& kind) const;
+    void updateShares(const std::vector<const Registration*>& candidates, const TargetQuery&, TimePoint now);
+    double managedCost(const Registration&, const TargetQuery&, TimePoint now) const;
     double cost(const Registration&, const TargetQuery&, TimePoint now) const;
 
     std::unordered_map<TargetId, Load> m_targets;
     std::map<std::string, Baseline> m_baselines;
+    struct Shares {
+        PaceShares shares;
+        TimePoint updatedAt = TimePoint::min();
+    };
+
+    TargetPaces m_paces;
+    std::map<ServiceId, Shares> m_shares;
+    /// Moving averages of the output time of streams at average pace, by kind.
+    std::map<std::string, double> m_outputMilliseconds;
+    PrefillRate m_prefillRate;
+    PromptCacheMap m_promptCaches;
+    AffinityMap m_affinities;
     RandomEngine m_random;
 };
 
