Reserve room at engines before a call is sent there

No gateway can know the load, but the engines do and take reservations.

Before a stream call goes to an engine of a service whose room is managed (RouteTable::managesRoom), RoomController now reserves room there, at three targets a round, in the order of the selector's costs. If all refuse, the call waits: RoomQueue orders the waiting calls, RefusalPolicy refuses those that could not end in time, with a Retry-After from the expected wait. An engine that does not answer is used without a reservation. Other services are served as before.

FairShares charges an organisation when its call gets room and not when the call is queued, so that refused calls cost it nothing; for that it tells the start tag of the next call.

Forwarding, Policy, Gateway, UnkeptTurns and PlatformDay tests pass.

--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace basilpoint {
 
@@ -67,6 +68,9 @@
     /// The best of \p candidates; null if all of them have been tried. Suspended targets are chosen last.
     const Registration* choose(const std::vector<const Registration*>& candidates, const TargetQuery&, TimePoint now);
 
+    /// The best \p n of \p candidates, the best first, as choose() orders them.
+    std::vector<const Registration*> chooseBest(const std::vector<const Registration*>& candidates, const TargetQuery&, std::size_t n, TimePoint now);
+
     void sent(const TargetId&);
     void ended(const TargetId&, TargetOutcome, TimePoint now);
 
--- a/include/basilpoint/Policy/FairShares.h
+++ b/include/basilpoint/Policy/FairShares.h
@@ -22,6 +22,9 @@
     /// Adds a call of \p work prefill-token equivalents and returns its position.
     QueuePosition addCall(const OperatorId&, double work);
 
+    /// Start tag that the operator's next call would get.
+    double startTagOf(const OperatorId&) const;
+
     /// Advances virtual time to the start tag of a dispatched call.
     void dispatched(double startTag);
 
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -98,27 +98,37 @@
     return total;
 }
 
-const Registration* TargetSelector::choose(const std::vector<const Registration*>& candidates, const TargetQuery& query, TimePoint now)
+std::vector<const Registration*> TargetSelector::chooseBest(const std::vector<const Registration*>& candidates, const TargetQuery& query, std::size_t n, TimePoint now)
 {
-    const Registration* best = nullptr;
-    double least = 0;
-    bool isBestSuspended = false;
+    struct Candidate {
+        bool isSuspended;
+        double cost;
+        const Registration* target;
+    };
+    std::vector<Candidate> ranked;
+    ranked.reserve(candidates.size());
     std::uniform_real_distribution<double> jitter(0, jitterCost);
     for (const Registration* target : candidates) {
         if (query.tried.contains(target->id))
             continue;
-        // Suspended targets come last rather than being excluded, so that calls still have a target if all are suspended.
-        bool suspended = isSuspended(target->id, now);
         double total = query.placement ? static_cast<double>(hash64(target->id.text(), *query.placement)) : cost(*target, query, now) + jitter(m_random);
-        if (!best || std::pair(suspended, total) < std::pair(isBestSuspended, least)) {
-            best = target;
-            least = total;
-            isBestSuspended = suspended;
-        }
+        // Suspended targets come last rather than being excluded, so that calls still have a target if all are suspended.
+        ranked.push_back({ isSuspended(target->id, now), total, target });
     }
+    auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(n, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end(), [](const Candidate& a, const Candidate& b) { return std::pair(a.isSuspended, a.cost) < std::pair(b.isSuspended, b.cost); });
+    std::vector<const Registration*> best;
+    for (auto it = ranked.begin(); it != end; ++it)
+        best.push_back(it->target);
     return best;
 }
 
+const Registration* TargetSelector::choose(const std::vector<const Registration*>& candidates, const TargetQuery& query, TimePoint now)
+{
+    auto best = chooseBest(candidates, query, 1, now);
+    return best.empty() ? nullptr : best.front();
+}
+
 void TargetSelector::sent(const TargetId& id)
 {
     ++m_targets[id].inFlight;
--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -62,10 +62,7 @@
     if (m_forwarder.isQuarantined(call->content))
         return refuse(call->attributes, { statusQuarantined, "request-quarantined", "not run: this request has repeatedly crashed the targets that ran it" }, limit, arrivedAt, writer);
     writer.notifyOnDisconnect([this, call] {
-        call->isCallerGone = true;
-        // A non-idempotent call cannot be repeated, so it runs to its end.
-        if (call->route.kind != CallKind::NonIdempotent)
-            call->cancellation.cancel();
+        call->callerLeft();
         m_writer.wakeWaiters();
     });
     bool hasBudget = call->attributes.budget && !call->attributes.program.empty();
@@ -92,7 +89,7 @@
     case ForwardEnd::Delivered:
         return std::nullopt;
     case ForwardEnd::NotRun:
-        return TurnController::Refusal { 503, "no-target", "no target took the call" };
+        return TurnController::Refusal::ofCallNotRun(call);
     case ForwardEnd::MayHaveRun:
         return TurnController::Refusal { m_clock.now() >= call.deadline ? 504 : 502, "no-answer", "no answer" };
     case ForwardEnd::BrokenOff:
@@ -124,7 +121,7 @@
     line.field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - arrivedAt));
     if (refusal.status == 503) {
         Milliseconds wait(static_cast<std::int64_t>(retryAfterShare * static_cast<double>(timeLeft.count())));
-        wait = std::clamp(wait, minRetryAfter, maxRetryAfter);
+        wait = refusal.retryAfter.value_or(std::clamp(wait, minRetryAfter, maxRetryAfter));
         response.headers["retry-after"] = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
         line.field("retryAfterMs", wait);
     }
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -84,7 +84,7 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, RoomController& rooms, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
@@ -92,6 +92,7 @@
     , m_relays(relays)
     , m_crashes(crashes)
     , m_limits(limits)
+    , m_rooms(rooms)
     , m_receiveBudget(receiveBudget)
     , m_format(format)
     , m_clock(clock)
@@ -158,7 +159,7 @@
     std::erase_if(headers, [](const auto& it) { return isHopHeader(it.first); });
 }
 
-HttpRequest Forwarder::requestFor(const ForwardedCall& call, const Registration& target) const
+HttpRequest Forwarder::requestFor(const ForwardedCall& call, const Room& room) const
 {
     HttpRequest request = call.request;
     if (call.body)
@@ -169,7 +170,9 @@
     const ForwardingService* service = call.table->service(call.query.service);
     if (service && service->engine)
         urgency = std::min(mostUrgentLevel + call.route.priority, leastUrgentLevel);
-    m_format.writeTargetCall(request, { target.id, std::max(timeLeft, Milliseconds(1)), urgency });
+    TargetCallAttributes attributes { room.target.id, std::max(timeLeft, Milliseconds(1)), urgency };
+    attributes.reservation = room.reservation;
+    m_format.writeTargetCall(request, attributes);
     return request;
 }
 
@@ -359,11 +362,33 @@
     return end;
 }
 
-ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Registration& target, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
+void ForwardedCall::callerLeft()
+{
+    isCallerGone = true;
+    // A non-idempotent call cannot be repeated, so it runs to its end.
+    if (route.kind != CallKind::NonIdempotent)
+        cancellation.cancel();
+    if (onCallerGone)
+        onCallerGone();
+}
+
+// Where room is managed, the engine that has some need not be the target that was chosen.
+std::optional<Room> Forwarder::roomAt(ForwardedCall& call, const Registration& target)
+{
+    if (!m_rooms.manages(call))
+        return Room { target, {} };
+    auto result = m_rooms.acquire(call);
+    if (auto* room = std::get_if<Room>(&result))
+        return std::move(*room);
+    if (auto* noRoom = std::get_if<NoRoom>(&result))
+        call.noRoom = *noRoom;
+    return std::nullopt;
+}
+
+ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Room& room, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
 {
     Attempt attempt(writer, hooks, m_receiveBudget);
-    // Copied, since the directory may drop the entry during the call.
-    Registration chosen = target;
+    const Registration& chosen = room.target;
     attempt.target = chosen.id;
     call.lastTarget = lifetimeOf(chosen);
     m_selector.sent(chosen.id);
@@ -373,7 +398,7 @@
     ForwardEnd end = attemptCall(call, attempt, [&] {
         HttpCallOptions options = optionsFor(call, isLast);
         options.group = lifetimeOf(chosen);
-        receive(call, attempt, chosen.endpoint, requestFor(call, chosen), options, [&] { noteAnswer(chosen, attempt); });
+        receive(call, attempt, chosen.endpoint, requestFor(call, room), options, [&] { noteAnswer(chosen, attempt); });
     });
     call.isRefusedByTarget = call.isRefusedByTarget || (end == ForwardEnd::NotRun && !attempt.isUnreachable);
     m_crashes.ended(call.content, end == ForwardEnd::Delivered);
@@ -392,6 +417,12 @@
     }
     if (auto timing = timingOf(call, attempt, end))
         m_selector.recordTiming(chosen.id, *timing, m_clock.now());
+    if (m_rooms.manages(call)) {
+        if (attempt.isUnreachable)
+            m_rooms.giveBack(room);
+        bool isAnswered = end == ForwardEnd::Delivered && attempt.isStream;
+        m_rooms.ended(call, isAnswered ? std::optional(std::chrono::duration_cast<Milliseconds>(m_clock.now() - attempt.sentAt)) : std::nullopt);
+    }
     logAttempt(call, chosen, attempt, end);
     return end;
 }
@@ -526,9 +557,13 @@
         std::optional<RelayAddress> relay = chooseRelay(call, target);
         if (!relay && !target)
             break;
-        if (!relay)
-            call.query.tried.insert(target->id);
-        ForwardEnd last = relay ? tryRelay(call, *relay, isLast, writer, hooks) : tryTarget(call, *target, isLast, writer, hooks);
+        // Copied, since the directory may drop the entry during the call.
+        std::optional<Room> room = relay ? std::nullopt : roomAt(call, *target);
+        if (!relay && !room)
+            break;
+        if (room)
+            call.query.tried.insert(room->target.id);
+        ForwardEnd last = relay ? tryRelay(call, *relay, isLast, writer, hooks) : tryTarget(call, *room, isLast, writer, hooks);
         if (last == ForwardEnd::Delivered || last == ForwardEnd::BrokenOff)
             return last;
         if (last == ForwardEnd::NotRun) {
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -3,6 +3,7 @@
 #include "CrashTracker.h"
 #include "RateLimitTracker.h"
 #include "RelaySelector.h"
+#include "RoomController.h"
 #include "TargetMonitor.h"
 
 #include "basilpoint/Forwarding/RouteTable.h"
@@ -47,6 +48,13 @@
     std::string lastTarget {};
     /// Whether a target has refused the call.
     bool isRefusedByTarget = false;
+    /// Called when the caller disconnects, if set.
+    std::function<void()> onCallerGone {};
+    /// Set if the call was not sent, since the engines have no room for it in time.
+    std::optional<NoRoom> noRoom {};
+
+    /// Ends what the call waits for, after its caller has disconnected.
+    void callerLeft();
 };
 
 /// Hooks into a stream on its way from the target to the caller.
@@ -83,7 +91,7 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, RoomController&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
 
     /// Whether the request is refused, since it has crashed several targets.
     bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
@@ -101,10 +109,11 @@
     ServiceId chooseService(const ForwardingRoute&, const CallAttributes&) const;
     const Registration* chooseTarget(ForwardedCall&);
     std::optional<RelayAddress> chooseRelay(const ForwardedCall&, const Registration* target);
-    HttpRequest requestFor(const ForwardedCall&, const Registration&) const;
+    HttpRequest requestFor(const ForwardedCall&, const Room&) const;
     HttpRequest relayRequestFor(const ForwardedCall&) const;
     HttpCallOptions optionsFor(const ForwardedCall&, bool isLast) const;
-    ForwardEnd tryTarget(ForwardedCall&, const Registration&, bool isLast, ResponseWriter&, const StreamHooks&);
+    std::optional<Room> roomAt(ForwardedCall&, const Registration&);
+    ForwardEnd tryTarget(ForwardedCall&, const Room&, bool isLast, ResponseWriter&, const StreamHooks&);
     ForwardEnd tryRelay(ForwardedCall&, const RelayAddress&, bool isLast, ResponseWriter&, const StreamHooks&);
     template <typename Call>
     ForwardEnd attemptCall(ForwardedCall&, Attempt&, Call);
@@ -127,6 +136,7 @@
     RelaySelector& m_relays;
     CrashTracker& m_crashes;
     RateLimitTracker& m_limits;
+    RoomController& m_rooms;
     ReceiveBudget& m_receiveBudget;
     const WireFormat& m_format;
     const Clock& m_clock;
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -108,12 +108,7 @@
     if (auto reason = reasonNotToTake(*call, share))
         return refuse(*call, relayends::notTaken, *reason, writer);
     ActiveCall active(m_activeCalls);
-    writer.notifyOnDisconnect([call] {
-        call->call.isCallerGone = true;
-        // A non-idempotent call cannot be repeated, so it runs to its end.
-        if (call->call.route.kind != CallKind::NonIdempotent)
-            call->call.cancellation.cancel();
-    });
+    writer.notifyOnDisconnect([call] { call->call.callerLeft(); });
     serve(*call, writer);
 }
 
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -608,6 +608,13 @@
     return refusal;
 }
 
+TurnController::Refusal TurnController::Refusal::ofCallNotRun(const ForwardedCall& call)
+{
+    if (call.noRoom)
+        return { 503, toString(call.noRoom->refusal), "no engine has room for the call in time", false, call.noRoom->retryAfter };
+    return { 503, "no-target", "no target took the call" };
+}
+
 std::optional<TurnController::Refusal> TurnController::forward(ForwardedCall& call, Turn& turn, ResponseWriter& writer)
 {
     ForwardEnd end = m_forwarder.forward(call, writer, hooksFor(call, turn));
@@ -615,7 +622,7 @@
     case ForwardEnd::Delivered:
         return std::nullopt;
     case ForwardEnd::NotRun:
-        return Refusal { 503, "no-target", "no target took the call" };
+        return Refusal::ofCallNotRun(call);
     case ForwardEnd::MayHaveRun:
         if (turn.isDenied)
             return Refusal { m_clock.now() >= call.deadline ? 504 : 502, "budget-spent-meanwhile", "budget spent meanwhile" };
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -26,6 +26,11 @@
         std::string reason;
         /// Whether the answer has begun and cannot be completed, so that its connection must be closed.
         bool isBrokenOff = false;
+        /// When the caller should try again; if empty, after a share of the time that it has left.
+        std::optional<Milliseconds> retryAfter {};
+
+        /// Of a call that no target has run.
+        static Refusal ofCallNotRun(const ForwardedCall&);
     };
 
     /// Serves one turn. \returns the refusal to send to the caller; empty if the turn was answered.
--- a/lib/Policy/FairShares.cpp
+++ b/lib/Policy/FairShares.cpp
@@ -19,6 +19,12 @@
     return { start, std::min(maxPenalty, static_cast<unsigned>(ahead)) };
 }
 
+double FairShares::startTagOf(const OperatorId& owner) const
+{
+    auto it = m_shares.find(owner);
+    return it == m_shares.end() ? m_virtualTime : std::max(m_virtualTime, it->second.finishTag);
+}
+
 void FairShares::dispatched(double startTag)
 {
     m_virtualTime = std::max(m_virtualTime, startTag);
