Test admission under load, and refuse more of an overload's first turns

RoomLoadTest runs the decisions of twelve gateways against six engines in virtual time, EngineRoomTest real gateways against a fake engine that takes reservations. Causes and changes: - programs were let in by what a short one can spare, though each of a program's turns waits: the time to spare is now that per turn of a long program, and a first turn also counts the waits of later turns, which it will bring. No first turn waits longer than that; - all organisations were refused for the waits that one caused: one that asks for less than its max-min share of the calls that got room is judged by the waits of its own first turns only; - virtual time passed organisations that wait while later turns of another one went first; - a first turn that has waited for a second is as urgent as a later one.

--- a/include/basilpoint/Forwarding/RefusalPolicy.h
+++ b/include/basilpoint/Forwarding/RefusalPolicy.h
@@ -36,6 +36,8 @@
 
 /// Identifier in kebab-case.
 std::string_view toString(RoomRefusal);
+/// Empty if \p text is no such identifier.
+std::optional<RoomRefusal> roomRefusalFrom(std::string_view text);
 
 /// Result of a call's arrival and what it rests on.
 struct RoomDecision {
@@ -46,6 +48,8 @@
     std::optional<Milliseconds> estimateAge;
     /// Usual time of such a call at an engine.
     Milliseconds usualTime { 0 };
+    /// Longest wait after which the call is of use.
+    Milliseconds maxWait { 0 };
     /// Whether the call would be refused but tries, so that the policy learns when its reason ends.
     bool isTrial = false;
 };
@@ -59,8 +63,10 @@
 
     RoomDecision arrived(const RoomArrival&, TimePoint now);
 
-    /// Time that a call has waited: until it got room or gave up.
-    void waited(const WaitClass&, Milliseconds wait, TimePoint now);
+    /// A call got room after a wait, zero if it had not to wait.
+    void placed(const WaitClass&, Milliseconds wait, TimePoint now);
+    /// A call has waited in vain.
+    void gaveUp(const WaitClass&, Milliseconds wait, TimePoint now);
 
     /// Time that a call took at an engine.
     void ran(const std::string& kind, Milliseconds time);
@@ -81,11 +87,21 @@
     };
 
     Estimate estimateOf(const WaitClass&, TimePoint now) const;
-    static bool isTooLate(const RoomArrival&, Milliseconds time);
-    static bool canSpare(const RoomArrival&, Milliseconds wait, Milliseconds usualTime);
+    static Milliseconds timeLeft(const RoomArrival&);
+    static Milliseconds timeToSpare(const RoomArrival&, Milliseconds usualTime, bool isWithinShare);
+    Estimate expectedWaitOf(const RoomArrival&, bool isWithinShare, TimePoint now) const;
+    bool isWithinShare(const std::string& organisation) const;
+    void addWait(const WaitClass&, Milliseconds wait, TimePoint now);
     void forgetOld(TimePoint now);
 
+    /// Calls of an organisation within the last seconds; each counts less as it ages.
+    struct Demand {
+        double arrived = 0;
+        double placed = 0;
+    };
+
     std::map<WaitClass, std::deque<Wait>> m_waits;
+    std::map<std::string, Demand> m_demands;
     /// Moving averages in milliseconds, by kind.
     std::map<std::string, double> m_usualTimes;
     TimePoint m_sweptAt = TimePoint::min();
--- a/include/basilpoint/Forwarding/RoomQueue.h
+++ b/include/basilpoint/Forwarding/RoomQueue.h
@@ -46,7 +46,7 @@
 public:
     /// Adds a call. \returns the call that has no place, which is the last in order; empty if there is room for all.
     std::optional<WaitingCallId> push(const WaitingCall&, TimePoint now);
-    bool erase(WaitingCallId id) { return m_calls.erase(id) > 0; }
+    bool erase(WaitingCallId);
 
     /// First call in order; empty if none waits.
     std::optional<WaitingCallId> first(TimePoint now) const;
@@ -69,9 +69,24 @@
 private:
     struct Rank;
 
-    Rank rankOf(const WaitingCall&, TimePoint now) const;
-
-    std::map<WaitingCallId, WaitingCall> m_calls;
+    /// Waiting calls of an organisation, and its share.
+    struct Share {
+        OperatorId organisation;
+        std::size_t waiting = 0;
+        /// Virtual start time of its next call, as of the last \ref readTags.
+        double startTag = 0;
+    };
+    struct Entry {
+        WaitingCall call;
+        const Share* share;
+    };
+
+    void readTags() const;
+    static Rank rankOf(const Entry&, TimePoint now);
+
+    std::map<WaitingCallId, Entry> m_calls;
+    /// Organisations with waiting calls, so that their shares are looked up once and not for each call.
+    mutable std::map<std::string, Share> m_organisations;
     FairShares m_shares;
 };
 
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Hash.h"
+#include "basilpoint/Support/ParseNumber.h"
 
 #include <algorithm>
 #include <array>
@@ -66,6 +67,8 @@
     /// How the call ended at the gateway that it was handed to, if that one has no answer of a target.
     std::string relayEnd;
     bool isRelayLeaving = false;
+    /// Why the relay has refused the call, if the engines had no room for it.
+    std::optional<NoRoom> noRoom;
     bool isRelayed = false;
 
     double millisecondsBetweenEvents() const { return DoubleMilliseconds(lastEventAt - firstEventAt).count() / (events - 1); }
@@ -294,6 +297,10 @@
     };
     attempt.relayEnd = take(relayheaders::end);
     attempt.isRelayLeaving = !take(relayheaders::leaving).empty();
+    std::optional<RoomRefusal> refusal = roomRefusalFrom(take(relayheaders::noRoom));
+    auto retryAfter = parseNumber<Milliseconds::rep>(take(relayheaders::retryAfter));
+    if (refusal && retryAfter)
+        attempt.noRoom = NoRoom { *refusal, Milliseconds(*retryAfter) };
     std::string lifetime = take(relayheaders::target);
     if (lifetime.empty() && attempt.relayEnd.empty())
         attempt.relayEnd = isRejectedByServer(attempt.response.status) ? relayends::notTaken : relayends::mayHaveRun;
@@ -440,6 +447,8 @@
         receive(call, attempt, relay.endpoint, relayRequestFor(call), options, [&] { readRelayHeaders(attempt); });
     });
     call.isRefusedByTarget = attempt.relayEnd == relayends::notRun;
+    if (call.isRefusedByTarget)
+        call.noRoom = attempt.noRoom;
     if (!attempt.target.empty())
         call.query.tried.insert(attempt.target);
     if (attempt.isRelayLeaving)
--- a/lib/Gateway/RelayedCall.h
+++ b/lib/Gateway/RelayedCall.h
@@ -29,6 +29,10 @@
     inline constexpr const char* target = "basilpoint-relay-target";
     /// Present if the relay shuts down and takes only calls that end before it does.
     inline constexpr const char* leaving = "basilpoint-relay-leaving";
+    /// Why the relay has refused a call for which the engines have no room.
+    inline constexpr const char* noRoom = "basilpoint-relay-no-room";
+    /// Milliseconds after which the caller of such a call should try again.
+    inline constexpr const char* retryAfter = "basilpoint-relay-retry-after";
     /// How the call ended, if the relay has no answer of a target.
     inline constexpr const char* end = "basilpoint-relay-end";
 }
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -120,7 +120,7 @@
         m_metrics.count("relayed_calls_total{end=\"delivered\"}");
         return;
     case ForwardEnd::NotRun:
-        return refuse(call, call.call.isRefusedByTarget ? relayends::notRun : relayends::notTaken, "no target took the call", writer);
+        return refuse(call, call.call.isRefusedByTarget || call.call.noRoom ? relayends::notRun : relayends::notTaken, "no target took the call", writer);
     case ForwardEnd::MayHaveRun:
         return refuse(call, relayends::mayHaveRun, "no answer", writer);
     case ForwardEnd::BrokenOff:
@@ -136,6 +136,10 @@
         headers[relayheaders::target] = call.call.lastTarget;
     if (m_drainEnd)
         headers[relayheaders::leaving] = "1";
+    if (call.call.noRoom) {
+        headers[relayheaders::noRoom] = toString(call.call.noRoom->refusal);
+        headers[relayheaders::retryAfter] = std::to_string(call.call.noRoom->retryAfter.count());
+    }
 }
 
 void RelayedCallController::refuse(const Call& call, const char* end, std::string_view reason, ResponseWriter& writer)
--- a/lib/Gateway/RoomController.cpp
+++ b/lib/Gateway/RoomController.cpp
@@ -231,11 +231,7 @@
         spawnFiber([this, &service] { serveQueue(service); });
     }
     call.onCallerGone = [waiter = waiter.get()] { waiter->changed.notifyAll(); };
-    // A call that could not end in time any more would only take room from others.
-    TimePoint end = need.deadline;
-    if (!need.waitClass.isLaterTurn && need.programEnd)
-        end = std::min(end, *need.programEnd);
-    end -= decision.usualTime;
+    TimePoint end = need.startedAt + decision.maxWait;
     while (!waiter->room && !waiter->hasNoPlace && !call.isCallerGone && m_clock.now() < end)
         waiter->changed.waitFor(std::chrono::ceil<Milliseconds>(end - m_clock.now()));
     call.onCallerGone = nullptr;
@@ -254,7 +250,7 @@
         m_log.write(LogLine("room-left").field("request", call.attributes.call.text()).field("waitedMs", waited));
         return std::monostate();
     }
-    service.policy.waited(need.waitClass, waited, m_clock.now());
+    service.policy.gaveUp(need.waitClass, waited, m_clock.now());
     return refuse(call, need, waiter->hasNoPlace ? RoomRefusal::QueueFull : RoomRefusal::TooLate, decision);
 }
 
@@ -281,7 +277,7 @@
     Service& service = serviceOf(need.query.service);
     TimePoint now = m_clock.now();
     auto waited = std::chrono::duration_cast<Milliseconds>(now - need.startedAt);
-    service.policy.waited(need.waitClass, waited, now);
+    service.policy.placed(need.waitClass, waited, now);
     service.queue.placed(need.waitClass.organisation, need.work());
     if (!call.attributes.program.empty())
         m_programs.sent(need.waitClass.organisation, call.attributes.program.text(), now);
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -54,9 +54,13 @@
     Json routes = Json::array({ { { "name", "turns" }, { "host", "h.example" }, { "prefix", "/stream/" }, { "kind", "stream" }, { "timeoutMs", 4000 }, { "targetLatencyMs", 250 }, { "priority", 0 }, { "service", "models" }, { "maxAttempts", 2 }, { "stateful", true }, { "retainS", 60.0 } },
         { { "name", "chat" }, { "host", "h.example" }, { "prefix", "/chat/" }, { "kind", "stream" }, { "timeoutMs", 4000 }, { "targetLatencyMs", 250 }, { "priority", 0 }, { "service", "models" }, { "maxAttempts", 1 }, { "stateful", false }, { "retainS", 60.0 } },
         { { "name", "pay" }, { "host", "h.example" }, { "prefix", "/pay/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "service", "tools" }, { "maxAttempts", 1 } } });
+    if (isResumable)
+        routes[1]["resumable"] = true;
     for (const std::string& prefix : morePrefixes)
         routes.push_back({ { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "kind", "idempotent" }, { "timeoutMs", 1000 }, { "service", "tools" } });
     Json services = Json::array({ { { "name", "models" }, { "healthPath", "/health" }, { "engine", { { "slots", 4 }, { "kvTokens", 1000 }, { "stride", 10 } } } }, { { "name", "tools" } } });
+    if (longestReservation > 0)
+        services[0]["engine"]["holdMs"] = longestReservation;
     store.put("op/config", Json { { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }.dump());
 }
 
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -81,6 +81,10 @@
     unsigned tolerated;
     /// Descriptors that processes may use, as their settings say; see limitDescriptors().
     unsigned descriptors = 4'096;
+    /// Longest reservation at the engines, as the configuration says; with 0 they take none.
+    int longestReservation = 0;
+    /// Whether the configuration says that broken streams may be continued.
+    bool isResumable = false;
     FakeStore store;
     /// Addresses at which processes find the store, if not at its own.
     std::map<std::string, Endpoint> storeAddresses;
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -5,6 +5,8 @@
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Base64.h"
 
+#include <algorithm>
+
 namespace basilpoint::test {
 
 using Json = nlohmann::json;
@@ -165,7 +167,50 @@
     return Json { { "service", m_service }, { "addr", m_server->endpoint().text() }, { "zone", "z" }, { "slots", 4 }, { "state", state }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1'700'000'000'000 + m_lifetime } }.dump();
 }
 
+std::size_t FakeTarget::openReservations() const
+{
+    auto now = std::chrono::steady_clock::now();
+    return static_cast<std::size_t>(std::count_if(m_reservations.begin(), m_reservations.end(), [&](const auto& it) { return it.second > now; }));
+}
+
+void FakeTarget::reserve(const HttpRequest& request, ResponseWriter& writer)
+{
+    ++reservationRequests;
+    if (ignoresReservations)
+        pause(std::chrono::milliseconds(500));
+    if (!room || openReservations() + running >= *room)
+        return sendJson(writer, room ? 503 : 404, Json::object());
+    std::string id = m_id + "-" + std::to_string(++m_lastReservation);
+    m_reservations[id] = std::chrono::steady_clock::now() + std::chrono::milliseconds(Json::parse(request.body).at("ttlMs").get<int>());
+    sendJson(writer, 200, { { "hold", id } });
+}
+
 void FakeTarget::handle(const HttpRequest& request, ResponseWriter& writer)
+{
+    static constexpr std::string_view dropPath = "/-/hold-drop/";
+    if (request.target == "/-/hold-take")
+        return reserve(request, writer);
+    if (request.target.starts_with(dropPath)) {
+        reservationsDropped += static_cast<unsigned>(m_reservations.erase(request.target.substr(dropPath.size())));
+        return sendJson(writer, 200, Json::object());
+    }
+    std::string reservation(request.header("x-basilpoint-hold"));
+    auto it = m_reservations.find(reservation);
+    if (!reservation.empty() && (it == m_reservations.end() || it->second < std::chrono::steady_clock::now()))
+        return writer.send({ 503, { { "x-basilpoint-not-run", "reservation" }, { "x-basilpoint-request-id", std::string(request.header("x-basilpoint-request-id")) } }, {} });
+    if (it != m_reservations.end())
+        m_reservations.erase(it);
+    maxRunning = std::max(maxRunning, ++running);
+    try {
+        run(request, writer);
+    } catch (const Error&) {
+        --running;
+        throw;
+    }
+    --running;
+}
+
+void FakeTarget::run(const HttpRequest& request, ResponseWriter& writer)
 {
     std::string call(request.header("x-basilpoint-request-id"));
     if (request.header("x-basilpoint-expect-instance") != m_id)
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <vector>
 
 namespace basilpoint::test {
@@ -101,10 +102,26 @@
     HttpHeaders answerHeaders;
     /// Time that each call takes.
     std::chrono::milliseconds delay { 0 };
+    /// Calls and reservations that the target has room for; empty if it takes no reservations.
+    std::optional<unsigned> room;
+    /// While set, requests for reservations are not answered in time.
+    bool ignoresReservations = false;
+    unsigned reservationRequests = 0;
+    unsigned reservationsDropped = 0;
+    /// Calls that run now, and most that ran at a time.
+    unsigned running = 0;
+    unsigned maxRunning = 0;
+    /// Reservations that are neither used nor expired.
+    std::size_t openReservations() const;
 
 private:
     void handle(const HttpRequest&, ResponseWriter&);
+    void run(const HttpRequest&, ResponseWriter&);
+    void reserve(const HttpRequest&, ResponseWriter&);
 
+    /// Ends of reservations, by id.
+    std::map<std::string, std::chrono::steady_clock::time_point> m_reservations;
+    unsigned m_lastReservation = 0;
     boost::asio::io_context& m_io;
     std::string m_id;
     std::string m_service;
