--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -6,6 +6,7 @@
 
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Support/Hash.h"
+#include "basilpoint/Support/ParseNumber.h"
 
 #include <algorithm>
 #include <array>
@@ -67,6 +68,8 @@
     /// How the call ended at the gateway that it was handed to, if that one has no answer of a target.
     std::string relayEnd;
     bool isRelayLeaving = false;
+    /// Why the relay has refused the call, if the engines had no room for it.
+    std::optional<NoRoom> noRoom;
     bool isRelayed = false;
 
     double millisecondsBetweenEvents() const { return DoubleMilliseconds(lastEventAt - firstEventAt).count() / (events - 1); }
@@ -85,7 +88,7 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, PaceTracker& paces, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, PaceTracker& paces, RoomController& rooms, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
@@ -94,6 +97,7 @@
     , m_crashes(crashes)
     , m_limits(limits)
     , m_paces(paces)
+    , m_rooms(rooms)
     , m_receiveBudget(receiveBudget)
     , m_format(format)
     , m_clock(clock)
@@ -172,7 +176,7 @@
         m_format.removeCallerIdentity(request);
 }
 
-HttpRequest Forwarder::requestFor(const ForwardedCall& call, const Registration& target) const
+HttpRequest Forwarder::requestFor(const ForwardedCall& call, const Room& room) const
 {
     HttpRequest request = call.request;
     if (call.body)
@@ -184,7 +188,8 @@
     if (service && service->engine)
         urgency = urgencyOf(call.route, call.organisation.get(), call.identifiesCallers());
     removeIdentity(call, request);
-    m_format.writeTargetCall(request, { target.id, std::max(timeLeft, Milliseconds(1)), urgency, call.organisation ? call.organisation->name : std::string() });
+    TargetCallAttributes attributes { room.target.id, std::max(timeLeft, Milliseconds(1)), urgency, call.organisation ? call.organisation->name : std::string(), room.reservation };
+    m_format.writeTargetCall(request, attributes);
     return request;
 }
 
@@ -315,6 +320,10 @@
     };
     attempt.relayEnd = take(relayheaders::end);
     attempt.isRelayLeaving = !take(relayheaders::leaving).empty();
+    std::optional<RoomRefusal> refusal = roomRefusalFrom(take(relayheaders::noRoom));
+    auto retryAfter = parseNumber<Milliseconds::rep>(take(relayheaders::retryAfter));
+    if (refusal && retryAfter)
+        attempt.noRoom = NoRoom { *refusal, Milliseconds(*retryAfter) };
     std::string lifetime = take(relayheaders::target);
     if (lifetime.empty() && attempt.relayEnd.empty())
         attempt.relayEnd = isRejectedByServer(attempt.response.status) ? relayends::notTaken : relayends::mayHaveRun;
@@ -383,11 +392,33 @@
     return end;
 }
 
-ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Registration& target, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
+void ForwardedCall::callerLeft()
+{
+    isCallerGone = true;
+    // A non-idempotent call cannot be repeated, so it runs to its end.
+    if (route.kind != CallKind::NonIdempotent)
+        cancellation.cancel();
+    if (onCallerGone)
+        onCallerGone();
+}
+
+// Where room is managed, the engine that has some need not be the target that was chosen.
+std::optional<Room> Forwarder::roomAt(ForwardedCall& call, const Registration& target)
+{
+    if (!m_rooms.manages(call))
+        return Room { target, {} };
+    auto result = m_rooms.acquire(call);
+    if (auto* room = std::get_if<Room>(&result))
+        return std::move(*room);
+    if (auto* noRoom = std::get_if<NoRoom>(&result))
+        call.noRoom = *noRoom;
+    return std::nullopt;
+}
+
+ForwardEnd Forwarder::tryTarget(ForwardedCall& call, const Room& room, bool isLast, ResponseWriter& writer, const StreamHooks& hooks)
 {
     Attempt attempt(writer, hooks, m_receiveBudget);
-    // Copied, since the directory may drop the entry during the call.
-    Registration chosen = target;
+    const Registration& chosen = room.target;
     attempt.target = chosen.id;
     call.lastTarget = lifetimeOf(chosen);
     m_selector.sent(chosen, call.query, m_clock.now());
@@ -397,7 +428,7 @@
     ForwardEnd end = attemptCall(call, attempt, [&] {
         HttpCallOptions options = optionsFor(call, isLast);
         options.group = lifetimeOf(chosen);
-        receive(call, attempt, chosen.endpoint, requestFor(call, chosen), options, [&] { noteAnswer(chosen, attempt); });
+        receive(call, attempt, chosen.endpoint, requestFor(call, room), options, [&] { noteAnswer(chosen, attempt); });
     });
     call.isRefusedByTarget = call.isRefusedByTarget || (end == ForwardEnd::NotRun && !attempt.isUnreachable);
     m_crashes.ended(call.content, end == ForwardEnd::Delivered);
@@ -418,6 +449,12 @@
         m_selector.recordTiming(chosen.id, *timing, m_clock.now());
     if (call.query.isManaged)
         recordManaged(call, chosen, attempt, end);
+    if (m_rooms.manages(call)) {
+        if (attempt.isUnreachable)
+            m_rooms.giveBack(room);
+        bool isAnswered = end == ForwardEnd::Delivered && attempt.isStream;
+        m_rooms.ended(call, isAnswered ? std::optional(std::chrono::duration_cast<Milliseconds>(m_clock.now() - attempt.sentAt)) : std::nullopt);
+    }
     logAttempt(call, chosen, attempt, end);
     return end;
 }
@@ -435,6 +472,8 @@
         receive(call, attempt, relay.endpoint, relayRequestFor(call), options, [&] { readRelayHeaders(attempt); });
     });
     call.isRefusedByTarget = attempt.relayEnd == relayends::notRun;
+    if (call.isRefusedByTarget)
+        call.noRoom = attempt.noRoom;
     if (!attempt.target.empty())
         call.query.tried.insert(attempt.target);
     if (attempt.isRelayLeaving)
@@ -572,9 +611,13 @@
         std::optional<RelayAddress> relay = chooseRelay(call, target);
         if (!relay && !target)
             break;
-        if (!relay)
-            call.query.tried.insert(target->id);
-        ForwardEnd last = relay ? tryRelay(call, *relay, isLast, writer, hooks) : tryTarget(call, *target, isLast, writer, hooks);
+        // Copied, since the directory may drop the entry during the call.
+        std::optional<Room> room = relay ? std::nullopt : roomAt(call, *target);
+        if (!relay && !room)
+            break;
+        if (room)
+            call.query.tried.insert(room->target.id);
+        ForwardEnd last = relay ? tryRelay(call, *relay, isLast, writer, hooks) : tryTarget(call, *room, isLast, writer, hooks);
         if (last == ForwardEnd::Delivered || last == ForwardEnd::BrokenOff)
             return last;
         if (last == ForwardEnd::NotRun) {
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -4,6 +4,7 @@
 #include "PaceTracker.h"
 #include "RateLimitTracker.h"
 #include "RelaySelector.h"
+#include "RoomController.h"
 #include "TargetMonitor.h"
 
 #include "basilpoint/Forwarding/RouteTable.h"
@@ -53,6 +54,14 @@
 
     /// Whether the caller's statements about its identity are replaced, here or by the gateway that handed the call over.
     bool identifiesCallers() const { return organisation || (table && table->identifiesCallers()); }
+
+    /// Called when the caller disconnects, if set.
+    std::function<void()> onCallerGone {};
+    /// Set if the call was not sent, since the engines have no room for it in time.
+    std::optional<NoRoom> noRoom {};
+
+    /// Ends what the call waits for, after its caller has disconnected.
+    void callerLeft();
 };
 
 /// Hooks into a stream on its way from the target to the caller.
@@ -90,7 +99,7 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, PaceTracker&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, PaceTracker&, RoomController&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
 
     /// Whether the request is refused, since it has crashed several targets.
     bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
@@ -109,10 +118,11 @@
     const Registration* chooseTarget(ForwardedCall&);
     std::optional<RelayAddress> chooseRelay(const ForwardedCall&, const Registration* target);
     void removeIdentity(const ForwardedCall&, HttpRequest&) const;
-    HttpRequest requestFor(const ForwardedCall&, const Registration&) const;
+    HttpRequest requestFor(const ForwardedCall&, const Room&) const;
     HttpRequest relayRequestFor(const ForwardedCall&) const;
     HttpCallOptions optionsFor(const ForwardedCall&, bool isLast) const;
-    ForwardEnd tryTarget(ForwardedCall&, const Registration&, bool isLast, ResponseWriter&, const StreamHooks&);
+    std::optional<Room> roomAt(ForwardedCall&, const Registration&);
+    ForwardEnd tryTarget(ForwardedCall&, const Room&, bool isLast, ResponseWriter&, const StreamHooks&);
     ForwardEnd tryRelay(ForwardedCall&, const RelayAddress&, bool isLast, ResponseWriter&, const StreamHooks&);
     template <typename Call>
     ForwardEnd attemptCall(ForwardedCall&, Attempt&, Call);
@@ -137,6 +147,7 @@
     CrashTracker& m_crashes;
     RateLimitTracker& m_limits;
     PaceTracker& m_paces;
+    RoomController& m_rooms;
     ReceiveBudget& m_receiveBudget;
     const WireFormat& m_format;
     const Clock& m_clock;
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -110,12 +110,7 @@
     if (auto reason = reasonNotToTake(*call, share))
         return refuse(*call, relayends::notTaken, *reason, writer);
     ActiveCall active(m_activeCalls);
-    writer.notifyOnDisconnect([call] {
-        call->call.isCallerGone = true;
-        // A non-idempotent call cannot be repeated, so it runs to its end.
-        if (call->call.route.kind != CallKind::NonIdempotent)
-            call->call.cancellation.cancel();
-    });
+    writer.notifyOnDisconnect([call] { call->call.callerLeft(); });
     serve(*call, writer);
 }
 
@@ -127,7 +122,7 @@
         m_metrics.count("relayed_calls_total{end=\"delivered\"}");
         return;
     case ForwardEnd::NotRun:
-        return refuse(call, call.call.isRefusedByTarget ? relayends::notRun : relayends::notTaken, "no target took the call", writer);
+        return refuse(call, call.call.isRefusedByTarget || call.call.noRoom ? relayends::notRun : relayends::notTaken, "no target took the call", writer);
     case ForwardEnd::MayHaveRun:
         return refuse(call, relayends::mayHaveRun, "no answer", writer);
     case ForwardEnd::BrokenOff:
@@ -143,6 +138,10 @@
         headers[relayheaders::target] = call.call.lastTarget;
     if (m_drainEnd)
         headers[relayheaders::leaving] = "1";
+    if (call.call.noRoom) {
+        headers[relayheaders::noRoom] = toString(call.call.noRoom->refusal);
+        headers[relayheaders::retryAfter] = std::to_string(call.call.noRoom->retryAfter.count());
+    }
 }
 
 void RelayedCallController::refuse(const Call& call, const char* end, std::string_view reason, ResponseWriter& writer)
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -105,7 +105,8 @@
         , crashes(client, directory, notices, clock, log, metrics)
         , limits("g", notices, clock, log, metrics)
         , paces(selector, notices, clock, log, metrics)
-        , forwarder(client, directory, selector, monitor, relays, crashes, limits, paces, receiveBudget, format, clock, log, metrics)
+        , rooms(client, selector, monitor, limits, format, clock, log, metrics, 1)
+        , forwarder(client, directory, selector, monitor, relays, crashes, limits, paces, rooms, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -155,6 +156,7 @@
     CrashTracker crashes;
     RateLimitTracker limits;
     PaceTracker paces;
+    RoomController rooms;
     Forwarder forwarder;
     TurnLedger ledger;
     LedgerWriter writer;
