--- a/include/basilpoint/Forwarding/PaceShares.h
+++ b/include/basilpoint/Forwarding/PaceShares.h
@@ -13,17 +13,13 @@
 class PaceShares {
 public:
     /// Sets the slots of all targets by steps of pace.
-    void setSlots(std::map<int, double> slots);
+    void setSlots(std::map<int, double> slots) { m_slots = std::move(slots); }
 
     /// Records that a call was sent to a target; \p milliseconds is the time that it usually takes at the target's pace.
     void sent(int step, double milliseconds, TimePoint now);
 
     /// How much more work per slot targets of a step were sent lately than all together, as a share of the latter.
-    double excess(int step) const
-    {
-        auto it = m_excesses.find(step);
-        return it == m_excesses.end() ? 0 : it->second;
-    }
+    double excess(int step, TimePoint now) const;
 
 private:
     struct Work {
@@ -32,13 +28,9 @@
     };
 
     static double workOf(const Work&, TimePoint now);
-    void update(TimePoint now);
 
     std::map<int, double> m_slots;
     std::map<int, Work> m_work;
-    /// Does not change as time passes, since the work of all steps decays alike.
-    std::map<int, double> m_excesses;
-    TimePoint m_updatedAt;
 };
 
 } // namespace basilpoint
--- a/include/basilpoint/Forwarding/TargetPaces.h
+++ b/include/basilpoint/Forwarding/TargetPaces.h
@@ -55,7 +55,6 @@
     std::size_t size() const { return m_targets.size(); }
 
     static double ratioOf(int step);
-    static double logRatioOf(int step);
     static int stepOf(double ratio);
 
     /// Fewer calls are not told from a stall.
--- a/lib/Forwarding/PaceShares.cpp
+++ b/lib/Forwarding/PaceShares.cpp
@@ -1,6 +1,5 @@
 #include "basilpoint/Forwarding/PaceShares.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace basilpoint {
@@ -18,30 +17,27 @@
 {
     Work& work = m_work[step];
     work = { workOf(work, now) + milliseconds, now };
-    update(now);
 }
 
-void PaceShares::setSlots(std::map<int, double> slots)
+double PaceShares::excess(int step, TimePoint now) const
 {
-    m_slots = std::move(slots);
-    update(m_updatedAt);
-}
-
-void PaceShares::update(TimePoint now)
-{
-    m_updatedAt = now;
-    m_excesses.clear();
+    auto own = m_slots.find(step);
+    if (own == m_slots.end())
+        return 0;
     double allSlots = 0;
     double allWork = 0;
-    for (const auto& [step, slots] : m_slots) {
-        auto work = m_work.find(step);
-        double milliseconds = work == m_work.end() ? 0 : workOf(work->second, now);
+    double ownWork = 0;
+    for (const auto& [it, slots] : m_slots) {
         allSlots += slots;
+        auto work = m_work.find(it);
+        double milliseconds = work == m_work.end() ? 0 : workOf(work->second, now);
         allWork += milliseconds;
-        m_excesses[step] = milliseconds / std::max(slots, 1.0);
+        if (it == step)
+            ownWork = milliseconds;
     }
-    for (auto& [step, value] : m_excesses)
-        value = allWork <= 0 ? 0 : value * allSlots / allWork - 1;
+    if (allWork <= 0 || own->second <= 0)
+        return 0;
+    return ownWork / own->second * allSlots / allWork - 1;
 }
 
 } // namespace basilpoint
--- a/lib/Forwarding/TargetPaces.cpp
+++ b/lib/Forwarding/TargetPaces.cpp
@@ -1,7 +1,6 @@
 #include "basilpoint/Forwarding/TargetPaces.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace basilpoint {
@@ -36,19 +35,7 @@
 
 double TargetPaces::ratioOf(int step)
 {
-    // Computed once, since a choice needs it for each target.
-    static const auto ratios = [] {
-        std::array<double, maxStep - minStep + 1> values {};
-        for (int n = minStep; n <= maxStep; ++n)
-            values[static_cast<std::size_t>(n - minStep)] = std::pow(stepRatio, n);
-        return values;
-    }();
-    return ratios[static_cast<std::size_t>(std::clamp(step, minStep, maxStep) - minStep)];
-}
-
-double TargetPaces::logRatioOf(int step)
-{
-    return logStep() * step;
+    return std::pow(stepRatio, step);
 }
 
 int TargetPaces::stepOf(double ratio)
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -160,16 +160,13 @@
     if (target.dataCentre != query.dataCentre)
         total += otherDataCentreCost;
     // The transient slowness includes the long-term pace.
-    double usualSlowness = normalSpread + TargetPaces::logRatioOf(step);
-    if (load != m_targets.end() && load->second.slowness > usualSlowness) {
-        double slowness = slownessOf(load->second, now) - usualSlowness;
-        if (slowness > 0)
-            total += std::expm1(slowness) * pace * output;
-    }
+    double slowness = load == m_targets.end() ? 0 : slownessOf(load->second, now) - std::log(pace);
+    if (slowness > normalSpread)
+        total += std::expm1(slowness - normalSpread) * pace * output;
     if (!query.affinityHolder.empty() && target.id == query.affinityHolder)
         total -= affinityShare * output;
     if (auto it = m_shares.find(query.service); it != m_shares.end())
-        total += shareSurcharge * output * it->second.shares.excess(step);
+        total += shareSurcharge * output * it->second.shares.excess(step, now);
     return total;
 }
 
