Revert "Learn long-term paces of targets and share them by notices"

Likely, not shown: the time between events grows with a target's load, so a busy target looks slow and an idle one is not learned again. Prompt parts and affinity stay. Long-term pace stays open.

--- a/include/basilpoint/Fleet/NoticeController.h
+++ b/include/basilpoint/Fleet/NoticeController.h
@@ -27,8 +27,6 @@
     void received(const std::string& body);
 
     bool inForce(const NoticeSubject&) const;
-    /// How long a notice stays in force unless it is raised again; zero if it is not in force.
-    Milliseconds remaining(const NoticeSubject&) const;
 
     static constexpr Milliseconds defaultLifetime = std::chrono::hours(24);
 
--- a/include/basilpoint/Fleet/NoticeGossip.h
+++ b/include/basilpoint/Fleet/NoticeGossip.h
@@ -23,8 +23,6 @@
     LimitedTarget,
     /// Daemon that is cut off from all targets; others do not send calls through it.
     CutOffDaemon,
-    /// Target whose long-term pace differs from the average, and the ratio.
-    TargetPace,
 };
 
 struct NoticeSubject {
@@ -94,11 +92,9 @@
     NoticeActions tick(TimePoint now);
 
     bool inForce(const NoticeSubject&, TimePoint now) const;
-    /// How long a notice stays in force unless it is raised again; zero if it is not in force.
-    Milliseconds remaining(const NoticeSubject&, TimePoint now) const;
     std::size_t size() const { return m_entries.size(); }
 
-    /// Maximum number of notices. Beyond it, further suspected requests and paces are not noted.
+    /// Maximum number of notices. Beyond it, further suspected requests are not noted.
     static constexpr std::size_t maxEntries = 10'000;
 
 private:
--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -1,10 +1,7 @@
 #pragma once
 
 #include "basilpoint/Forwarding/AffinityMap.h"
-#include "basilpoint/Forwarding/PaceShares.h"
-#include "basilpoint/Forwarding/PrefillRate.h"
 #include "basilpoint/Forwarding/PromptCacheMap.h"
-#include "basilpoint/Forwarding/TargetPaces.h"
 #include "basilpoint/Support/Random.h"
 
 #include <algorithm>
@@ -39,19 +36,6 @@
     std::optional<double> totalMilliseconds {};
 };
 
-/// Durations of a stream at a target of a service with managed room.
-struct StreamTiming {
-    /// Name of a group of similar calls, as in \ref CallTiming.
-    std::string kind;
-    /// Time between two events, without the longest pause, which may be a stall.
-    double eventMilliseconds = 0;
-    double firstEventMilliseconds = 0;
-    /// From the first event to the last.
-    double outputMilliseconds = 0;
-    /// Prompt tokens that were not known to be cached at the target.
-    TokenCount uncachedTokens = 0;
-};
-
 /// Criteria by which to choose a target for a call.
 struct TargetQuery {
     ServiceId service;
@@ -103,18 +87,11 @@
     std::vector<const Registration*> chooseBest(const std::vector<const Registration*>& candidates, const TargetQuery&, std::size_t n, TimePoint now);
 
     void sent(const TargetId&);
-    /// Also records the work for the shares of fast and slow targets, if the service is managed.
-    void sent(const Registration&, const TargetQuery&, TimePoint now);
     void ended(const TargetId&, TargetOutcome, TimePoint now);
 
     /// Records the timing of a call at the target; may be called during the call, and once more after it.
     void recordTiming(const TargetId&, const CallTiming&, TimePoint now);
 
-    /// Records the durations of a stream that has ended.
-    void recordStream(const Registration&, const StreamTiming&, TimePoint now);
-
-    TargetPaces& paces() { return m_paces; }
-
     /// Completes a query for a managed service by what earlier calls with the same prompt parts or affinity key show.
     /// \param affinityKey empty if the call has none, or its route does not regard it.
     void recall(TargetQuery&, const std::vector<PromptPart>&, const std::string& affinityKey, TimePoint now) const;
@@ -143,23 +120,11 @@
     };
 
     static double slownessOf(const Load&, TimePoint now);
-    double usualOutput(const std::string& kind) const;
-    void updateShares(const std::vector<const Registration*>& candidates, const TargetQuery&, TimePoint now);
     double managedCost(const Registration&, const TargetQuery&, TimePoint now) const;
     double cost(const Registration&, const TargetQuery&, TimePoint now) const;
 
     std::unordered_map<TargetId, Load> m_targets;
     std::map<std::string, Baseline> m_baselines;
-    struct Shares {
-        PaceShares shares;
-        TimePoint updatedAt = TimePoint::min();
-    };
-
-    TargetPaces m_paces;
-    std::map<ServiceId, Shares> m_shares;
-    /// Moving averages of the output time of streams at average pace, by kind.
-    std::map<std::string, double> m_outputMilliseconds;
-    PrefillRate m_prefillRate;
     PromptCacheMap m_promptCaches;
     AffinityMap m_affinities;
     RandomEngine m_random;
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -211,7 +211,6 @@
         return;
     case NoticeKind::LimitedTarget:
     case NoticeKind::CutOffDaemon:
-    case NoticeKind::TargetPace:
         // Only gateways send these.
         return;
     }
--- a/lib/Fleet/NoticeController.cpp
+++ b/lib/Fleet/NoticeController.cpp
@@ -64,11 +64,6 @@
     return m_gossip.inForce(subject, m_clock.now());
 }
 
-Milliseconds NoticeController::remaining(const NoticeSubject& subject) const
-{
-    return m_gossip.remaining(subject, m_clock.now());
-}
-
 void NoticeController::perform(const NoticeActions& actions)
 {
     for (const NoticeAction& action : actions) {
--- a/lib/Fleet/NoticeGossip.cpp
+++ b/lib/Fleet/NoticeGossip.cpp
@@ -21,12 +21,6 @@
 static constexpr auto liftedLifetime = std::chrono::minutes(10);
 static constexpr auto messageName = "notice message";
 
-// Whether the notice may be late or missing: others are acted on at once, and these can be many.
-static bool isMinor(NoticeKind kind)
-{
-    return kind == NoticeKind::SuspectedRequest || kind == NoticeKind::TargetPace;
-}
-
 static Json toJson(const Notice& notice)
 {
     return Json::array({ static_cast<unsigned>(notice.subject.kind), notice.subject.text, notice.revision, notice.lifted, notice.remaining.count() });
@@ -34,7 +28,7 @@
 
 static Notice noticeFromJson(const Json& json)
 {
-    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::TargetPace, messageName), json.at(1).get<std::string>() };
+    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::CutOffDaemon, messageName), json.at(1).get<std::string>() };
     return { subject, json.at(2).get<std::uint64_t>(), json.at(3).get<bool>(), Milliseconds(json.at(4).get<Milliseconds::rep>()) };
 }
 
@@ -85,7 +79,7 @@
 {
     if (notice.remaining <= Milliseconds::zero())
         return;
-    bool isFull = m_entries.size() >= maxEntries && isMinor(notice.subject.kind);
+    bool isFull = m_entries.size() >= maxEntries && notice.subject.kind == NoticeKind::SuspectedRequest;
     if (isFull && !m_entries.contains(notice.subject))
         return;
     Entry& entry = m_entries[notice.subject];
@@ -136,12 +130,6 @@
     return it != m_entries.end() && !it->second.lifted && now < it->second.expiresAt;
 }
 
-Milliseconds NoticeGossip::remaining(const NoticeSubject& subject, TimePoint now) const
-{
-    auto it = m_entries.find(subject);
-    return it == m_entries.end() || it->second.lifted ? Milliseconds::zero() : std::max(Milliseconds::zero(), std::chrono::floor<Milliseconds>(it->second.expiresAt - now));
-}
-
 Notice NoticeGossip::toNotice(const NoticeSubject& subject, const Entry& entry, TimePoint now) const
 {
     return { subject, entry.revision, entry.lifted, std::chrono::floor<Milliseconds>(entry.expiresAt - now) };
@@ -158,7 +146,7 @@
     // A new random order each time, so that all notices are sent within a few periods. A crash can leave many suspects,
     // which must not delay the notices that all daemons act on at once.
     std::shuffle(notices.begin(), notices.end(), m_random);
-    std::stable_partition(notices.begin(), notices.end(), [](const Notice& it) { return !isMinor(it.subject.kind); });
+    std::stable_partition(notices.begin(), notices.end(), [](const Notice& it) { return it.subject.kind != NoticeKind::SuspectedRequest; });
     notices.resize(std::min(notices.size(), maxNotices));
     message.notices = std::move(notices);
     return message;
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -34,13 +34,6 @@
 // Time that a target saves if it has handled the affinity key lately, as a share of the usual time of such calls. Not
 // measured; less than waiting behind one other call, so that a busy target does not keep its keys.
 static constexpr double affinityShare = 0.3;
-// Output time of calls of which none has ended yet.
-static constexpr double initialOutputMilliseconds = 100;
-// Surcharge for targets of a pace that were sent twice their share of work, in output times. With targets that take 2.8 times
-// as long, the difference of their output times is 1.8, so at equilibrium no pace exceeds its share by more than a tenth.
-static constexpr double shareSurcharge = 18;
-// Paces change within minutes; registrations change more often, but all targets of a pace together only slowly.
-static constexpr Milliseconds sharesUpdateInterval { 500 };
 static constexpr Milliseconds suspensionAfterRefusal { 30 };
 static constexpr Milliseconds suspensionAfterFailure { 400 };
 static constexpr Milliseconds maxSuspension { 4'000 };
@@ -112,61 +105,26 @@
     m_affinities.forget(id);
 }
 
-void TargetSelector::recordStream(const Registration& target, const StreamTiming& timing, TimePoint now)
-{
-    double pace = m_paces.ratioOf(target);
-    m_paces.record(target, timing.kind, timing.eventMilliseconds, now);
-    m_prefillRate.record(static_cast<double>(timing.uncachedTokens), timing.firstEventMilliseconds / pace);
-    double output = timing.outputMilliseconds / pace;
-    auto [it, isNew] = m_outputMilliseconds.try_emplace(timing.kind, output);
-    it->second += baselineWeight * (std::min(output, 3 * it->second) - it->second);
-}
-
-// Of a target of average pace. Calls that are no streams have only one duration.
-double TargetSelector::usualOutput(const std::string& kind) const
-{
-    if (auto it = m_outputMilliseconds.find(kind); it != m_outputMilliseconds.end())
-        return it->second;
-    auto it = m_baselines.find(kind);
-    return it == m_baselines.end() || it->second.totalMilliseconds == 0 ? initialOutputMilliseconds : it->second.totalMilliseconds;
-}
-
-void TargetSelector::updateShares(const std::vector<const Registration*>& candidates, const TargetQuery& query, TimePoint now)
-{
-    Shares& shares = m_shares[query.service];
-    if (shares.updatedAt != TimePoint::min() && now - shares.updatedAt < sharesUpdateInterval)
-        return;
-    shares.updatedAt = now;
-    std::map<int, double> slots;
-    for (const Registration* it : candidates)
-        if (it->dataCentre == query.dataCentre)
-            slots[m_paces.stepOf(*it)] += it->slots;
-    shares.shares.setSlots(std::move(slots));
-}
-
 double TargetSelector::managedCost(const Registration& target, const TargetQuery& query, TimePoint now) const
 {
-    int step = m_paces.stepOf(target);
-    double pace = TargetPaces::ratioOf(step);
-    double output = usualOutput(query.kind);
     auto load = m_targets.find(target.id);
+    auto baseline = m_baselines.find(query.kind);
+    double usualMilliseconds = baseline == m_baselines.end() ? 0 : baseline->second.totalMilliseconds;
+    double slowness = load == m_targets.end() ? 0 : slownessOf(load->second, now);
     unsigned calls = load == m_targets.end() ? 0 : load->second.inFlight;
-    // Callers that state parts may not state the length of the whole prompt.
-    double uncached = static_cast<double>(std::max(query.promptTokens, query.cachedTokens)) - static_cast<double>(query.cachedAt(target.id));
-    double total = pace * (uncached / m_prefillRate.tokensPerMillisecond() + output + costPerCall * calls);
-    // Each running call frees one of the slots within its output time.
+    double total = costPerCall * calls;
     if (calls >= target.slots)
-        total += pace * output * (calls - target.slots + 1) / std::max(target.slots, 1U);
+        total += costPerQueuedCall * (calls - target.slots + 1);
+    // Callers that state parts may not state the length of the whole prompt.
+    TokenCount cached = query.cachedAt(target.id);
+    TokenCount prompt = std::max(query.promptTokens, query.cachedTokens);
+    total += (static_cast<double>(prompt) - static_cast<double>(cached)) / prefillTokensPerMillisecond;
     if (target.dataCentre != query.dataCentre)
         total += otherDataCentreCost;
-    // The transient slowness includes the long-term pace.
-    double slowness = load == m_targets.end() ? 0 : slownessOf(load->second, now) - std::log(pace);
     if (slowness > normalSpread)
-        total += std::expm1(slowness - normalSpread) * pace * output;
+        total += std::expm1(slowness - normalSpread) * usualMilliseconds;
     if (!query.affinityHolder.empty() && target.id == query.affinityHolder)
-        total -= affinityShare * output;
-    if (auto it = m_shares.find(query.service); it != m_shares.end())
-        total += shareSurcharge * output * it->second.shares.excess(step, now);
+        total -= affinityShare * usualMilliseconds;
     return total;
 }
 
@@ -191,8 +149,6 @@
 
 std::vector<const Registration*> TargetSelector::chooseBest(const std::vector<const Registration*>& candidates, const TargetQuery& query, std::size_t n, TimePoint now)
 {
-    if (query.isManaged)
-        updateShares(candidates, query, now);
     struct Candidate {
         bool isSuspended;
         double cost;
@@ -227,16 +183,6 @@
     ++m_targets[id].inFlight;
 }
 
-void TargetSelector::sent(const Registration& target, const TargetQuery& query, TimePoint now)
-{
-    sent(target.id);
-    // Those of other data centres are used when the own ones are full, whatever their pace.
-    if (!query.isManaged || target.dataCentre != query.dataCentre)
-        return;
-    int step = m_paces.stepOf(target);
-    m_shares[query.service].shares.sent(step, usualOutput(query.kind) * TargetPaces::ratioOf(step), now);
-}
-
 void TargetSelector::ended(const TargetId& id, TargetOutcome outcome, TimePoint now)
 {
     auto it = m_targets.find(id);
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -32,8 +32,6 @@
 static constexpr int attemptTimeoutFactor = 4;
 // Events after which a stream's timing is recorded: enough for two intervals.
 static constexpr unsigned minEventsForTiming = 3;
-// Events of a stream whose pace is recorded: enough for several intervals besides the longest.
-static constexpr unsigned minEventsForPace = 5;
 static constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024;
 // Engines send a few tokens an event. A longer event would be searched for its end with each part that arrives.
 static constexpr std::size_t maxEventBytes = 256 * 1024;
@@ -61,7 +59,6 @@
     TimePoint sentAt;
     TimePoint firstEventAt;
     TimePoint lastEventAt;
-    TimePoint::duration longestPause {};
     unsigned events = 0;
     TargetId target;
     bool hasAnswer = false;
@@ -88,7 +85,7 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, PaceTracker& paces, RoomController& rooms, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, RoomController& rooms, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
@@ -96,7 +93,6 @@
     , m_relays(relays)
     , m_crashes(crashes)
     , m_limits(limits)
-    , m_paces(paces)
     , m_rooms(rooms)
     , m_receiveBudget(receiveBudget)
     , m_format(format)
@@ -244,10 +240,7 @@
 void Forwarder::passEvents(ForwardedCall& call, Attempt& attempt, std::string_view chunk)
 {
     for (const StreamEvent& event : attempt.splitter.append(chunk)) {
-        TimePoint now = m_clock.now();
-        if (attempt.events > 0)
-            attempt.longestPause = std::max(attempt.longestPause, now - attempt.lastEventAt);
-        attempt.lastEventAt = now;
+        attempt.lastEventAt = m_clock.now();
         if (attempt.events++ == 0)
             attempt.firstEventAt = attempt.lastEventAt;
         // Recorded early, so that a slow target is detected before its streams end.
@@ -421,7 +414,7 @@
     const Registration& chosen = room.target;
     attempt.target = chosen.id;
     call.lastTarget = lifetimeOf(chosen);
-    m_selector.sent(chosen, call.query, m_clock.now());
+    m_selector.sent(chosen.id);
     m_monitor.sent(chosen);
     m_crashes.dispatched(call.content);
     m_limits.sent(chosen);
@@ -447,8 +440,10 @@
     }
     if (auto timing = timingOf(call, attempt, end))
         m_selector.recordTiming(chosen.id, *timing, m_clock.now());
-    if (call.query.isManaged)
-        recordManaged(call, chosen, attempt, end);
+    const Registration* current = m_directory.find(chosen.id);
+    // The first event shows that the target has read the prompt. A later lifetime has not.
+    if (call.query.isManaged && (attempt.events > 0 || end == ForwardEnd::Delivered) && current && current->startedAt == chosen.startedAt)
+        m_selector.remember(chosen.id, call.attributes.promptParts, affinityKeyOf(call), m_clock.now());
     if (m_rooms.manages(call)) {
         if (attempt.isUnreachable)
             m_rooms.giveBack(room);
@@ -494,23 +489,6 @@
     return CallTiming { call.route.name, whole, whole };
 }
 
-void Forwarder::recordManaged(const ForwardedCall& call, const Registration& target, const Attempt& attempt, ForwardEnd end)
-{
-    const Registration* current = m_directory.find(target.id);
-    bool hasRead = attempt.events > 0 || end == ForwardEnd::Delivered;
-    // What a target has read ends with its lifetime.
-    if (!hasRead || !current || current->startedAt != target.startedAt)
-        return;
-    if (attempt.isStream && attempt.events >= minEventsForPace) {
-        double output = DoubleMilliseconds(attempt.lastEventAt - attempt.firstEventAt).count();
-        double between = (output - DoubleMilliseconds(attempt.longestPause).count()) / (attempt.events - 2);
-        TokenCount cached = std::min(call.query.promptTokens, call.query.cachedAt(target.id));
-        m_paces.ended(target, { call.route.name, between, DoubleMilliseconds(attempt.firstEventAt - attempt.sentAt).count(), output, call.query.promptTokens - cached });
-    }
-    // The first event shows that the target has read the prompt.
-    m_selector.remember(target.id, call.attributes.promptParts, affinityKeyOf(call), m_clock.now());
-}
-
 TargetOutcome Forwarder::outcomeOf(const ForwardedCall& call, const Attempt& attempt, ForwardEnd end) const
 {
     bool isOver = call.isCallerGone || m_clock.now() >= call.deadline;
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "CrashTracker.h"
-#include "PaceTracker.h"
 #include "RateLimitTracker.h"
 #include "RelaySelector.h"
 #include "RoomController.h"
@@ -99,7 +98,7 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, PaceTracker&, RoomController&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, RoomController&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
 
     /// Whether the request is refused, since it has crashed several targets.
     bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
@@ -133,7 +132,6 @@
     void passEvents(ForwardedCall&, Attempt&, std::string_view chunk);
     ForwardEnd deliver(ForwardedCall&, Attempt&);
     std::optional<CallTiming> timingOf(const ForwardedCall&, const Attempt&, ForwardEnd) const;
-    void recordManaged(const ForwardedCall&, const Registration&, const Attempt&, ForwardEnd);
     TargetOutcome outcomeOf(const ForwardedCall&, const Attempt&, ForwardEnd) const;
     static TargetOutcome relayOutcomeOf(const ForwardedCall&, const Attempt&);
     void logAttempt(const ForwardedCall&, const Registration&, const Attempt&, ForwardEnd) const;
@@ -146,7 +144,6 @@
     RelaySelector& m_relays;
     CrashTracker& m_crashes;
     RateLimitTracker& m_limits;
-    PaceTracker& m_paces;
     RoomController& m_rooms;
     ReceiveBudget& m_receiveBudget;
     const WireFormat& m_format;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -106,7 +106,6 @@
         NoticeController m_notices;
         CrashTracker m_crashes;
         RateLimitTracker m_limits;
-        PaceTracker m_paces;
         RoomController m_rooms;
         ReceiveBudget m_receiveBudget;
         TurnLedger m_ledger;
@@ -159,12 +158,11 @@
     , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
     , m_crashes(client, m_directory, m_notices, clock, m_log, m_metrics)
     , m_limits(settings.instance, m_notices, clock, m_log, m_metrics)
-    , m_paces(m_selector, m_notices, clock, m_log, m_metrics)
     , m_rooms(client, m_selector, m_monitor, m_limits, m_format, clock, m_log, m_metrics, m_random())
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
-    , m_forwarder(client, m_directory, m_selector, m_monitor, m_relaySelector, m_crashes, m_limits, m_paces, m_rooms, m_receiveBudget, m_format, clock, m_log, m_metrics)
+    , m_forwarder(client, m_directory, m_selector, m_monitor, m_relaySelector, m_crashes, m_limits, m_rooms, m_receiveBudget, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
@@ -240,7 +238,6 @@
     m_monitor.forget(target.id);
     m_client.closeIdle(lifetimeOf(target));
     m_limits.forget(target);
-    m_paces.forget(target);
     if (!target.isLeaving)
         m_crashes.targetEnded(target);
 }
@@ -331,9 +328,6 @@
     case NoticeKind::LimitedTarget:
         m_limits.apply(subject, inForce);
         return;
-    case NoticeKind::TargetPace:
-        m_paces.apply(subject, inForce);
-        return;
     case NoticeKind::CutOffDaemon:
         applyCutOff(subject.text, inForce);
         return;
@@ -480,7 +474,6 @@
             sleepFiber(summaryInterval);
             m_crashes.sweep();
             m_limits.sweep();
-            m_paces.sweep();
             dropExpiredCutOffs();
             if (m_monitor.isCutOff())
                 m_notices.raise({ ownCutOff() }, cutOffNoticeLifetime);
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -104,9 +104,8 @@
         , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
         , crashes(client, directory, notices, clock, log, metrics)
         , limits("g", notices, clock, log, metrics)
-        , paces(selector, notices, clock, log, metrics)
         , rooms(client, selector, monitor, limits, format, clock, log, metrics, 1)
-        , forwarder(client, directory, selector, monitor, relays, crashes, limits, paces, rooms, receiveBudget, format, clock, log, metrics)
+        , forwarder(client, directory, selector, monitor, relays, crashes, limits, rooms, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -155,7 +154,6 @@
     NoticeController notices;
     CrashTracker crashes;
     RateLimitTracker limits;
-    PaceTracker paces;
     RoomController rooms;
     Forwarder forwarder;
     TurnLedger ledger;
