Keep trailers apart from the headers of requests

Cause: the HTTP parser adds the trailers of a chunked body to the headers, so a trailer could state a key, an organisation or any other attribute of a call. Found by the fuzz test of IdentityTest: a call without a key header was served as one of the organisation whose key was in its trailer. Change: headers are taken once they are complete, before the body is read. The time for the whole request is limited as before.

--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -195,18 +195,18 @@
 
 } // namespace
 
-static HttpRequest toRequest(http::request<http::string_body>& message)
+static HttpHeaders headersOf(const http::request<http::string_body>& message)
 {
-    HttpRequest request { std::string(message.method_string()), std::string(message.target()), {}, std::move(message.body()) };
+    HttpHeaders headers;
     for (const auto& field : message) {
         std::string name(field.name_string());
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        auto [it, isFirst] = request.headers.try_emplace(name, field.value());
+        auto [it, isFirst] = headers.try_emplace(name, field.value());
         // A header that occurs several times has the values of all (RFC 9110, section 5.3).
         if (!isFirst)
             it->second.append(", ").append(field.value());
     }
-    return request;
+    return headers;
 }
 
 static void handleRequest(const HttpServer::Handler& handler, const HttpRequest& request, StreamWriter& writer)
@@ -292,17 +292,21 @@
     if (result.ec == asio::error::operation_aborted)
         return false;
     ActiveRequest active(state);
-    if (!result.ec && !parser.is_done()) {
+    if (!result.ec && !parser.is_done())
         stream.expires_after(state.limits.readTimeout);
+    if (!result.ec && !parser.is_header_done())
+        result = awaitIo([&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
+    // Before the body is read, since the parser then adds the trailers, which are no headers (RFC 9110, section 6.5.1).
+    HttpHeaders headers = result.ec ? HttpHeaders() : headersOf(parser.get());
+    if (!result.ec && !parser.is_done())
         result = awaitIo([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
-    }
     if (result.ec) {
         rejectMalformedRequest(stream, result.ec, state.limits);
         return false;
     }
     auto message = parser.release();
     StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped && !state.closeAnnounced, state.limits.writeTimeout);
-    HttpRequest request = toRequest(message);
+    HttpRequest request { std::string(message.method_string()), std::string(message.target()), std::move(headers), std::move(message.body()) };
     try {
         handleRequest(state.handler, request, writer);
     } catch (const ConnectionLostError&) {
