--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -56,8 +56,13 @@
         { { "name", "pay" }, { "host", "h.example" }, { "prefix", "/pay/" }, { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "service", "tools" }, { "maxAttempts", 1 } } });
     for (const std::string& prefix : morePrefixes)
         routes.push_back({ { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "kind", "idempotent" }, { "timeoutMs", 1000 }, { "service", "tools" } });
+    for (const std::string& prefix : publicPrefixes)
+        routes.push_back({ { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "kind", "idempotent" }, { "timeoutMs", 1000 }, { "service", "tools" }, { "public", true } });
     Json services = Json::array({ { { "name", "models" }, { "healthPath", "/health" }, { "engine", { { "slots", 4 }, { "kvTokens", 1000 }, { "stride", 10 } } } }, { { "name", "tools" } } });
-    store.put("op/config", Json { { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }.dump());
+    Json configuration { { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } };
+    if (!m_organisations.is_null())
+        configuration["tenants"] = m_organisations;
+    store.put("op/config", configuration.dump());
 }
 
 void Deployment::start(const std::string& name, bool isGateway, const std::string& zone)
@@ -158,6 +163,7 @@
     options.readTimeout = std::chrono::seconds(4);
     options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
     headers["host"] = "h.example";
+    headers.insert(callerHeaders.begin(), callerHeaders.end());
     headers.emplace("x-basilpoint-request-id", "call-" + std::to_string(++calls));
     // Closes its connection at the end.
     HttpClient client(testRuntime().io());
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -28,6 +28,9 @@
     /// \param morePrefixes prefixes of further idempotent routes to the tool services.
     void putConfiguration(int version, const std::vector<std::string>& morePrefixes);
 
+    /// Sets the organisations of configurations that are put from now on, as configurations write them.
+    void setOrganisations(nlohmann::json organisations) { m_organisations = std::move(organisations); }
+
     /// Writes the registration of a target to the store.
     void put(const FakeTarget&, const char* state = "ready");
 
@@ -92,9 +95,17 @@
     std::vector<std::unique_ptr<FakeTarget>> moreTools;
     std::map<std::string, Instance> instances;
     std::map<std::string, std::shared_ptr<Process>> processes;
+    /// Headers of all calls that do not state them otherwise.
+    HttpHeaders callerHeaders;
+    /// Prefixes of idempotent routes to the tool services for which callers need no key.
+    std::vector<std::string> publicPrefixes;
     std::string answer;
     HttpHeaders answerHeaders;
     int calls = 0;
+
+private:
+    /// Null if configurations have none.
+    nlohmann::json m_organisations;
 };
 
 /// Polls until \p condition holds, for \p limit at most.
