--- a/lib/Forwarding/RateLimits.cpp
+++ b/lib/Forwarding/RateLimits.cpp
@@ -1,6 +1,6 @@
 #include "basilpoint/Forwarding/RateLimits.h"
 
-#include "basilpoint/Support/Hash.h"
+#include "basilpoint/Forwarding/LimitDivision.h"
 
 #include <algorithm>
 #include <cmath>
@@ -26,11 +26,8 @@
 {
     if (m_daemons.empty())
         return 0;
-    auto sharers = std::clamp<std::size_t>(static_cast<std::size_t>(perSecond / minShare), 1, m_daemons.size());
-    std::uint64_t target = hash64(lifetime);
-    std::uint64_t own = hash64(m_self, target);
-    auto ahead = std::count_if(m_daemons.begin(), m_daemons.end(), [&](const std::string& it) { return it != m_self && hash64(it, target) < own; });
-    return static_cast<std::size_t>(ahead) < sharers ? perSecond / static_cast<double>(sharers) : 0;
+    std::size_t sharers = limitdivision::sharerCount(perSecond, minShare, m_daemons.size());
+    return limitdivision::isSharer(m_self, m_daemons, lifetime, sharers) ? perSecond / static_cast<double>(sharers) : 0;
 }
 
 double RateLimits::burstOf(const Limit& limit)
