Lease and pool tests; AllowanceController wired into the gateway

Cause: the decisions need messages between gateways, and requests that wait.

Change: AllowanceController sends /allowances/lease, renews delegations and answers other gateways; the gateway feeds it configuration, list of gateways and planned stop.

--- a/lib/Forwarding/AllowancePool.cpp
+++ b/lib/Forwarding/AllowancePool.cpp
@@ -152,10 +152,6 @@
     pool.tokens = std::max(0.0, pool.tokens - result.granted);
     if (result.granted > 0)
         return result;
-    if (pool.perSecond() <= 0) {
-        result.retryAfter = std::chrono::duration_cast<Milliseconds>(maxPromise);
-        return result;
-    }
     // Each sender that is refused is told the time of another token, so that they do not come back together for one.
     auto first = now + std::chrono::ceil<TimePoint::duration>(Seconds((1 - pool.tokens) / pool.perSecond()));
     auto next = pool.promisedUntil + std::chrono::ceil<TimePoint::duration>(Seconds(1 / pool.perSecond()));
@@ -182,8 +178,9 @@
         isFirst = acceptEcho(request, now);
     // Tokens that are returned late would be valid for longer than leased ones.
     bool acceptsReturn = isFirst && now - timeOf(request.echo) <= leaseDuration;
+    // Nothing is said of an organisation while no rights to it are delegated: whether it is over its allowance is not known.
     for (const AllowanceRequest::Demand& it : request.demands)
-        if (Pool* pool = find(it.organisation, now))
+        if (Pool* pool = find(it.organisation, now); pool && pool->delegating > 0)
             answer.grants.push_back(grant(it, acceptsReturn, *pool, now));
     return answer;
 }
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "basilpoint/Gateway/Gateway.h"
 
+#include "AllowanceController.h"
 #include "CallController.h"
 #include "PeerCall.h"
 #include "RelayDirectory.h"
@@ -106,6 +107,7 @@
         NoticeController m_notices;
         CrashTracker m_crashes;
         RateLimitTracker m_limits;
+        AllowanceController m_allowances;
         ReceiveBudget m_receiveBudget;
         TurnLedger m_ledger;
         LedgerWriter m_writer;
@@ -157,6 +159,10 @@
     , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
     , m_crashes(client, m_directory, m_notices, clock, m_log, m_metrics)
     , m_limits(settings.instance, m_notices, clock, m_log, m_metrics)
+    , m_allowances(
+          settings.instance, lifetimeOf(settings.instance, randomHex(m_random, 12)).text(), settings.isFirstStart,
+          [this](const Endpoint& peer, std::string body, Milliseconds limit) { return callPeer(m_client, peer, peerpaths::lease, std::move(body), limit); },
+          [this](const std::string& gateway) { return m_relaySelector.cutOff().contains(gateway); }, clock, m_log, m_metrics)
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
@@ -208,6 +214,7 @@
     limits.idleTimeout = caller.idleTimeout;
     limits.readTimeout = caller.readTimeout;
     m_callers.setLimits(limits);
+    m_allowances.update(*m_configuration.current());
     m_log.write(LogLine("configuration-in-force").field("version", version).field("routes", m_configuration.current()->configuration().routes.size()));
 }
 
@@ -250,6 +257,7 @@
     for (const RelayAddress& it : peers)
         m_otherGateways.push_back(it.instance);
     divideLimits();
+    m_allowances.setGateways(peers);
     std::sort(peers.begin(), peers.end(), [&](const RelayAddress& a, const RelayAddress& b) { return peerRank(a) < peerRank(b); });
     peers.resize(std::min(peers.size(), maxNoticePeers));
     std::vector<InstanceId> ids;
@@ -461,12 +469,17 @@
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
     m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_accounts.releaseHold(program); });
     m_peers.on(peerpaths::handOver, [this](const std::string& body) { return m_accounts.acceptHandover(body); });
+    m_peers.on(peerpaths::lease, [this](const std::string& body) { return m_allowances.handle(body); });
     m_peers.onRequest(peerpaths::forward, [this](const HttpRequest& request, ResponseWriter& writer) { m_relayedCalls.handle(request, writer); });
     m_peers.start();
     spawnFiber([this] {
         for (;; sleepFiber(tickInterval))
             tick();
     });
+    spawnFiber([this] {
+        for (;; sleepFiber(AllowanceController::tickInterval))
+            m_allowances.tick();
+    });
     spawnFiber([this] {
         for (;; logSummary()) {
             sleepFiber(summaryInterval);
@@ -486,6 +499,7 @@
     TimePoint start = m_clock.now();
     TimePoint end = start + m_settings.stopLimit - std::min(exitReserve, m_settings.stopLimit / 2);
     m_isDraining = true;
+    m_allowances.leave();
     m_relayedCalls.drain(end);
     m_peers.announceClose();
     m_callers.announceClose();
--- a/lib/Gateway/PeerCall.h
+++ b/lib/Gateway/PeerCall.h
@@ -17,6 +17,7 @@
     inline constexpr const char* removed = "/daemons/removed";
     inline constexpr const char* notices = "/daemons/notices";
     inline constexpr const char* forward = "/calls/forward";
+    inline constexpr const char* lease = "/allowances/lease";
     inline constexpr const char* programRecords = "/turns/program";
     inline constexpr const char* attestation = "/turns/testimony";
     inline constexpr const char* handOver = "/turns/handover";
--- a/unittests/Forwarding/AllowanceFuzzTest.cpp
+++ b/unittests/Forwarding/AllowanceFuzzTest.cpp
@@ -25,6 +25,7 @@
 BOOST_TEST_GLOBAL_FIXTURE(FixedSeed);
 
 constexpr microseconds callLimit = 150ms;
+constexpr int maxAsks = 2;
 constexpr microseconds window = 5s;
 constexpr microseconds bindingDelay = 3s;
 constexpr microseconds tickInterval = 200ms;
@@ -97,9 +98,10 @@
         add(name);
         announceList();
     }
+    /// Removes a gateway that still serves callers for a while.
     void unlist(std::size_t n)
     {
-        kill(n);
+        at(m_now + 3s, [this, n] { kill(n); });
         std::erase(m_listed, m_nodes[n].name);
         announceList();
     }
@@ -154,6 +156,8 @@
 
     struct Waiting {
         microseconds until;
+        /// Answers that it has waited for.
+        int asks = 0;
     };
 
     struct Node {
@@ -279,17 +283,17 @@
     {
         Node& node = m_nodes[n];
         node.lease->arrived(m_organisation.name, clock(node));
-        decide(n, m_now + callLimit);
+        decide(n, { m_now + callLimit });
     }
 
-    void decide(std::size_t n, microseconds until)
+    void decide(std::size_t n, Waiting request)
     {
         Node& node = m_nodes[n];
         auto result = node.lease->take(node.organisation, *node.rights, clock(node));
         if (result.outcome == AllowanceLease::Outcome::Admitted)
             admit(n, result.validUntil);
-        else if (result.outcome == AllowanceLease::Outcome::MustAsk && m_now < until)
-            node.waiting.push_back({ until });
+        else if (result.outcome == AllowanceLease::Outcome::MustAsk && m_now < request.until && request.asks++ < maxAsks)
+            node.waiting.push_back(request);
         node.lease->setWaiting(m_organisation.name, static_cast<std::uint32_t>(node.waiting.size()));
         if (!node.waiting.empty() || node.lease->wantsRefill(m_organisation.name, clock(node)))
             send(n);
@@ -388,7 +392,7 @@
         std::vector<Waiting> waiting = std::exchange(m_nodes[n].waiting, {});
         for (const Waiting& it : waiting)
             if (it.until > m_now)
-                decide(n, it.until);
+                decide(n, it);
         m_nodes[n].lease->setWaiting(m_organisation.name, static_cast<std::uint32_t>(m_nodes[n].waiting.size()));
     }
 
@@ -587,6 +591,37 @@
     }
 }
 
+// Guards against a restarted gateway that uses its rights while its coordinator still counts the delegation of its last
+// lifetime.
+BOOST_AUTO_TEST_CASE(restartedGatewayThatIsCutOffWaitsForTheEndOfItsDelegation)
+{
+    for (std::size_t restarted : { 0U, 1U }) {
+        Fleet fleet(2, 950, 950, 3);
+        load(fleet, irregular(0s, 25s, 950 * 6, 5), firstGateways(2), 13);
+        fleet.at(15s, [&fleet, restarted] {
+            fleet.setGroup(restarted, 1);
+            fleet.kill(restarted);
+            fleet.restart(restarted);
+        });
+        fleet.runUntil(25s);
+        BOOST_TEST(fleet.excess() <= 0);
+    }
+}
+
+// Guards against gateways that use the share of one that does not know yet that it was removed.
+BOOST_AUTO_TEST_CASE(shareOfRemovedGatewayIsNotUsedAtOnce)
+{
+    for (std::size_t removed : { 0U, 1U }) {
+        Fleet fleet(2, 950, 950, 3);
+        load(fleet, irregular(0s, 25s, 950 * 6, 5), firstGateways(2), 13);
+        // Both use their own rights.
+        fleet.at(8s, [&fleet] { fleet.setGroup(1, 1); });
+        fleet.at(18s, [&fleet, removed] { fleet.unlist(removed); });
+        fleet.runUntil(28s);
+        BOOST_TEST(fleet.excess() <= 0);
+    }
+}
+
 // Guards against many small shares that round up to more than a small allowance.
 BOOST_AUTO_TEST_CASE(smallestAllowanceHoldsOverManyGateways)
 {
