Real gateways delegate allowances; end of own delegation at a planned stop

Cause: the wiring in Gateway was not covered, and a gateway that stops kept its rights delegated to itself for 5 s. Sorting whole lists for each pool was more work than needed.

--- a/include/basilpoint/Forwarding/AllowanceLease.h
+++ b/include/basilpoint/Forwarding/AllowanceLease.h
@@ -61,6 +61,8 @@
     std::optional<Message> begin(const std::vector<std::string>& candidates, const IsUsable& isUsable, TimePoint now);
     void answered(const AllowanceAnswer&, TimePoint now);
     void failed(TimePoint now);
+    /// Ends the delegation to a coordinator that has dropped it.
+    void endDelegationTo(const std::string& coordinator, TimePoint now);
     bool isInFlight() const { return m_inFlight.has_value(); }
 
     /// Whether this gateway uses its own rights.
--- a/lib/Forwarding/AllowanceLease.cpp
+++ b/lib/Forwarding/AllowanceLease.cpp
@@ -219,6 +219,12 @@
     m_delegatedUntil = std::min(m_delegatedUntil, now);
 }
 
+void AllowanceLease::endDelegationTo(const std::string& coordinator, TimePoint now)
+{
+    if (m_delegatedTo == coordinator)
+        endDelegation(now);
+}
+
 void AllowanceLease::pause(Coordinator& coordinator, TimePoint now)
 {
     auto factor = 1U << std::min(coordinator.failures, 6U);
--- a/lib/Forwarding/LimitDivision.cpp
+++ b/lib/Forwarding/LimitDivision.cpp
@@ -20,7 +20,8 @@
     return static_cast<std::size_t>(ahead) < sharers;
 }
 
-static std::vector<std::size_t> indicesByHash(const std::vector<std::string>& daemons, std::string_view key)
+/// Indices of \p daemons of which the first \p sorted are in the order of their hashes.
+static std::vector<std::size_t> indicesByHash(const std::vector<std::string>& daemons, std::string_view key, std::size_t sorted)
 {
     std::uint64_t seed = hash64(key);
     std::vector<std::uint64_t> hashes;
@@ -29,7 +30,7 @@
         hashes.push_back(hash64(it, seed));
     std::vector<std::size_t> indices(daemons.size());
     std::iota(indices.begin(), indices.end(), 0);
-    std::sort(indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return hashes[a] < hashes[b]; });
+    std::partial_sort(indices.begin(), indices.begin() + static_cast<std::ptrdiff_t>(sorted), indices.end(), [&](std::size_t a, std::size_t b) { return hashes[a] < hashes[b]; });
     return indices;
 }
 
@@ -38,7 +39,7 @@
     if (sharers >= daemons.size())
         return std::vector<bool>(daemons.size(), true);
     std::vector<bool> result(daemons.size());
-    std::vector<std::size_t> indices = indicesByHash(daemons, key);
+    std::vector<std::size_t> indices = indicesByHash(daemons, key, sharers);
     for (std::size_t n = 0; n < sharers; ++n)
         result[indices[n]] = true;
     return result;
@@ -48,7 +49,7 @@
 {
     std::vector<std::string> result;
     result.reserve(daemons.size());
-    for (std::size_t it : indicesByHash(daemons, key))
+    for (std::size_t it : indicesByHash(daemons, key, daemons.size()))
         result.push_back(daemons[it]);
     return result;
 }
--- a/lib/Gateway/AllowanceController.cpp
+++ b/lib/Gateway/AllowanceController.cpp
@@ -149,8 +149,11 @@
 void AllowanceController::leave()
 {
     m_isLeaving = true;
-    for (Partition& it : m_states)
+    TimePoint now = m_clock.now();
+    for (Partition& it : m_states) {
         it.pool->leave();
+        it.lease->endDelegationTo(m_self, now);
+    }
 }
 
 void AllowanceController::logOwnRights(std::size_t n)
--- a/unittests/Forwarding/AllowanceLeaseTest.cpp
+++ b/unittests/Forwarding/AllowanceLeaseTest.cpp
@@ -65,6 +65,21 @@
     BOOST_TEST((gateway.take(start + 5s + 34ms).outcome == Outcome::Refused));
 }
 
+// Guards against own tokens that are kept while the coordinator leases tokens of the same rights.
+BOOST_AUTO_TEST_CASE(ownTokensEndWhenRightsAreDelegatedAgain)
+{
+    Gateway gateway;
+    gateway.begin(start);
+    gateway.lease.failed(start + 150ms);
+    BOOST_TEST((gateway.take(start + 1s).outcome == Outcome::Admitted));
+    gateway.meet(start + 1s);
+    gateway.begin(start + 1001ms);
+    gateway.lease.failed(start + 1150ms);
+    BOOST_TEST((gateway.take(start + 5990ms).outcome == Outcome::MustAsk));
+    BOOST_TEST((gateway.take(start + 6010ms).outcome == Outcome::Refused));
+    BOOST_TEST((gateway.take(start + 6034ms).outcome == Outcome::Admitted));
+}
+
 // Guards against own rights used beside the coordinator's tokens: without a failure, the rights are not its own.
 BOOST_AUTO_TEST_CASE(ownRightsNeedAFailure)
 {
