Charge calls to the allowances of their organisations

Connects the allowance controller with the callers' requests: over the allowance 429, not known 503, both with the time at which a token will be there; what ends without having run gives its credit back. Queues before engines know the organisation of a call and its priority.

--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -17,14 +17,18 @@
 static constexpr Milliseconds maxRetryAfter { 1'300 };
 // Guarantees that the call has not run.
 static constexpr int statusNotRun = 503;
+// As above, for a call beyond an allowance.
+static constexpr int statusOverAllowance = 429;
+static constexpr int statusDelivered = 200;
 // Callers do not repeat a request after this status.
 static constexpr int statusQuarantined = 400;
 static constexpr int statusUnknownKey = 401;
 
-CallController::CallController(const ConfigurationHolder& configuration, Forwarder& forwarder, TurnController& turns, LedgerWriter& writer, const WireFormat& format, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
+CallController::CallController(const ConfigurationHolder& configuration, Forwarder& forwarder, TurnController& turns, AllowanceController& allowances, LedgerWriter& writer, const WireFormat& format, DataCentreId dataCentre, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_configuration(configuration)
     , m_forwarder(forwarder)
     , m_turns(turns)
+    , m_allowances(allowances)
     , m_writer(writer)
     , m_format(format)
     , m_dataCentre(std::move(dataCentre))
@@ -82,10 +86,11 @@
         call->callerLeft();
         m_writer.wakeWaiters();
     });
-    bool hasBudget = call->attributes.budget && !call->attributes.program.empty();
-    bool isTurn = route.kind == CallKind::Stream && (route.keepsTurns() || hasBudget);
-    auto refusal = isTurn ? m_turns.serve(*call, writer) : route.kind == CallKind::NonIdempotent ? forwardOnce(*call, writer)
-                                                                                                 : forward(*call, writer);
+    AllowanceCharge charge(m_allowances);
+    auto refusal = chargeAllowance(*call, charge);
+    if (!refusal)
+        refusal = answer(*call, writer);
+    charge.ended(refusal ? refusal->status : statusDelivered);
     m_metrics.observe("request_seconds", m_clock.now() - arrivedAt);
     if (!refusal) {
         m_metrics.count("requests_total{status=\"delivered\"}");
@@ -100,6 +105,33 @@
     refuse(call->attributes, call->organisation.get(), *refusal, std::chrono::duration_cast<Milliseconds>(call->deadline - m_clock.now()), arrivedAt, writer);
 }
 
+std::optional<TurnController::Refusal> CallController::chargeAllowance(const ForwardedCall& call, AllowanceCharge& charge)
+{
+    if (!call.organisation)
+        return std::nullopt;
+    const Admission& admission = charge.charge(*call.organisation, call.deadline);
+    switch (admission.outcome) {
+    case Admission::Outcome::Admitted:
+        return std::nullopt;
+    case Admission::Outcome::Refused:
+        m_organisationMetrics.countRefusedByAllowance(call.organisation->name);
+        return TurnController::Refusal { statusOverAllowance, "allowance-exceeded", "not run: the organisation is over its allowance", false, admission.retryAfter };
+    case Admission::Outcome::Unknown:
+        return TurnController::Refusal { statusNotRun, "allowance-unknown", "not run: the organisation's allowance is not known now", false, admission.retryAfter };
+    }
+    assert(false && "unhandled enumerator");
+    return std::nullopt;
+}
+
+std::optional<TurnController::Refusal> CallController::answer(ForwardedCall& call, ResponseWriter& writer)
+{
+    bool hasBudget = call.attributes.budget && !call.attributes.program.empty();
+    bool isTurn = call.route.kind == CallKind::Stream && (call.route.keepsTurns() || hasBudget);
+    if (isTurn)
+        return m_turns.serve(call, writer);
+    return call.route.kind == CallKind::NonIdempotent ? forwardOnce(call, writer) : forward(call, writer);
+}
+
 std::optional<TurnController::Refusal> CallController::forward(ForwardedCall& call, ResponseWriter& writer)
 {
     switch (m_forwarder.forward(call, writer, {})) {
@@ -138,7 +170,7 @@
         line.field("organisation", organisation->name);
     line.field("configuration", m_configuration.current() ? m_configuration.current()->configuration().version : 0);
     line.field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - arrivedAt));
-    if (refusal.status == 503) {
+    if (refusal.status == statusNotRun || refusal.status == statusOverAllowance) {
         Milliseconds wait(static_cast<std::int64_t>(retryAfterShare * static_cast<double>(timeLeft.count())));
         wait = refusal.retryAfter.value_or(std::clamp(wait, minRetryAfter, maxRetryAfter));
         response.headers["retry-after"] = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
--- a/lib/Gateway/CallController.h
+++ b/lib/Gateway/CallController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AllowanceCharge.h"
 #include "OrganisationMetrics.h"
 #include "TurnController.h"
 
@@ -10,7 +11,7 @@
 /// Serves requests of callers: finds the route, then forwards the call or serves the turn.
 class CallController {
 public:
-    CallController(const ConfigurationHolder&, Forwarder&, TurnController&, LedgerWriter&, const WireFormat&, DataCentreId, const Clock&, JsonLog&, Metrics&);
+    CallController(const ConfigurationHolder&, Forwarder&, TurnController&, AllowanceController&, LedgerWriter&, const WireFormat&, DataCentreId, const Clock&, JsonLog&, Metrics&);
 
     void handle(const HttpRequest&, ResponseWriter&);
 
@@ -18,6 +19,10 @@
     /// The caller's organisation, which lives as long as the table; null if there is none.
     static std::shared_ptr<const Organisation> identify(const std::shared_ptr<const RouteTable>&, const CallAttributes&);
     void serve(const ForwardingRoute&, const std::shared_ptr<const RouteTable>&, std::shared_ptr<const Organisation>, const HttpRequest&, CallAttributes, TimePoint arrivedAt, ResponseWriter&);
+    /// Charges the call to its organisation's allowance. \returns the refusal if it is not admitted.
+    std::optional<TurnController::Refusal> chargeAllowance(const ForwardedCall&, AllowanceCharge&);
+    /// Handles an admitted call. \returns the refusal to send to the caller; empty if the call was answered.
+    std::optional<TurnController::Refusal> answer(ForwardedCall&, ResponseWriter&);
     std::optional<TurnController::Refusal> forward(ForwardedCall&, ResponseWriter&);
     /// As forward(), for a non-idempotent call.
     std::optional<TurnController::Refusal> forwardOnce(ForwardedCall&, ResponseWriter&);
@@ -26,6 +31,7 @@
     const ConfigurationHolder& m_configuration;
     Forwarder& m_forwarder;
     TurnController& m_turns;
+    AllowanceController& m_allowances;
     LedgerWriter& m_writer;
     const WireFormat& m_format;
     DataCentreId m_dataCentre;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -171,7 +171,7 @@
     , m_forwarder(client, m_directory, m_selector, m_monitor, m_relaySelector, m_crashes, m_limits, m_rooms, m_receiveBudget, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
-    , m_calls(m_configuration, m_forwarder, m_turns, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
+    , m_calls(m_configuration, m_forwarder, m_turns, m_allowances, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
     , m_relayedCalls(m_configuration, m_forwarder, m_format, settings.dataCentre, settings.memoryBytes / receiveBudgetDivisor, clock, m_log, m_metrics)
     , m_callers(io, settings.callers, callerLimits(settings), [this](const HttpRequest& request, ResponseWriter& writer) { m_calls.handle(request, writer); })
     , m_readiness(io, settings.readiness, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { answerReadiness(request, writer); })
--- a/lib/Gateway/RoomController.cpp
+++ b/lib/Gateway/RoomController.cpp
@@ -107,6 +107,12 @@
     Need need;
     need.query = call.query;
     need.waitClass.routePriority = call.route.priority;
+    // As for engines, the route's priority stands for both where the organisation has none.
+    need.waitClass.organisationPriority = call.route.priority;
+    if (call.organisation) {
+        need.waitClass.organisation = call.organisation->name;
+        need.waitClass.organisationPriority = call.organisation->priority.value_or(call.route.priority);
+    }
     bool isKnown = !call.route.keepsTurns() && !attributes.program.empty() && m_programs.contains(need.waitClass.organisation, attributes.program.text(), now);
     need.waitClass.isLaterTurn = !attributes.previousTurn.empty() || isKnown;
     need.maxTokens = attributes.maxTokens;
