--- a/include/basilpoint/Gateway/Gateway.h
+++ b/include/basilpoint/Gateway/Gateway.h
@@ -28,6 +28,8 @@
     std::size_t memoryBytes = 64 * 1024 * 1024;
     /// File descriptors that the process may use. Callers' connections take half of them at most.
     std::size_t maxDescriptors = 1'024;
+    /// Whether calls to engines that take reservations wait in the gateway until there is room at one.
+    bool reservesRoom = false;
     /// File descriptor of the log.
     int logDescriptor = 1;
 };
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -449,7 +449,8 @@
 
 void Gateway::start()
 {
-    m_log.write(LogLine("start").field("callers", m_settings.callers.text()).field("dataCentre", m_settings.dataCentre.text()));
+    m_rooms.setEnabled(m_settings.reservesRoom);
+    m_log.write(LogLine("start").field("reservesRoom", m_settings.reservesRoom).field("callers", m_settings.callers.text()).field("dataCentre", m_settings.dataCentre.text()));
     spawnFiber([this] {
         awaitRelays();
         spawnFiber([this] { watchConfiguration(); });
--- a/lib/Gateway/RoomController.cpp
+++ b/lib/Gateway/RoomController.cpp
@@ -97,7 +97,7 @@
 
 bool RoomController::manages(const ForwardedCall& call) const
 {
-    return call.route.kind == CallKind::Stream && m_format.reservations.make && call.table->managesRoom(call.query.service);
+    return m_isEnabled && call.route.kind == CallKind::Stream && m_format.reservations.make && call.table->managesRoom(call.query.service);
 }
 
 RoomController::Need RoomController::needOf(const ForwardedCall& call) const
--- a/lib/Gateway/RoomController.h
+++ b/lib/Gateway/RoomController.h
@@ -39,6 +39,9 @@
     RoomController(HttpClient&, TargetSelector&, TargetMonitor&, RateLimitTracker&, const WireFormat&, const Clock&, JsonLog&, Metrics&, RandomEngine::result_type seed);
     ~RoomController();
 
+    /// Reservations are made only after this was called with true.
+    void setEnabled(bool isEnabled) { m_isEnabled = isEnabled; }
+
     /// Whether calls like this one need room.
     bool manages(const ForwardedCall&) const;
 
@@ -83,6 +86,7 @@
     std::map<ServiceId, std::unique_ptr<Service>> m_services;
     /// Until when targets that refused a reservation are not asked again, by lifetime.
     std::map<std::string, TimePoint> m_refusedUntil;
+    bool m_isEnabled = false;
     RecentPrograms m_programs;
     WaitingCallId m_lastId = 0;
     TimePoint m_failureLoggedAt = TimePoint::min();
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -85,7 +85,10 @@
     else
         settings << "dataDir=" << (folder / name).string() << "\n";
     settings.close();
-    processes[name] = std::make_unique<Process>("basilpoint-platform", std::vector<std::string> { "--settings", (folder / (name + ".conf")).string() }, (folder / (name + ".log")).string());
+    std::vector<std::string> arguments { "--settings", (folder / (name + ".conf")).string() };
+    if (longestReservation > 0)
+        arguments.emplace_back("--reserve-room");
+    processes[name] = std::make_unique<Process>("basilpoint-platform", arguments, (folder / (name + ".log")).string());
 }
 
 static std::shared_ptr<FakeLink>& linkTo(Deployment::Links& links, const std::string& address)
