--- a/unittests/Forwarding/PromptCacheMapTest.cpp
+++ b/unittests/Forwarding/PromptCacheMapTest.cpp
@@ -56,6 +56,7 @@
     BOOST_TEST(tokensAt(map, first, { { "a", 1 } }) == 1U);
     BOOST_TEST(tokensAt(map, first, { { "b", 1 } }) == 0U);
     std::vector<PromptPart> many;
+    many.reserve(1'000);
     for (int n = 0; n < 1'000; ++n)
         many.push_back({ std::to_string(n), 1 });
     PromptCacheMap large;
--- a/unittests/Forwarding/RouteTableTest.cpp
+++ b/unittests/Forwarding/RouteTableTest.cpp
@@ -75,11 +75,11 @@
     BOOST_TEST(held->configuration().version == 4U);
 }
 
-static void refuses(std::vector<Organisation> organisations)
+static void refuses(const std::vector<Organisation>& organisations)
 {
     ConfigurationHolder holder;
     holder.offer({ 3, {}, {}, {}, std::vector<Organisation> { { "o1", { "k1" }, {}, 1, 1 } } });
-    BOOST_CHECK_THROW(holder.offer({ 4, {}, {}, {}, std::move(organisations) }), InvalidInputError);
+    BOOST_CHECK_THROW(holder.offer({ 4, {}, {}, {}, organisations }), InvalidInputError);
     BOOST_TEST(holder.current()->configuration().version == 3U);
 }
 
