--- a/include/basilpoint/Forwarding/TargetSelector.h
+++ b/include/basilpoint/Forwarding/TargetSelector.h
@@ -53,8 +53,7 @@
     /// If set, the target is chosen by a hash of this value and not by its cost, so that all daemons choose the same one.
     std::optional<std::uint64_t> placement {};
 
-    /// Whether costs include what is learned over the long term: prompt parts, affinity and pace. False for services without
-    /// managed room, whose costs stay as they were.
+    /// Whether costs include what earlier calls show of cached prompt parts and affinity keys. See RouteTable::managesRoom().
     bool isManaged = false;
     /// Prompt tokens that targets have read in calls that shared parts with this one.
     CachedTokens cachedParts {};
--- a/lib/Forwarding/TargetSelector.cpp
+++ b/lib/Forwarding/TargetSelector.cpp
@@ -31,8 +31,8 @@
 static constexpr double maxExcess = 2.5;
 // A target at five times the baseline is tried again after about 3 s.
 static constexpr Milliseconds slownessHalfLife { 2'000 };
-// Time that a target saves if it has handled the affinity key lately, as a share of the usual time of such calls. Not
-// measured; less than waiting behind one other call, so that a busy target does not keep its keys.
+// Time that a target saves if it has handled the affinity key lately, as a share of the usual time of such calls. Less than
+// the wait behind one other call, so that a busy target does not keep its keys.
 static constexpr double affinityShare = 0.3;
 static constexpr Milliseconds suspensionAfterRefusal { 30 };
 static constexpr Milliseconds suspensionAfterFailure { 400 };
