--- a/unittests/Platform/SoakTest.cpp
+++ b/unittests/Platform/SoakTest.cpp
@@ -2,6 +2,7 @@
 
 #include "basilpoint/Net/Errors.h"
 #include "basilpoint/Net/FiberRuntime.h"
+#include "basilpoint/Support/Hash.h"
 #include "basilpoint/Support/Random.h"
 
 #include <algorithm>
@@ -29,6 +30,10 @@
 // Few enough for the connections of all clients to exceed it.
 constexpr unsigned scarceDescriptors = 96;
 
+constexpr const char* keyHeader = "x-api-key";
+constexpr const char* organisationHeader = "x-basilpoint-tenant";
+constexpr const char* visitorKey = "key-of-visitor";
+
 /// A deployment whose processes, store, targets and configuration are disturbed at random times, while clients keep using
 /// their connections and check what must always hold.
 class Soak {
@@ -46,6 +51,7 @@
                 m_deployment.linkTargets(it);
         if (m_isScarce)
             m_deployment.descriptors = scarceDescriptors;
+        putOrganisations();
         m_deployment.putConfiguration(++m_version, m_prefixes);
         m_deployment.put(m_deployment.spare);
         for (FakeTarget* it : targets())
@@ -90,6 +96,7 @@
         bool mayRepeat = false;
         /// Whether an answer promised that the call has not run.
         bool isPromisedNotRun = false;
+        std::string organisation;
     };
 
     struct Result {
@@ -151,9 +158,12 @@
         options.deadline = start + callLimit;
         headers["host"] = "h.example";
         headers["x-basilpoint-request-id"] = id;
+        std::string organisation = organisationOf(id);
+        headers[keyHeader] = lastingKeyOf(organisation);
+        headers[organisationHeader] = "forged";
         headers["x-basilpoint-deadline-ms"] = std::to_string(callDeadline.count());
         bool mayRepeat = path.find("/pay/") == std::string::npos && path.find("/stream/") == std::string::npos;
-        m_sent[id] = { gateway, body, mayRepeat };
+        m_sent[id] = { gateway, body, mayRepeat, false, organisation };
         Result result;
         try {
             HttpResponse response = client.call({ "127.0.0.1", static_cast<std::uint16_t>(m_deployment.instances[gateway].callers) }, { "POST", path, headers, body }, options);
@@ -161,7 +171,9 @@
         } catch (const TargetError& error) {
             result.isCut = error.executed() != Executed::No;
         }
-        static const std::set<int> promises { 400, 402, 404, 408, 421, 429, 503 };
+        if (result.status == 401)
+            violation(fmt::format("call {} was refused although its key was valid all the time", id));
+        static const std::set<int> promises { 400, 401, 402, 404, 408, 421, 429, 503 };
         m_sent[id].isPromisedNotRun = promises.contains(result.status);
         // Only a kill, a freeze, the target or the deadline may end a call that a target has got.
         bool isInTime = std::chrono::steady_clock::now() - start < callDeadline - 100ms;
@@ -247,6 +259,11 @@
                     violation(fmt::format("{} ran {}, which no client sent", target->id(), it.call));
                     continue;
                 }
+                auto organisation = it.headers.find(organisationHeader);
+                if (organisation == it.headers.end() || organisation->second != call->second.organisation)
+                    violation(fmt::format("call {} of {} ran for '{}'", it.call, call->second.organisation, organisation == it.headers.end() ? "" : organisation->second));
+                if (it.headers.contains(keyHeader))
+                    violation(fmt::format("{} got the key of call {}", target->id(), it.call));
                 if (++runs[it.call] == 2 && !call->second.mayRepeat)
                     violation(fmt::format("call {} ran twice", it.call));
                 if (call->second.isPromisedNotRun)
@@ -430,6 +447,8 @@
             wait(2s);
             for (std::size_t n = 1 + draw(3); n > 0; --n) {
                 m_prefixes.push_back(fmt::format("/new{}/", ++m_version));
+                m_hasVisitor = draw(2) == 0;
+                putOrganisations();
                 m_deployment.putConfiguration(m_version, m_prefixes);
                 pause(std::chrono::milliseconds(draw(100)));
             }
@@ -444,10 +463,45 @@
                 Result result = call(connection, it, m_prefixes.back() + "x", {}, fmt::format("new-{}-{}", m_version, it), "new");
                 if (result.status == 404)
                     violation(fmt::format("gateway {} does not know the route {}", it, m_prefixes.back()));
+                checkVisitor(connection, it);
             }
         }
     }
 
+    /// Organisations for the next configuration. Two stay, with a lasting key each and one that changes with each version;
+    /// a third one comes and goes.
+    void putOrganisations()
+    {
+        nlohmann::json organisations = nlohmann::json::array();
+        for (const char* it : { "acme", "bolt" })
+            organisations.push_back({ { "name", it }, { "apiKeys", { lastingKeyOf(it), fmt::format("{}-{}", it, m_version) } }, { "priority", 1 } });
+        if (m_hasVisitor)
+            organisations.push_back({ { "name", "visitor" }, { "apiKeys", { visitorKey } } });
+        m_deployment.setOrganisations(std::move(organisations));
+    }
+
+    static std::string lastingKeyOf(const std::string& organisation) { return "lasting-" + organisation; }
+    /// The same for all calls of a client.
+    static std::string organisationOf(const std::string& id) { return hash64(id.substr(0, id.find('-'))) % 2 == 0 ? "acme" : "bolt"; }
+
+    /// Checks that the key of the organisation that comes and goes is valid if the configuration says so, once it is in force.
+    void checkVisitor(HttpClient& connection, const std::string& gateway)
+    {
+        HttpCallOptions options;
+        options.resendOnStale = false;
+        options.deadline = std::chrono::steady_clock::now() + callLimit;
+        HttpHeaders headers { { "host", "h.example" }, { "x-basilpoint-request-id", fmt::format("visit-{}-{}", m_version, gateway) }, { "x-basilpoint-deadline-ms", std::to_string(callDeadline.count()) }, { keyHeader, visitorKey } };
+        m_sent[headers["x-basilpoint-request-id"]] = { gateway, "visit", true, false, "visitor" };
+        try {
+            int status = connection.call({ "127.0.0.1", static_cast<std::uint16_t>(m_deployment.instances[gateway].callers) }, { "POST", "/work/x", headers, "visit" }, options).status;
+            if (status == (m_hasVisitor ? 401 : 200))
+                violation(fmt::format("gateway {} answered {} to a key that is {} in version {}", gateway, status, m_hasVisitor ? "valid" : "invalid", m_version));
+        } catch (const TargetError&) {
+            // The gateway may be disturbed meanwhile, as for every call here.
+            return;
+        }
+    }
+
     void keepLogs()
     {
         auto target = std::filesystem::temp_directory_path() / fmt::format("basilpoint-soak-{}", m_seed);
@@ -464,6 +518,8 @@
     bool m_hasCuts;
     RandomEngine m_random;
     int m_version = 3;
+    /// Whether the configuration has the organisation that comes and goes.
+    bool m_hasVisitor = false;
     std::vector<std::string> m_prefixes { "/work/" };
     bool m_isOver = false;
     unsigned m_fibers = 0;
