Log what attempts at one request have in common

Failed attempts and relays now have a second digest, of path, body and organisation, and of the program only if there is no body. No decision uses it yet. CallContentTest: repetitions agree in it, requests without a body of different programs do not.

--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -82,6 +82,7 @@
     call->content = contentOf(request, call->attributes, call->organisation.get());
     if (m_forwarder.isQuarantined(call->content))
         return refuse(call->attributes, call->organisation.get(), { statusQuarantined, "request-quarantined", "not run: this request has repeatedly crashed the targets that ran it" }, limit, arrivedAt, writer);
+    call->repetition = repetitionOf(request, call->attributes, call->organisation.get());
     writer.notifyOnDisconnect([this, call] {
         call->callerLeft();
         m_writer.wakeWaiters();
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -216,6 +216,17 @@
     return extendDigest(digestOf(head), request.body);
 }
 
+Digest repetitionOf(const HttpRequest& request, const CallAttributes& attributes, const Organisation* organisation)
+{
+    std::string head;
+    auto append = [&head](std::string_view part) { head.append(fmt::format("{}:{},", part.size(), part)); };
+    append(request.target);
+    append(organisation ? std::string_view(organisation->name) : std::string_view());
+    if (request.body.empty())
+        append(attributes.program.text());
+    return extendDigest(digestOf(head), request.body);
+}
+
 std::string lifetimeOf(const Registration& target)
 {
     return fmt::format("{}/{}", target.id.text(), target.startedAt);
@@ -548,6 +559,8 @@
     LogLine line("relay");
     line.field("request", call.attributes.call.text()).field("relay", relay.instance).field("target", attempt.target.text());
     line.field("end", toString(end)).field("status", attempt.response.status).field("afterMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - call.arrivedAt));
+    if (end != ForwardEnd::Delivered && call.repetition)
+        line.field("repetition", call.repetition->text());
     if (attempt.failure)
         line.field("failure", toString(*attempt.failure));
     if (!attempt.reason.empty())
@@ -565,6 +578,8 @@
     line.field("timeLeftMs", std::chrono::duration_cast<Milliseconds>(call.deadline - m_clock.now()));
     if (end != ForwardEnd::Delivered)
         line.field("content", call.content.text());
+    if (end != ForwardEnd::Delivered && call.repetition)
+        line.field("repetition", call.repetition->text());
     if (attempt.failure)
         line.field("failure", toString(*attempt.failure));
     if (!attempt.reason.empty())
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -36,6 +36,8 @@
     TargetQuery query {};
     /// Identifies the request across its caller's attempts, each of which has a call id of its own.
     Digest content {};
+    /// Likewise, whatever program and host the attempts name; unset if another gateway has the caller.
+    std::optional<Digest> repetition {};
     /// Whether another gateway has handed the call to this one, which must not hand it on.
     bool isRelayed = false;
     bool isCallerGone = false;
@@ -89,6 +91,10 @@
 /// has one.
 Digest contentOf(const HttpRequest&, const CallAttributes&, const Organisation* = nullptr);
 
+/// Digest of what makes requests repetitions of one another: path, body, and the caller's organisation if it has one. Without a
+/// body also the program, since nothing else tells apart what different callers ask for.
+Digest repetitionOf(const HttpRequest&, const CallAttributes&, const Organisation* = nullptr);
+
 /// Identifies one lifetime of a target; connections are pooled per lifetime.
 std::string lifetimeOf(const Registration&);
 
