Fail calls whose target closes after the head of an answer without a length

Cause: without a length the end of the connection ends the body, so HttpClient took a head alone for a whole answer with an empty body, and the gateway gave it a Content-Length.

A success without a length and without a byte of body is a lost connection now: 502, or another target where the call may be repeated.

--- a/include/basilpoint/Net/HttpTypes.h
+++ b/include/basilpoint/Net/HttpTypes.h
@@ -30,6 +30,8 @@
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    /// Whether nothing but the end of the connection shows where the body of a received response ends.
+    bool endsWithConnection = false;
 
     /// Value of header \p name (lower case), or empty.
     std::string_view header(std::string_view name) const;
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -285,6 +285,11 @@
     return response.status < firstFinalStatus;
 }
 
+static bool isSuccess(const HttpResponse& response)
+{
+    return response.status >= 200 && response.status < 300;
+}
+
 HttpResponse HttpClient::readResponse(Connection& connection, const Endpoint& endpoint, const ChunkHandler& onChunk, const HttpCallOptions& options, bool& isStale)
 {
     std::size_t discardedBytes = 0;
@@ -296,11 +301,12 @@
             isStale = !parser.got_some();
             throw TargetError(endpoint, Executed::Unknown, header.ec.message(), failureOf(header.ec));
         }
-        HttpResponse response { static_cast<int>(parser.get().result_int()), lowerCaseHeaders(parser.get()), {} };
+        HttpResponse response { static_cast<int>(parser.get().result_int()), lowerCaseHeaders(parser.get()), {}, parser.need_eof() };
         bool matches = !isInterim(response) && (!options.matchesRequest || options.matchesRequest(response));
         if (matches && options.onHeader)
             options.onHeader(response);
         std::string buf(streamBufferBytes, '\0');
+        std::size_t bodyBytes = 0;
         while (!parser.is_done()) {
             parser.get().body().data = buf.data();
             parser.get().body().size = buf.size();
@@ -309,6 +315,7 @@
             if (result.ec && result.ec != http::error::need_buffer)
                 throw TargetError(endpoint, Executed::Unknown, result.ec.message(), failureOf(result.ec));
             std::string_view chunk(buf.data(), buf.size() - parser.get().body().size);
+            bodyBytes += chunk.size();
             if (!matches) {
                 discardedBytes += chunk.size();
                 if (discardedBytes > options.maxBodyBytes)
@@ -320,6 +327,9 @@
             else
                 response.body.append(chunk);
         }
+        // A target that ends between head and body leaves the same bytes as an empty body without a length.
+        if (response.endsWithConnection && bodyBytes == 0 && isSuccess(response))
+            throw TargetError(endpoint, Executed::Unknown, "connection closed before the body", TargetFailure::ConnectionLost);
         bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
         if (!matches && !reusable && !isInterim(response))
             throw TargetError(endpoint, Executed::Unknown, "answer of another request");
