Keep no connection after an answer that names no call

What callers saw: 503, not run, for a payout that the target had run (REFUSED), where the target wrote the refusal of an earlier call once more; an idempotent call would have run at a second target as well.

Cause: answers are matched to calls by the id they echo, but refusals need not have one (503, 429, 421, 400). One that comes late on a kept connection was taken for the answer to the next call.

A copy of a refusal can only follow on its own connection. Once an answer without an id has come, that connection is closed, so no later call can meet the copy. A refusal without an id is still taken on a connection on which only answers with ids came before, so full targets cost callers nothing more; the price is one new connection for each refusal.

--- a/include/basilpoint/Net/HttpClient.h
+++ b/include/basilpoint/Net/HttpClient.h
@@ -29,6 +29,8 @@
     std::string group {};
     /// Whether a response belongs to the request; other responses are read and discarded. If empty, all belong.
     std::function<bool(const HttpResponse&)> matchesRequest = nullptr;
+    /// Whether the connection may be used again after a response; if empty, it may.
+    std::function<bool(const HttpResponse&)> keepsConnection = nullptr;
     /// Called with the status and headers of the response before its body is read, if set.
     std::function<void(const HttpResponse&)> onHeader = nullptr;
 };
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -245,6 +245,8 @@
         CallId answered = m_format.readResponse(response).call;
         return answered.empty() || answered == call.attributes.call;
     };
+    // A target may send an answer a second time, and nothing would show that one without an id belongs to an earlier call.
+    options.keepsConnection = [this](const HttpResponse& response) { return !m_format.readResponse(response).call.empty(); };
     return options;
 }
 
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -330,7 +330,7 @@
         // A target that ends between head and body leaves the same bytes as an empty body without a length.
         if (response.endsWithConnection && bodyBytes == 0 && isSuccess(response))
             throw TargetError(endpoint, Executed::Unknown, "connection closed before the body", TargetFailure::ConnectionLost);
-        bool reusable = parser.get().keep_alive() && !parser.get().need_eof();
+        bool reusable = parser.get().keep_alive() && !parser.get().need_eof() && (!options.keepsConnection || options.keepsConnection(response));
         if (!matches && !reusable && !isInterim(response))
             throw TargetError(endpoint, Executed::Unknown, "answer of another request");
         if (!matches)
--- a/unittests/Platform/FaultyAnswerTest.cpp
+++ b/unittests/Platform/FaultyAnswerTest.cpp
@@ -100,6 +100,13 @@
     return "HTTP/1.1 200 OK\r\nX-Basilpoint-Request-Id: " + call + "\r\nX-Basilpoint-Server-Stamp: stamp\r\n";
 }
 
+std::string answerTo(const std::string& call)
+{
+    return headOf(call) + "Content-Length: 4\r\n\r\ndone";
+}
+
+const char* const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Basilpoint-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// Runs \p body with two gateways whose only tool service is a raw target.
 void withTarget(RawTarget::Handler handler, const std::function<void(Deployment&, RawTarget&)>& body)
 {
@@ -166,4 +173,25 @@
     });
 }
 
+// Guards against calls that are refused as not run, or run again elsewhere, since a target has sent the refusal of an earlier call
+// twice.
+BOOST_AUTO_TEST_CASE(refusalThatComesAgainIsNotTakenForTheNextCallsAnswer)
+{
+    RawTarget* raw = nullptr;
+    auto handler = [&raw](const std::string& call, unsigned connection, unsigned request) {
+        if (connection == 1 && request == 1)
+            return Reply { refusal };
+        raw->runs.insert(call);
+        return Reply { (connection == 1 ? refusal : "") + answerTo(call) };
+    };
+    withTarget(handler, [&](Deployment& deployment, RawTarget& target) {
+        raw = &target;
+        auto pay = [&](const char* call) { return deployment.statusAt(deployment.instances["a"].callers, "POST", "/pay/x", { { "x-basilpoint-request-id", call } }, "input"); };
+        BOOST_TEST(pay("first") == 503);
+        BOOST_TEST(target.runs.empty());
+        BOOST_TEST(pay("second") == 200);
+        BOOST_TEST(target.runs.count("second") == 1U);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
