Bound how often a request without an answer is sent, over all gateways

Cause: a request became a suspect only if a gateway saw its target end: by a lost connection and a refused one, or by a registration that changed within 30 s of that. Each other way to end was one more way past it.

Now what counts is what was sent and never answered whole, whatever the gateways saw of the end (RepetitionLimit). Each run that ends without a whole answer, is silent for 1.5 s, or repeats a request that has such runs is told to all gateways by a notice. After three such runs each attempt of the caller goes to one target only, after six to none: 503, not run, with Retry-After. Requests are told apart by path, body and organisation, without a body by program as well.

Sound requests: a whole answer at any gateway clears all runs of its request, and one of the last ten minutes lets it pass whatever fails; a target that is still registered with the same start 30 s later clears its runs, if the registrations could be read all the while; a lost connection does not count if the target accepts the next one and its registration can show a restart. An answer that ends with its connection neither clears nor counts, unless its target ends.

The release before refuses messages with kinds of notices that it does not know, so notices of this kind stand apart in a fifth element, which it does not read; kinds of later releases are passed over there.

Ruled out: reporting deadlines and departed callers to the old tracker as well (an end that no registration shows stays unseen); a bound for each gateway (retries reach any of them); counting at one gateway for each request (a restart loses the count, and a second way to spread knowledge beside the notices).

--- a/include/basilpoint/Fleet/NoticeGossip.h
+++ b/include/basilpoint/Fleet/NoticeGossip.h
@@ -23,6 +23,8 @@
     LimitedTarget,
     /// Daemon that is cut off from all targets; others do not send calls through it.
     CutOffDaemon,
+    /// Run of a request that a target has not answered whole; daemons count those of each request.
+    UnansweredRun,
 };
 
 struct NoticeSubject {
@@ -96,6 +98,8 @@
 
     /// Maximum number of notices. Beyond it, further suspected requests are not noted.
     static constexpr std::size_t maxEntries = 10'000;
+    /// Beyond this number, further unanswered runs are not noted.
+    static constexpr std::size_t maxEntriesWithRuns = maxEntries / 2;
 
 private:
     struct Entry {
@@ -105,6 +109,7 @@
         unsigned burstsLeft = 0;
     };
 
+    bool hasRoomFor(const NoticeSubject&) const;
     void merge(const Notice&, NoticeActions&, TimePoint now);
     Notice toNotice(const NoticeSubject&, const Entry&, TimePoint now) const;
     NoticeMessage makeMessage(TimePoint now, bool changesOnly);
--- /dev/null
+++ b/include/basilpoint/Forwarding/RepetitionLimit.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "basilpoint/Support/Clock.h"
+#include "basilpoint/Support/Hash.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace basilpoint {
+
+/// One run of a request on a target that has not answered it whole.
+struct UnansweredRun {
+    /// Identifies the request across its caller's attempts.
+    Digest request;
+    /// Random number.
+    std::uint64_t id = 0;
+    /// Lifetime of the target; empty if it is not known.
+    std::string lifetime;
+
+    auto operator<=>(const UnansweredRun&) const = default;
+};
+
+/// Text of a notice about the run.
+std::string toText(const UnansweredRun&);
+/// \throws InvalidInputError if \p text is not the result of toText().
+UnansweredRun parseUnansweredRun(std::string_view text);
+
+/// Bounds how often all daemons together send a request to targets without getting an answer.
+///
+/// A request that crashes targets is never answered, however they end and whatever the daemons see of it. So each run
+/// counts that has not been answered whole, until it turns out to be harmless: an answer to the same request clears all its
+/// runs, and a target that has outlived a run for long enough clears that one. The daemons tell each other of such runs.
+class RepetitionLimit {
+public:
+    enum class Verdict {
+        Unlimited,
+        /// The request may be sent to one target for each attempt of its caller.
+        OneTarget,
+        /// The request is not sent to any target.
+        Refused,
+    };
+
+    /// How a run has ended for the daemon that sent it.
+    enum class RunEnd {
+        /// A whole answer has arrived.
+        Answered,
+        /// An answer has arrived whose end was that of its connection, which may have been the target's end as well.
+        EndedWithConnection,
+        /// The target has closed or reset the connection before the end of its answer.
+        ConnectionLost,
+        /// The target has refused the request.
+        NotRun,
+        Unanswered,
+    };
+
+    /// What has become of a target since a run.
+    enum class TargetFate {
+        Alive,
+        Ended,
+        Unknown,
+    };
+
+    /// Runs that the other daemons have to be told of.
+    struct Changes {
+        std::vector<UnansweredRun> unanswered;
+        /// Runs on targets that have ended since. These are remembered for longer.
+        std::vector<UnansweredRun> ended;
+        /// Runs that no longer count.
+        std::vector<UnansweredRun> cleared;
+    };
+
+    Verdict verdictOn(const Digest& request) const;
+
+    /// Records that this daemon sends a request to a target.
+    void sent(const UnansweredRun&, TimePoint now);
+    /// Records the target of a run that was sent through another daemon.
+    void located(std::uint64_t id, const std::string& lifetime);
+    /// Records that a part of the answer has arrived.
+    void heard(std::uint64_t id, TimePoint now);
+    void ended(std::uint64_t id, RunEnd, TimePoint now);
+
+    /// Records that a target has accepted a connection that was requested at \p since, while its registrations can be read. So
+    /// it did not end with the connections lost before, unless its registration still shows that.
+    void accepted(const std::string& lifetime, TimePoint since);
+
+    /// Records that a target's lifetime has ended without a planned stop.
+    void targetEnded(const std::string& lifetime, TimePoint now);
+
+    /// Records what a daemon, this one or another, says about a run.
+    void noted(const UnansweredRun&, TimePoint now);
+    void cleared(const UnansweredRun&);
+
+    /// Checks runs by what has become of their targets. Call about once a second.
+    void sweep(TimePoint now, const std::function<TargetFate(const std::string& lifetime)>& fateOf);
+
+    /// Finds the runs that have been silent for too long, and returns all changes since the last call.
+    Changes takeChanges(TimePoint now);
+
+    /// Number of runs that count.
+    std::size_t size() const { return m_size; }
+
+    /// Targets that may end under a request before it is limited.
+    static constexpr std::size_t toleratedRuns = 3;
+    /// Runs that may follow these, one for each attempt of the caller.
+    static constexpr std::size_t maxRepetitions = 3;
+    /// Silence after which a run counts before it has ended; sound targets may pause for about a second.
+    static constexpr Milliseconds maxSilence { 1'500 };
+    /// Longer than the attempt to connect to a target after it has lost a connection.
+    static constexpr Milliseconds maxProbeTime { 500 };
+    /// A target that is still registered this long after a run has survived it; longer than the registration of one that has ended.
+    static constexpr std::chrono::seconds survivalTime { 30 };
+    /// How long a run counts if it is not known what has become of its target, and if the target has ended.
+    static constexpr std::chrono::minutes retention { 10 };
+    static constexpr std::chrono::hours endedRetention { 24 };
+    /// Requests answered within this time are known not to crash each target that runs them.
+    static constexpr std::chrono::minutes answerRetention { 10 };
+    /// Beyond these numbers the oldest runs and answers are forgotten.
+    static constexpr std::size_t maxRuns = 10'000;
+    static constexpr std::size_t maxAnswers = 4'000;
+
+private:
+    struct Running {
+        UnansweredRun run;
+        TimePoint heardAt;
+        bool isNoted = false;
+    };
+
+    struct Noted {
+        std::string lifetime;
+        TimePoint notedAt;
+        /// Whether this daemon has sent it and told the others.
+        bool isOwn = false;
+        bool hasTargetEnded = false;
+
+        bool isExpired(TimePoint now) const;
+    };
+
+    /// Runs by their identifiers.
+    using Runs = std::map<std::uint64_t, Noted>;
+
+    /// Run that counts only if its target has ended with it, or in the case of a lost connection also if that stays unknown.
+    struct Uncertain {
+        UnansweredRun run;
+        RunEnd end = RunEnd::ConnectionLost;
+        TimePoint endedAt;
+        bool isAccepted = false;
+    };
+
+    struct HashOfDigest {
+        std::size_t operator()(const Digest& digest) const noexcept { return digest.low; }
+    };
+
+    void note(const UnansweredRun&, TimePoint now);
+    void add(const UnansweredRun&, bool isOwn, TimePoint now);
+    void answered(const Digest& request, TimePoint now);
+    bool wasAnswered(const Digest& request) const { return m_answers.contains(request); }
+    void clear(const UnansweredRun&);
+    void erase(const Digest& request, std::uint64_t id);
+    bool isNoted(const Digest& request, std::uint64_t id) const;
+    void dropOldAnswers(TimePoint now);
+    template <typename Predicate>
+    void noteUncertain(Predicate, TimePoint now);
+
+    std::unordered_map<std::uint64_t, Running> m_running;
+    std::unordered_map<Digest, Runs, HashOfDigest> m_runs;
+    std::size_t m_size = 0;
+    /// Request and identifier of each run in m_runs, the oldest first, and of some that were cleared.
+    std::deque<std::pair<Digest, std::uint64_t>> m_order;
+    /// The oldest first.
+    std::deque<Uncertain> m_uncertain;
+    /// Requests that were answered whole, with the number of their answers in m_answerOrder.
+    std::unordered_map<Digest, unsigned, HashOfDigest> m_answers;
+    std::deque<std::pair<TimePoint, Digest>> m_answerOrder;
+    Changes m_changes;
+};
+
+} // namespace basilpoint
--- a/include/basilpoint/Forwarding/TargetDirectory.h
+++ b/include/basilpoint/Forwarding/TargetDirectory.h
@@ -62,6 +62,9 @@
     /// Records that the source is reachable again, so that expired registrations are renewed from now on.
     void sourceRegained(TimePoint now);
 
+    /// Since when the source has been reachable; max() while it is not.
+    TimePoint sourceKnownSince() const { return m_isSourceLost ? TimePoint::max() : m_sourceRegainedAt; }
+
     /// Drops targets whose removal is due. \returns the dropped targets.
     std::vector<Registration> sweep(TimePoint now);
 
--- a/lib/Daemon/SchedulerDriver.cpp
+++ b/lib/Daemon/SchedulerDriver.cpp
@@ -211,6 +211,7 @@
         return;
     case NoticeKind::LimitedTarget:
     case NoticeKind::CutOffDaemon:
+    case NoticeKind::UnansweredRun:
         // Only gateways send these.
         return;
     }
--- a/lib/Fleet/NoticeGossip.cpp
+++ b/lib/Fleet/NoticeGossip.cpp
@@ -20,6 +20,10 @@
 /// Lifted notices are kept this long, so that a peer's old copy does not put them into force again.
 static constexpr auto liftedLifetime = std::chrono::minutes(10);
 static constexpr auto messageName = "notice message";
+/// Earlier releases refuse messages with kinds after this one, unless these stand apart from the others.
+static constexpr auto lastJoinedKind = NoticeKind::CutOffDaemon;
+/// Index of the notices of later kinds in a message.
+static constexpr std::size_t laterKindsIndex = 4;
 
 static Json toJson(const Notice& notice)
 {
@@ -28,16 +32,25 @@
 
 static Notice noticeFromJson(const Json& json)
 {
-    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::CutOffDaemon, messageName), json.at(1).get<std::string>() };
+    NoticeSubject subject { enumFromJson(json.at(0), NoticeKind::UnansweredRun, messageName), json.at(1).get<std::string>() };
     return { subject, json.at(2).get<std::uint64_t>(), json.at(3).get<bool>(), Milliseconds(json.at(4).get<Milliseconds::rep>()) };
 }
 
 std::string encodeNoticeMessage(const NoticeMessage& message)
 {
     Json notices = Json::array();
+    Json laterKinds = Json::array();
     for (const Notice& notice : message.notices)
-        notices.push_back(toJson(notice));
-    return toCbor(Json::array({ message.from.text(), message.summary, std::move(notices), message.reply }));
+        (notice.subject.kind > lastJoinedKind ? laterKinds : notices).push_back(toJson(notice));
+    return toCbor(Json::array({ message.from.text(), message.summary, std::move(notices), message.reply, std::move(laterKinds) }));
+}
+
+// Kinds of later releases are passed over.
+static void readLaterKinds(const Json& json, NoticeMessage& message)
+{
+    for (const Json& it : json)
+        if (it.at(0).get<unsigned>() <= static_cast<unsigned>(NoticeKind::UnansweredRun))
+            message.notices.push_back(noticeFromJson(it));
 }
 
 NoticeMessage decodeNoticeMessage(std::string_view bytes)
@@ -46,6 +59,8 @@
         NoticeMessage message { textIdFromJson<InstanceId>(json.at(0)), json.at(1).get<std::uint64_t>(), {}, json.at(3).get<bool>() };
         for (const Json& it : json.at(2))
             message.notices.push_back(noticeFromJson(it));
+        if (json.size() > laterKindsIndex)
+            readLaterKinds(json.at(laterKindsIndex), message);
         return message;
     });
 }
@@ -75,12 +90,33 @@
     return actions;
 }
 
+bool NoticeGossip::hasRoomFor(const NoticeSubject& subject) const
+{
+    switch (subject.kind) {
+    case NoticeKind::SuspectedRequest:
+        return m_entries.size() < maxEntries;
+    case NoticeKind::UnansweredRun:
+        return m_entries.size() < maxEntriesWithRuns;
+    case NoticeKind::QuarantinedRequest:
+    case NoticeKind::LeavingTarget:
+    case NoticeKind::LimitedTarget:
+    case NoticeKind::CutOffDaemon:
+        return true;
+    }
+    return true;
+}
+
+// A crash can leave many of these, which must not delay the notices that all daemons act on at once.
+static bool isFrequent(const Notice& notice)
+{
+    return notice.subject.kind == NoticeKind::SuspectedRequest || notice.subject.kind == NoticeKind::UnansweredRun;
+}
+
 void NoticeGossip::merge(const Notice& notice, NoticeActions& actions, TimePoint now)
 {
     if (notice.remaining <= Milliseconds::zero())
         return;
-    bool isFull = m_entries.size() >= maxEntries && notice.subject.kind == NoticeKind::SuspectedRequest;
-    if (isFull && !m_entries.contains(notice.subject))
+    if (!m_entries.contains(notice.subject) && !hasRoomFor(notice.subject))
         return;
     Entry& entry = m_entries[notice.subject];
     if (std::tie(notice.revision, notice.lifted) <= std::tie(entry.revision, entry.lifted))
@@ -143,10 +179,9 @@
             notices.push_back(toNotice(subject, entry, now));
     }
     NoticeMessage message { m_self, summary(), {}, false };
-    // A new random order each time, so that all notices are sent within a few periods. A crash can leave many suspects,
-    // which must not delay the notices that all daemons act on at once.
+    // A new random order each time, so that all notices are sent within a few periods.
     std::shuffle(notices.begin(), notices.end(), m_random);
-    std::stable_partition(notices.begin(), notices.end(), [](const Notice& it) { return it.subject.kind != NoticeKind::SuspectedRequest; });
+    std::stable_partition(notices.begin(), notices.end(), [](const Notice& it) { return !isFrequent(it); });
     notices.resize(std::min(notices.size(), maxNotices));
     message.notices = std::move(notices);
     return message;
--- /dev/null
+++ b/lib/Forwarding/RepetitionLimit.cpp
@@ -0,0 +1,254 @@
+#include "basilpoint/Forwarding/RepetitionLimit.h"
+
+#include "basilpoint/Support/Error.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <utility>
+
+namespace basilpoint {
+
+static constexpr int hexadecimal = 16;
+static constexpr char separator = '/';
+
+std::string toText(const UnansweredRun& run)
+{
+    return fmt::format("{}{}{:016x}{}{}", run.request.text(), separator, run.id, separator, run.lifetime);
+}
+
+UnansweredRun parseUnansweredRun(std::string_view text)
+{
+    static constexpr auto allowed = "DIGEST/RUN/LIFETIME";
+    auto first = text.find(separator);
+    auto second = first == std::string_view::npos ? first : text.find(separator, first + 1);
+    if (second == std::string_view::npos)
+        throw InvalidInputError("run", std::string(text), allowed);
+    UnansweredRun run { parseDigest(text.substr(0, first)), 0, std::string(text.substr(second + 1)) };
+    std::string_view id = text.substr(first + 1, second - first - 1);
+    auto [end, ec] = std::from_chars(id.data(), id.data() + id.size(), run.id, hexadecimal);
+    if (ec != std::errc() || end != id.data() + id.size())
+        throw InvalidInputError("run", std::string(text), allowed);
+    return run;
+}
+
+RepetitionLimit::Verdict RepetitionLimit::verdictOn(const Digest& request) const
+{
+    auto it = m_runs.find(request);
+    if (it == m_runs.end() || it->second.size() < toleratedRuns)
+        return Verdict::Unlimited;
+    return it->second.size() < toleratedRuns + maxRepetitions ? Verdict::OneTarget : Verdict::Refused;
+}
+
+bool RepetitionLimit::isNoted(const Digest& request, std::uint64_t id) const
+{
+    auto it = m_runs.find(request);
+    return it != m_runs.end() && it->second.contains(id);
+}
+
+// A request with unanswered runs counts as soon as it is sent again, so that gateways which get its next attempts at about
+// the same time know of each other's.
+void RepetitionLimit::sent(const UnansweredRun& run, TimePoint now)
+{
+    Running& running = m_running[run.id];
+    running = { run, now };
+    if (!m_runs.contains(run.request))
+        return;
+    running.isNoted = true;
+    note(run, now);
+}
+
+void RepetitionLimit::located(std::uint64_t id, const std::string& lifetime)
+{
+    auto it = m_running.find(id);
+    if (it != m_running.end())
+        it->second.run.lifetime = lifetime;
+}
+
+void RepetitionLimit::heard(std::uint64_t id, TimePoint now)
+{
+    auto it = m_running.find(id);
+    if (it != m_running.end())
+        it->second.heardAt = now;
+}
+
+void RepetitionLimit::ended(std::uint64_t id, RunEnd end, TimePoint now)
+{
+    auto it = m_running.find(id);
+    if (it == m_running.end())
+        return;
+    Running running = std::move(it->second);
+    m_running.erase(it);
+    switch (end) {
+    case RunEnd::Answered:
+        answered(running.run.request, now);
+        return;
+    case RunEnd::NotRun:
+        clear(running.run);
+        return;
+    case RunEnd::EndedWithConnection:
+        clear(running.run);
+        [[fallthrough]];
+    case RunEnd::ConnectionLost:
+        m_uncertain.push_back({ std::move(running.run), end, now });
+        if (m_uncertain.size() > maxRuns)
+            m_uncertain.pop_front();
+        return;
+    case RunEnd::Unanswered:
+        if (!running.isNoted)
+            note(running.run, now);
+        return;
+    }
+}
+
+void RepetitionLimit::note(const UnansweredRun& run, TimePoint now)
+{
+    if (wasAnswered(run.request) || isNoted(run.request, run.id))
+        return;
+    add(run, true, now);
+    m_changes.unanswered.push_back(run);
+}
+
+void RepetitionLimit::noted(const UnansweredRun& run, TimePoint now)
+{
+    // An answer shows that the request does not crash each target, whichever daemon has got it.
+    if (wasAnswered(run.request)) {
+        m_changes.cleared.push_back(run);
+        return;
+    }
+    add(run, false, now);
+}
+
+void RepetitionLimit::add(const UnansweredRun& run, bool isOwn, TimePoint now)
+{
+    if (!m_runs[run.request].try_emplace(run.id, Noted { run.lifetime, now, isOwn }).second)
+        return;
+    ++m_size;
+    m_order.emplace_back(run.request, run.id);
+    while (m_size > maxRuns) {
+        erase(m_order.front().first, m_order.front().second);
+        m_order.pop_front();
+    }
+}
+
+void RepetitionLimit::cleared(const UnansweredRun& run)
+{
+    erase(run.request, run.id);
+}
+
+void RepetitionLimit::erase(const Digest& request, std::uint64_t id)
+{
+    auto it = m_runs.find(request);
+    if (it == m_runs.end() || it->second.erase(id) == 0)
+        return;
+    --m_size;
+    if (it->second.empty())
+        m_runs.erase(it);
+}
+
+void RepetitionLimit::clear(const UnansweredRun& run)
+{
+    if (!isNoted(run.request, run.id))
+        return;
+    erase(run.request, run.id);
+    m_changes.cleared.push_back(run);
+}
+
+void RepetitionLimit::answered(const Digest& request, TimePoint now)
+{
+    ++m_answers[request];
+    m_answerOrder.emplace_back(now, request);
+    auto it = m_runs.find(request);
+    if (it != m_runs.end())
+        for (const auto& [id, noted] : Runs(it->second))
+            clear({ request, id, noted.lifetime });
+    dropOldAnswers(now);
+}
+
+void RepetitionLimit::dropOldAnswers(TimePoint now)
+{
+    while (!m_answerOrder.empty() && (m_answerOrder.size() > maxAnswers || now - m_answerOrder.front().first > answerRetention)) {
+        auto it = m_answers.find(m_answerOrder.front().second);
+        if (it != m_answers.end() && --it->second == 0)
+            m_answers.erase(it);
+        m_answerOrder.pop_front();
+    }
+}
+
+template <typename Predicate>
+void RepetitionLimit::noteUncertain(Predicate isToBeNoted, TimePoint now)
+{
+    std::erase_if(m_uncertain, [&](const Uncertain& it) {
+        if (!isToBeNoted(it))
+            return false;
+        note(it.run, now);
+        return true;
+    });
+}
+
+void RepetitionLimit::accepted(const std::string& lifetime, TimePoint since)
+{
+    for (Uncertain& it : m_uncertain)
+        if (it.run.lifetime == lifetime && it.endedAt <= since) {
+            it.isAccepted = true;
+            clear(it.run);
+        }
+}
+
+void RepetitionLimit::targetEnded(const std::string& lifetime, TimePoint now)
+{
+    noteUncertain([&](const Uncertain& it) { return it.run.lifetime == lifetime; }, now);
+    for (auto& [id, running] : m_running)
+        if (running.run.lifetime == lifetime && !std::exchange(running.isNoted, true))
+            note(running.run, now);
+}
+
+bool RepetitionLimit::Noted::isExpired(TimePoint now) const
+{
+    return now - notedAt > (hasTargetEnded ? TimePoint::duration(endedRetention) : TimePoint::duration(retention));
+}
+
+void RepetitionLimit::sweep(TimePoint now, const std::function<TargetFate(const std::string& lifetime)>& fateOf)
+{
+    dropOldAnswers(now);
+    auto isOld = [now](const Uncertain& it) { return now - it.endedAt > survivalTime; };
+    noteUncertain([&](const Uncertain& it) { return isOld(it) && it.end == RunEnd::ConnectionLost && fateOf(it.run.lifetime) != TargetFate::Alive; }, now);
+    std::erase_if(m_uncertain, isOld);
+    std::erase_if(m_order, [&](const auto& it) { return !isNoted(it.first, it.second); });
+    for (const auto& [request, id] : m_order) {
+        Noted& noted = m_runs.at(request).at(id);
+        if (noted.isExpired(now)) {
+            erase(request, id);
+            continue;
+        }
+        if (now - noted.notedAt <= survivalTime || noted.hasTargetEnded || m_running.contains(id))
+            continue;
+        UnansweredRun run { request, id, noted.lifetime };
+        bool isOwn = noted.isOwn;
+        switch (fateOf(run.lifetime)) {
+        case TargetFate::Alive:
+            erase(request, id);
+            if (isOwn)
+                m_changes.cleared.push_back(std::move(run));
+            break;
+        case TargetFate::Ended:
+            noted.hasTargetEnded = true;
+            if (isOwn)
+                m_changes.ended.push_back(std::move(run));
+            break;
+        case TargetFate::Unknown:
+            break;
+        }
+    }
+}
+
+RepetitionLimit::Changes RepetitionLimit::takeChanges(TimePoint now)
+{
+    noteUncertain([now](const Uncertain& it) { return it.end == RunEnd::ConnectionLost && !it.isAccepted && now - it.endedAt >= maxProbeTime; }, now);
+    for (auto& [id, running] : m_running)
+        if (now - running.heardAt >= maxSilence && !std::exchange(running.isNoted, true))
+            note(running.run, now);
+    return std::exchange(m_changes, {});
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/CallController.cpp
+++ b/lib/Gateway/CallController.cpp
@@ -83,6 +83,8 @@
     if (m_forwarder.isQuarantined(call->content))
         return refuse(call->attributes, call->organisation.get(), { statusQuarantined, "request-quarantined", "not run: this request has repeatedly crashed the targets that ran it" }, limit, arrivedAt, writer);
     call->repetition = repetitionOf(request, call->attributes, call->organisation.get());
+    if (m_forwarder.isRepeatedTooOften(*call))
+        return refuse(call->attributes, call->organisation.get(), { statusNotRun, "request-unanswered", "not run: targets have been sent this request too often without an answer" }, limit, arrivedAt, writer);
     writer.notifyOnDisconnect([this, call] {
         call->callerLeft();
         m_writer.wakeWaiters();
--- a/lib/Gateway/CrashTracker.cpp
+++ b/lib/Gateway/CrashTracker.cpp
@@ -91,8 +91,11 @@
     if (m_probes.join(lifetime))
         return;
     m_probes.run(lifetime, [&] {
+        TimePoint since = m_clock.now();
         auto failure = m_targets.probe(target.endpoint, probeTimeout);
         m_log.write(LogLine("target-probed").field("target", target.id.text()).field("startedAt", target.startedAt).field("failure", failure ? toString(*failure) : ""));
+        if (!failure && m_onAccepted)
+            m_onAccepted(target, since);
         if (failure == TargetFailure::ConnectionRefused && reachesOthers(target))
             targetEnded(target);
     });
--- a/lib/Gateway/CrashTracker.h
+++ b/lib/Gateway/CrashTracker.h
@@ -28,6 +28,9 @@
     /// Records the end of an attempt at a request.
     void ended(const Digest& content, bool isAnswered);
 
+    /// Called when a target has accepted a connection that was requested at \p since, after it has lost one.
+    void onAccepted(std::function<void(const Registration&, TimePoint since)> hook) { m_onAccepted = std::move(hook); }
+
     /// Records that the connection to \p target was lost during an attempt at the request that has ended, and finds out
     /// whether the target's process has ended too.
     void connectionLost(const Registration& target, const Digest& content);
@@ -56,6 +59,7 @@
     Metrics& m_metrics;
     Quarantine m_quarantine;
     LostCalls m_lost;
+    std::function<void(const Registration&, TimePoint since)> m_onAccepted;
     /// Probes in progress, by lifetime.
     SharedReads<std::string> m_probes;
 };
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -68,6 +68,8 @@
     /// Why the relay has refused the call, if the engines had no room for it.
     std::optional<NoRoom> noRoom;
     bool isRelayed = false;
+    /// Identifier of the run, if its call counts them.
+    std::optional<std::uint64_t> run;
 
     double millisecondsBetweenEvents() const { return DoubleMilliseconds(lastEventAt - firstEventAt).count() / (events - 1); }
 };
@@ -85,13 +87,14 @@
 
 } // namespace
 
-Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RateLimitTracker& limits, RoomController& rooms, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
+Forwarder::Forwarder(HttpClient& client, TargetDirectory& directory, TargetSelector& selector, TargetMonitor& monitor, RelaySelector& relays, CrashTracker& crashes, RepetitionTracker& repetitions, RateLimitTracker& limits, RoomController& rooms, ReceiveBudget& receiveBudget, const WireFormat& format, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_client(client)
     , m_directory(directory)
     , m_selector(selector)
     , m_monitor(monitor)
     , m_relays(relays)
     , m_crashes(crashes)
+    , m_repetitions(repetitions)
     , m_limits(limits)
     , m_rooms(rooms)
     , m_receiveBudget(receiveBudget)
@@ -278,6 +281,9 @@
     options.onHeader = [&](const HttpResponse& response) {
         attempt.hasAnswer = true;
         attempt.response = response;
+        call.endsWithConnection = response.endsWithConnection;
+        if (attempt.run)
+            m_repetitions.heard(*attempt.run);
         dropHopHeaders(attempt.response.headers);
         attempt.attributes = m_format.readResponse(response);
         onAnswer();
@@ -287,6 +293,8 @@
         endpoint, request, [&](std::string_view chunk) {
             if (!attempt.isRelayed)
                 m_monitor.heard(attempt.target);
+            if (attempt.run)
+                m_repetitions.heard(*attempt.run);
             if (!attempt.received.take(chunk.size()))
                 throw TargetError(endpoint, Executed::Unknown, fmt::format("answers being received exceed {} bytes", m_receiveBudget.limit()));
             if (!attempt.isStream) {
@@ -318,7 +326,7 @@
     return status == statusBadRequest || status == statusNotFound || status == statusTooLarge;
 }
 
-void Forwarder::readRelayHeaders(Attempt& attempt)
+void Forwarder::readRelayHeaders(ForwardedCall& call, Attempt& attempt)
 {
     auto take = [&](const char* name) {
         auto node = attempt.response.headers.extract(name);
@@ -326,6 +334,7 @@
     };
     attempt.relayEnd = take(relayheaders::end);
     attempt.isRelayLeaving = !take(relayheaders::leaving).empty();
+    call.endsWithConnection = !take(relayheaders::endsWithConnection).empty();
     std::optional<RoomRefusal> refusal = roomRefusalFrom(take(relayheaders::noRoom));
     auto retryAfter = parseNumber<Milliseconds::rep>(take(relayheaders::retryAfter));
     if (refusal && retryAfter)
@@ -333,6 +342,8 @@
     std::string lifetime = take(relayheaders::target);
     if (lifetime.empty() && attempt.relayEnd.empty())
         attempt.relayEnd = isRejectedByServer(attempt.response.status) ? relayends::notTaken : relayends::mayHaveRun;
+    if (attempt.run)
+        m_repetitions.located(*attempt.run, lifetime);
     attempt.target = TargetId(lifetime.substr(0, lifetime.rfind('/')));
     const Registration* target = m_directory.find(attempt.target);
     if (target && lifetimeOf(*target) == lifetime)
@@ -374,6 +385,51 @@
     return ForwardEnd::Delivered;
 }
 
+RepetitionLimit::Verdict Forwarder::verdictOn(const ForwardedCall& call) const
+{
+    return call.repetition ? m_repetitions.verdictOn(*call.repetition) : RepetitionLimit::Verdict::Unlimited;
+}
+
+bool Forwarder::mayDispatch(const ForwardedCall& call) const
+{
+    return m_crashes.mayDispatch(call.content) && !isRepeatedTooOften(call);
+}
+
+unsigned Forwarder::maxRuns(const ForwardedCall& call) const
+{
+    return call.route.kind == CallKind::Idempotent && verdictOn(call) == RepetitionLimit::Verdict::Unlimited ? call.route.maxAttempts : 1;
+}
+
+void Forwarder::startRun(const ForwardedCall& call, Attempt& attempt, const std::string& lifetime)
+{
+    if (call.repetition)
+        attempt.run = m_repetitions.sent(*call.repetition, lifetime);
+}
+
+// Whether the end of the attempt leads to a connection that shows if the target's process still runs.
+bool Forwarder::isProbed(const ForwardedCall& call, const Attempt& attempt)
+{
+    return attempt.failure == TargetFailure::ConnectionLost && !call.isCallerGone && !attempt.isRelayed;
+}
+
+void Forwarder::endRun(const ForwardedCall& call, const Attempt& attempt, ForwardEnd end)
+{
+    if (!attempt.run)
+        return;
+    switch (end) {
+    case ForwardEnd::Delivered:
+        m_repetitions.ended(*attempt.run, call.endsWithConnection ? RepetitionLimit::RunEnd::EndedWithConnection : RepetitionLimit::RunEnd::Answered);
+        return;
+    case ForwardEnd::NotRun:
+        m_repetitions.ended(*attempt.run, RepetitionLimit::RunEnd::NotRun);
+        return;
+    case ForwardEnd::MayHaveRun:
+    case ForwardEnd::BrokenOff:
+        m_repetitions.ended(*attempt.run, isProbed(call, attempt) ? RepetitionLimit::RunEnd::ConnectionLost : RepetitionLimit::RunEnd::Unanswered);
+        return;
+    }
+}
+
 template <typename Call>
 ForwardEnd Forwarder::attemptCall(ForwardedCall& call, Attempt& attempt, Call receiveAnswer)
 {
@@ -430,6 +486,7 @@
     m_selector.sent(chosen.id);
     m_monitor.sent(chosen);
     m_crashes.dispatched(call.content);
+    startRun(call, attempt, lifetimeOf(chosen));
     m_limits.sent(chosen);
     ForwardEnd end = attemptCall(call, attempt, [&] {
         HttpCallOptions options = optionsFor(call, isLast);
@@ -437,8 +494,9 @@
         receive(call, attempt, chosen.endpoint, requestFor(call, room), options, [&] { noteAnswer(chosen, attempt); });
     });
     call.isRefusedByTarget = call.isRefusedByTarget || (end == ForwardEnd::NotRun && !attempt.isUnreachable);
-    m_crashes.ended(call.content, end == ForwardEnd::Delivered);
-    if (attempt.failure == TargetFailure::ConnectionLost && !call.isCallerGone) {
+    m_crashes.ended(call.content, end == ForwardEnd::Delivered && !call.endsWithConnection);
+    endRun(call, attempt, end);
+    if (isProbed(call, attempt)) {
         m_crashes.connectionLost(chosen, call.content);
         // Another attempt, of this gateway or of the one that relays through it, depends on whether the request crashed the target.
         if ((!isLast || call.isRelayed) && call.route.kind == CallKind::Idempotent)
@@ -474,11 +532,13 @@
     attempt.isRelayed = true;
     call.triedRelays.insert(TargetId(relay.instance));
     m_relays.sent(relay);
+    startRun(call, attempt, {});
     ForwardEnd end = attemptCall(call, attempt, [&] {
         HttpCallOptions options = optionsFor(call, isLast);
         options.connectTimeout = relayConnectTimeout;
-        receive(call, attempt, relay.endpoint, relayRequestFor(call), options, [&] { readRelayHeaders(attempt); });
+        receive(call, attempt, relay.endpoint, relayRequestFor(call), options, [&] { readRelayHeaders(call, attempt); });
     });
+    endRun(call, attempt, end);
     call.isRefusedByTarget = attempt.relayEnd == relayends::notRun;
     if (call.isRefusedByTarget)
         call.noRoom = attempt.noRoom;
@@ -600,8 +660,8 @@
     unsigned runs = 0;
     unsigned refusals = 0;
     ForwardEnd end = ForwardEnd::NotRun;
-    while (!call.isCallerGone && m_clock.now() < call.deadline && m_crashes.mayDispatch(call.content)) {
-        bool isLast = runs + 1 >= call.route.maxAttempts;
+    while (!call.isCallerGone && m_clock.now() < call.deadline && mayDispatch(call)) {
+        bool isLast = runs + 1 >= maxRuns(call);
         const Registration* target = chooseTarget(call);
         std::optional<RelayAddress> relay = chooseRelay(call, target);
         if (!relay && !target)
@@ -610,6 +670,11 @@
         std::optional<Room> room = relay ? std::nullopt : roomAt(call, *target);
         if (!relay && !room)
             break;
+        // The call may have waited for the room.
+        if (room && !mayDispatch(call)) {
+            m_rooms.giveBack(*room);
+            break;
+        }
         if (room)
             call.query.tried.insert(room->target.id);
         ForwardEnd last = relay ? tryRelay(call, *relay, isLast, writer, hooks) : tryTarget(call, *room, isLast, writer, hooks);
@@ -622,7 +687,7 @@
             continue;
         }
         end = ForwardEnd::MayHaveRun;
-        if (call.route.kind != CallKind::Idempotent || ++runs >= call.route.maxAttempts)
+        if (++runs >= maxRuns(call))
             break;
     }
     return end;
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -3,6 +3,7 @@
 #include "CrashTracker.h"
 #include "RateLimitTracker.h"
 #include "RelaySelector.h"
+#include "RepetitionTracker.h"
 #include "RoomController.h"
 #include "TargetMonitor.h"
 
@@ -36,7 +37,7 @@
     TargetQuery query {};
     /// Identifies the request across its caller's attempts, each of which has a call id of its own.
     Digest content {};
-    /// Likewise, whatever program and host the attempts name; unset if another gateway has the caller.
+    /// Likewise, whatever program and host the attempts name; unset if another gateway counts the call's runs.
     std::optional<Digest> repetition {};
     /// Whether another gateway has handed the call to this one, which must not hand it on.
     bool isRelayed = false;
@@ -50,6 +51,8 @@
     std::string lastTarget {};
     /// Organisation of the caller; null if it has none. A relayed call has only its name and priority.
     std::shared_ptr<const Organisation> organisation {};
+    /// Whether the end of the target's answer was that of its connection.
+    bool endsWithConnection = false;
     /// Whether a target has refused the call.
     bool isRefusedByTarget = false;
 
@@ -104,11 +107,14 @@
 /// Forwards calls to targets, and the answers to the callers.
 class Forwarder {
 public:
-    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RateLimitTracker&, RoomController&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
+    Forwarder(HttpClient&, TargetDirectory&, TargetSelector&, TargetMonitor&, RelaySelector&, CrashTracker&, RepetitionTracker&, RateLimitTracker&, RoomController&, ReceiveBudget&, const WireFormat&, const Clock&, JsonLog&, Metrics&);
 
     /// Whether the request is refused, since it has crashed several targets.
     bool isQuarantined(const Digest& content) const { return m_crashes.statusOf(content) == Quarantine::Status::Quarantined; }
 
+    /// Whether the request is refused, since targets have been sent it too often without an answer.
+    bool isRepeatedTooOften(const ForwardedCall& call) const { return verdictOn(call) == RepetitionLimit::Verdict::Refused; }
+
     /// Whether this gateway reaches a target that may serve the call, itself or through another gateway.
     bool hasPath(const ForwardedCall&) const;
 
@@ -119,6 +125,12 @@
 private:
     struct Attempt;
 
+    RepetitionLimit::Verdict verdictOn(const ForwardedCall&) const;
+    bool mayDispatch(const ForwardedCall&) const;
+    unsigned maxRuns(const ForwardedCall&) const;
+    void startRun(const ForwardedCall&, Attempt&, const std::string& lifetime);
+    static bool isProbed(const ForwardedCall&, const Attempt&);
+    void endRun(const ForwardedCall&, const Attempt&, ForwardEnd);
     ServiceId chooseService(const ForwardingRoute&, const CallAttributes&) const;
     const Registration* chooseTarget(ForwardedCall&);
     std::optional<RelayAddress> chooseRelay(const ForwardedCall&, const Registration* target);
@@ -133,7 +145,7 @@
     ForwardEnd attemptCall(ForwardedCall&, Attempt&, Call);
     void receive(ForwardedCall&, Attempt&, const Endpoint&, const HttpRequest&, const HttpCallOptions&, const std::function<void()>& onAnswer);
     void noteAnswer(const Registration&, const Attempt&);
-    void readRelayHeaders(Attempt&);
+    void readRelayHeaders(ForwardedCall&, Attempt&);
     static ForwardEnd endOfRefusal(Attempt&);
     void passEvents(ForwardedCall&, Attempt&, std::string_view chunk);
     ForwardEnd deliver(ForwardedCall&, Attempt&);
@@ -149,6 +161,7 @@
     TargetMonitor& m_monitor;
     RelaySelector& m_relays;
     CrashTracker& m_crashes;
+    RepetitionTracker& m_repetitions;
     RateLimitTracker& m_limits;
     RoomController& m_rooms;
     ReceiveBudget& m_receiveBudget;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -106,6 +106,7 @@
         RelaySelector m_relaySelector;
         NoticeController m_notices;
         CrashTracker m_crashes;
+        RepetitionTracker m_repetitions;
         RateLimitTracker m_limits;
         RoomController m_rooms;
         AllowanceController m_allowances;
@@ -159,6 +160,7 @@
     , m_relaySelector(settings.instance, settings.dataCentre, m_random())
     , m_notices(clock, InstanceId(settings.instance), m_random(), [this](const InstanceId& to, const std::string& body) { sendNotices(to, body); })
     , m_crashes(client, m_directory, m_notices, clock, m_log, m_metrics)
+    , m_repetitions(m_directory, m_notices, m_random(), clock, m_log, m_metrics)
     , m_limits(settings.instance, m_notices, clock, m_log, m_metrics)
     , m_rooms(client, m_selector, m_monitor, m_limits, m_format, clock, m_log, m_metrics, m_random())
     , m_allowances(
@@ -168,7 +170,7 @@
     , m_receiveBudget(settings.memoryBytes / receiveBudgetDivisor)
     , m_ledger(lifetimeOf(settings.instance, randomHex(m_random, 12)), ledgerSettingsOf(settings))
     , m_writer(m_store, m_ledger, clock, m_log)
-    , m_forwarder(client, m_directory, m_selector, m_monitor, m_relaySelector, m_crashes, m_limits, m_rooms, m_receiveBudget, m_format, clock, m_log, m_metrics)
+    , m_forwarder(client, m_directory, m_selector, m_monitor, m_relaySelector, m_crashes, m_repetitions, m_limits, m_rooms, m_receiveBudget, m_format, clock, m_log, m_metrics)
     , m_accounts(m_store, m_ledger, m_writer, m_journal, client, settings.isFirstStart, clock, m_log)
     , m_turns(m_forwarder, m_store, m_ledger, m_writer, m_journal, m_accounts, clock, m_log, m_metrics)
     , m_calls(m_configuration, m_forwarder, m_turns, m_allowances, m_writer, m_format, settings.dataCentre, clock, m_log, m_metrics)
@@ -245,8 +247,10 @@
     m_monitor.forget(target.id);
     m_client.closeIdle(lifetimeOf(target));
     m_limits.forget(target);
-    if (!target.isLeaving)
-        m_crashes.targetEnded(target);
+    if (target.isLeaving)
+        return;
+    m_crashes.targetEnded(target);
+    m_repetitions.targetEnded(target);
 }
 
 // Each gateway sends notices to a few others only, so that hundreds do not keep connections to each other.
@@ -333,6 +337,9 @@
     case NoticeKind::SuspectedRequest:
         m_crashes.apply(subject, inForce);
         return;
+    case NoticeKind::UnansweredRun:
+        m_repetitions.apply(subject, inForce);
+        return;
     case NoticeKind::LimitedTarget:
         m_limits.apply(subject, inForce);
         return;
@@ -468,6 +475,8 @@
     m_monitor.start();
     m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { applyNotice(subject, inForce); });
     m_notices.start();
+    m_crashes.onAccepted([this](const Registration& target, TimePoint since) { m_repetitions.accepted(target, since); });
+    m_repetitions.start();
     m_peers.on(peerpaths::notices, [this](const std::string& body) { return receiveNotices(body); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
     m_peers.on(peerpaths::releaseHold, [this](const std::string& program) { return m_accounts.releaseHold(program); });
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -136,6 +136,8 @@
 {
     if (!call.call.lastTarget.empty())
         headers[relayheaders::target] = call.call.lastTarget;
+    if (call.call.endsWithConnection)
+        headers[relayheaders::endsWithConnection] = "1";
     if (m_drainEnd)
         headers[relayheaders::leaving] = "1";
     if (call.call.noRoom) {
--- /dev/null
+++ b/lib/Gateway/RepetitionTracker.cpp
@@ -0,0 +1,113 @@
+#include "RepetitionTracker.h"
+
+#include "Forwarder.h"
+
+#include "basilpoint/Net/FiberRuntime.h"
+#include "basilpoint/Support/Error.h"
+
+namespace basilpoint {
+
+// How long the other gateways do not know of a run that has ended here.
+static constexpr Milliseconds tickInterval { 100 };
+static constexpr Milliseconds sweepInterval { 1'000 };
+
+RepetitionTracker::RepetitionTracker(const TargetDirectory& directory, NoticeController& notices, RandomEngine::result_type seed, const Clock& clock, JsonLog& log, Metrics& metrics)
+    : m_directory(directory)
+    , m_notices(notices)
+    , m_random(seed)
+    , m_clock(clock)
+    , m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+void RepetitionTracker::start()
+{
+    spawnFiber([this] {
+        for (;; sleepFiber(tickInterval))
+            tick();
+    });
+    spawnFiber([this] {
+        for (;; sleepFiber(sweepInterval))
+            m_limit.sweep(m_clock.now(), [this](const std::string& lifetime) { return fateOf(lifetime); });
+    });
+}
+
+std::uint64_t RepetitionTracker::sent(const Digest& request, const std::string& lifetime)
+{
+    UnansweredRun run { request, m_random(), lifetime };
+    m_limit.sent(run, m_clock.now());
+    return run.id;
+}
+
+// A process that has been restarted at once accepts connections too, which only its registration shows.
+void RepetitionTracker::accepted(const Registration& target, TimePoint since)
+{
+    if (m_directory.sourceKnownSince() <= m_clock.now())
+        m_limit.accepted(lifetimeOf(target), since);
+}
+
+void RepetitionTracker::targetEnded(const Registration& target)
+{
+    m_limit.targetEnded(lifetimeOf(target), m_clock.now());
+}
+
+// Registrations neither expire nor change while their source is away, and are renewed only some time after it.
+RepetitionLimit::TargetFate RepetitionTracker::fateOf(const std::string& lifetime) const
+{
+    TimePoint knownSince = m_directory.sourceKnownSince();
+    if (lifetime.empty() || knownSince > m_clock.now() - RepetitionLimit::survivalTime)
+        return RepetitionLimit::TargetFate::Unknown;
+    const Registration* target = m_directory.find(TargetId(lifetime.substr(0, lifetime.rfind('/'))));
+    return target && lifetimeOf(*target) == lifetime ? RepetitionLimit::TargetFate::Alive : RepetitionLimit::TargetFate::Ended;
+}
+
+static NoticeSubject noticeOf(const UnansweredRun& run)
+{
+    return { NoticeKind::UnansweredRun, toText(run) };
+}
+
+static std::vector<NoticeSubject> noticesOf(const std::vector<UnansweredRun>& runs)
+{
+    std::vector<NoticeSubject> subjects;
+    subjects.reserve(runs.size());
+    for (const UnansweredRun& it : runs)
+        subjects.push_back(noticeOf(it));
+    return subjects;
+}
+
+void RepetitionTracker::tick()
+{
+    RepetitionLimit::Changes changes = m_limit.takeChanges(m_clock.now());
+    for (const UnansweredRun& it : changes.unanswered) {
+        m_metrics.count("unanswered_runs_total");
+        m_log.write(LogLine("run-unanswered").field("repetition", it.request.text()).field("lifetime", it.lifetime));
+    }
+    if (!changes.unanswered.empty())
+        m_notices.raise(noticesOf(changes.unanswered), RepetitionLimit::retention);
+    if (!changes.ended.empty())
+        m_notices.raise(noticesOf(changes.ended), RepetitionLimit::endedRetention);
+    for (const UnansweredRun& it : changes.cleared)
+        m_notices.lift(noticeOf(it));
+}
+
+void RepetitionTracker::apply(const NoticeSubject& subject, bool inForce)
+{
+    try {
+        UnansweredRun run = parseUnansweredRun(subject.text);
+        Verdict before = m_limit.verdictOn(run.request);
+        if (inForce)
+            m_limit.noted(run, m_clock.now());
+        else
+            m_limit.cleared(run);
+        Verdict after = m_limit.verdictOn(run.request);
+        if (after == before || (after != Verdict::Refused && before != Verdict::Refused))
+            return;
+        m_metrics.count(after == Verdict::Refused ? "repetitions_refused_total" : "repetitions_admitted_total");
+        m_log.write(LogLine("repetition-limit").field("repetition", run.request.text()).field("refused", after == Verdict::Refused));
+    } catch (const InvalidInputError& error) {
+        m_log.write(LogLine("notice-ignored").field("subject", subject.text).field("reason", error.what()));
+    }
+}
+
+} // namespace basilpoint
--- a/unittests/Fleet/LeavingTest.cpp
+++ b/unittests/Fleet/LeavingTest.cpp
@@ -1,9 +1,11 @@
 #include "basilpoint/Fleet/DrainPlan.h"
 #include "basilpoint/Fleet/LeavingTargetTracker.h"
 #include "basilpoint/Fleet/NoticeGossip.h"
+#include "basilpoint/Support/Cbor.h"
 #include "basilpoint/Support/Error.h"
 
 #include <algorithm>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -80,6 +82,36 @@
     BOOST_CHECK_THROW(decodeNoticeMessage("no message"), InvalidInputError);
 }
 
+static nlohmann::json cborOf(const NoticeMessage& message)
+{
+    return nlohmann::json::from_cbor(encodeNoticeMessage(message));
+}
+
+// Guards against messages that daemons of the release before refuse as a whole, quarantines included.
+BOOST_AUTO_TEST_CASE(messageWithUnansweredRunsIsReadByTheReleaseBefore)
+{
+    Notice quarantine { { NoticeKind::QuarantinedRequest, "crashing" }, 1, false, 7s };
+    Notice run { { NoticeKind::UnansweredRun, "run" }, 3, true, 9s };
+    NoticeMessage message { InstanceId("i"), 5, { quarantine, run }, true };
+    BOOST_TEST((decodeNoticeMessage(encodeNoticeMessage(message)) == message));
+    // The release before reads the first four elements, and of the notices only kinds up to CutOffDaemon.
+    nlohmann::json json = cborOf(message);
+    BOOST_TEST(json.at(2).size() == 1U);
+    BOOST_TEST(json.at(2).at(0).at(0) == static_cast<unsigned>(NoticeKind::QuarantinedRequest));
+    // Its own messages end after these.
+    json.erase(4);
+    NoticeMessage older { InstanceId("i"), 5, { quarantine }, true };
+    BOOST_TEST((decodeNoticeMessage(toCbor(json)) == older));
+}
+
+BOOST_AUTO_TEST_CASE(noticesOfLaterReleasesArePassedOver)
+{
+    NoticeMessage message { InstanceId("i"), 5, { { { NoticeKind::UnansweredRun, "run" }, 3, true, 9s } }, false };
+    nlohmann::json json = cborOf(message);
+    json.at(4).push_back({ 77, "of a later release", 1, false, 100 });
+    BOOST_TEST((decodeNoticeMessage(toCbor(json)) == message));
+}
+
 namespace {
 
 /// Simulation of NoticeGossip in a fleet, on a transport that loses messages and delivers the others at once.
@@ -112,6 +144,16 @@
         }
     }
 
+    /// Runs with 500 new notices a second about other requests.
+    void runWithStorm(Milliseconds duration)
+    {
+        for (TimePoint end = now + duration; now < end;) {
+            for (unsigned n = 0; n < 100; ++n, ++storm)
+                perform(daemons[storm % daemons.size()].raise({ storm % 3 ? NoticeKind::UnansweredRun : NoticeKind::SuspectedRequest, "other-" + std::to_string(storm) }, 10min, now));
+            run(200ms);
+        }
+    }
+
     auto inForce(const NoticeSubject& subject) const
     {
         return std::count_if(daemons.begin(), daemons.end(), [&](const NoticeGossip& it) { return it.inForce(subject, now); });
@@ -120,6 +162,7 @@
     std::vector<NoticeGossip> daemons;
     RandomEngine random { 4 };
     double loss = 0.05;
+    std::size_t storm = 0;
     TimePoint now { 1h };
 };
 
@@ -158,6 +201,29 @@
     BOOST_TEST(fleet.daemons[0].size() == NoticeGossip::maxEntries);
 }
 
+// Guards against runs of one request that are lost among those of many others, as when a rack of targets ends.
+BOOST_DATA_TEST_CASE(runsOfARequestReachAllGatewaysWithinThreeSecondsDuringAStorm, boost::unit_test::data::make({ 7, 72, 259 }), gateways)
+{
+    constexpr std::size_t neighbours = 8;
+    auto count = static_cast<std::size_t>(gateways);
+    NoticeFleet fleet(count);
+    for (NoticeGossip& daemon : fleet.daemons) {
+        std::vector<InstanceId> peers;
+        for (std::size_t n = 0; n < neighbours; ++n)
+            peers.emplace_back(std::to_string(std::uniform_int_distribution<std::size_t>(0, count - 1)(fleet.random)));
+        daemon.setPeers(peers);
+    }
+    fleet.runWithStorm(1s);
+    std::vector<NoticeSubject> runs;
+    for (unsigned n = 0; n < 6; ++n) {
+        runs.push_back({ NoticeKind::UnansweredRun, "deadly-" + std::to_string(n) });
+        fleet.perform(fleet.daemons[(n * 17) % count].raise(runs.back(), 10min, fleet.now));
+    }
+    fleet.runWithStorm(3s);
+    for (const NoticeSubject& it : runs)
+        BOOST_TEST(static_cast<std::size_t>(fleet.inForce(it)) == count);
+}
+
 BOOST_AUTO_TEST_CASE(restartedDaemonThatKnowsNothingLearnsTheNoticesInForce)
 {
     NoticeFleet fleet(7);
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -103,9 +103,10 @@
         , relays("g", {}, 1)
         , notices(clock, InstanceId("g"), 1, [](const InstanceId&, const std::string&) {})
         , crashes(client, directory, notices, clock, log, metrics)
+        , repetitions(directory, notices, 1, clock, log, metrics)
         , limits("g", notices, clock, log, metrics)
         , rooms(client, selector, monitor, limits, format, clock, log, metrics, 1)
-        , forwarder(client, directory, selector, monitor, relays, crashes, limits, rooms, receiveBudget, format, clock, log, metrics)
+        , forwarder(client, directory, selector, monitor, relays, crashes, repetitions, limits, rooms, receiveBudget, format, clock, log, metrics)
         , ledger(DaemonLifetime("daemon~1"), LedgerSettings {})
         , writer(storeClient, ledger, clock, log)
         , journal(client, 0, clock, log)
@@ -153,6 +154,7 @@
     ReceiveBudget receiveBudget { 1024 * 1024 };
     NoticeController notices;
     CrashTracker crashes;
+    RepetitionTracker repetitions;
     RateLimitTracker limits;
     RoomController rooms;
     Forwarder forwarder;
