Store the runs of limited requests, so that a restart of all gateways does not forget them

What callers saw: after all gateways had been killed, a request that ends targets went to as many targets again as before.

Cause: suspects, quarantines and unanswered runs are known to running gateways only; one that restarts learns them from another.

A record that is out of date only delays: what survived is cleared as always. Not covered: all gateways end while the store is away.

--- a/include/basilpoint/Forwarding/RepetitionLimit.h
+++ b/include/basilpoint/Forwarding/RepetitionLimit.h
@@ -100,6 +100,11 @@
     /// Finds the runs that have been silent for too long, and returns all changes since the last call.
     Changes takeChanges(TimePoint now);
 
+    /// Runs of all requests that are limited, in the order of their requests.
+    std::vector<UnansweredRun> limitedRuns() const;
+    /// Whether this daemon has sent a run of the request that counts.
+    bool hasOwnRun(const Digest& request) const;
+
     /// Number of runs that count.
     std::size_t size() const { return m_size; }
 
--- a/lib/Forwarding/RepetitionLimit.cpp
+++ b/lib/Forwarding/RepetitionLimit.cpp
@@ -46,6 +46,23 @@
     return it != m_runs.end() && it->second.contains(id);
 }
 
+std::vector<UnansweredRun> RepetitionLimit::limitedRuns() const
+{
+    std::vector<UnansweredRun> limited;
+    for (const auto& [request, runs] : m_runs)
+        if (runs.size() >= toleratedRuns)
+            for (const auto& [id, noted] : runs)
+                limited.push_back({ request, id, noted.lifetime });
+    std::sort(limited.begin(), limited.end());
+    return limited;
+}
+
+bool RepetitionLimit::hasOwnRun(const Digest& request) const
+{
+    auto it = m_runs.find(request);
+    return it != m_runs.end() && std::any_of(it->second.begin(), it->second.end(), [](const auto& run) { return run.second.isOwn; });
+}
+
 // A request with unanswered runs counts as soon as it is sent again, so that gateways which get its next attempts at about
 // the same time know of each other's.
 void RepetitionLimit::sent(const UnansweredRun& run, TimePoint now)
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -83,6 +83,7 @@
         void divideLimits();
         NoticeSubject ownCutOff() const { return { NoticeKind::CutOffDaemon, m_settings.instance }; }
         void noteCutOff(bool isCutOff);
+        bool saveRuns(const std::string& runs);
         std::string receiveNotices(const std::string& body);
         void logReadinessChange();
         void logSummary();
@@ -309,6 +310,19 @@
         m_notices.lift(ownCutOff());
 }
 
+bool Gateway::saveRuns(const std::string& runs)
+{
+    if (m_store.isFailing())
+        return false;
+    try {
+        auto current = m_store.get(RepetitionTracker::key);
+        return m_store.commit({ { { RepetitionTracker::key, current ? current->modRevision : 0 } }, { { RepetitionTracker::key, runs } }, {} }).revision.has_value();
+    } catch (const KeyValueUnavailableError&) {
+        // The store client has logged the failure; the runs are stored later.
+        return false;
+    }
+}
+
 std::uint64_t Gateway::peerRank(const RelayAddress& peer) const
 {
     return hash64(peer.instance, hash64(m_settings.instance));
@@ -469,6 +483,7 @@
     m_relays.onEnter([this](const RelayDirectory::Start& start) { m_accounts.entered(start); });
     m_relays.onMayAttest([this](bool mayAttest) { return m_accounts.setMayAttest(mayAttest); });
     m_relays.onKeeperView([this](const KeeperView& view) { m_journal.setView(view); });
+    m_relays.onRecord(RepetitionTracker::key, [this](const std::string& runs) { m_repetitions.load(runs); });
     m_relays.onAnnounce([this](const std::string& instance) { m_accounts.peerStarted(instance); });
     spawnFiber([this] { m_relays.run(); });
     m_monitor.onCutOff([this](bool isCutOff) { noteCutOff(isCutOff); });
@@ -476,6 +491,7 @@
     m_notices.onChange([this](const NoticeSubject& subject, bool inForce) { applyNotice(subject, inForce); });
     m_notices.start();
     m_crashes.onAccepted([this](const Registration& target, TimePoint since) { m_repetitions.accepted(target, since); });
+    m_repetitions.onSave([this](const std::string& runs) { return saveRuns(runs); });
     m_repetitions.start();
     m_peers.on(peerpaths::notices, [this](const std::string& body) { return receiveNotices(body); });
     m_peers.on(peerpaths::programRecords, [this](const std::string& program) { return m_accounts.attest(program); });
--- a/lib/Gateway/RelayDirectory.cpp
+++ b/lib/Gateway/RelayDirectory.cpp
@@ -88,6 +88,7 @@
             relays.push_back(std::move(entry->address));
     }
     m_isListed = m_ownItem.has_value();
+    readRecords(list.items);
     mergeAnnounced(relays);
     applyRelays(std::move(relays));
 }
@@ -128,6 +129,14 @@
     m_store.commit({ { { m_ownItem->key, m_ownItem->modRevision } }, { { m_ownItem->key, encodeEntry(*entry) } }, {} });
 }
 
+void RelayDirectory::readRecords(const std::vector<KeyValue>& items)
+{
+    for (const auto& [key, hook] : m_onRecord) {
+        auto it = std::find_if(items.begin(), items.end(), [&name = key](const KeyValue& item) { return item.key == name; });
+        hook(it == items.end() ? std::string() : it->value);
+    }
+}
+
 void RelayDirectory::readKeeperView(const std::string& value)
 {
     if (!m_onKeeperView)
--- a/lib/Gateway/RelayDirectory.h
+++ b/lib/Gateway/RelayDirectory.h
@@ -40,6 +40,8 @@
     void setEntryCondition(std::function<bool()> mayEnter) { m_mayEnter = std::move(mayEnter); }
     /// Called with the view of the keepers whenever the list is read.
     void onKeeperView(std::function<void(const KeeperView&)> hook) { m_onKeeperView = std::move(hook); }
+    /// Called with the value of another key below the list's prefix whenever the list is read; empty if there is none.
+    void onRecord(std::string key, std::function<void(const std::string& value)> hook) { m_onRecord[std::move(key)] = std::move(hook); }
     void onAnnounce(AnnounceHook hook) { m_onAnnounce = std::move(hook); }
     /// Without this hook the entry always says that this daemon may attest accounts.
     void onMayAttest(AttestHook hook) { m_onMayAttest = std::move(hook); }
@@ -71,6 +73,7 @@
     bool enter();
     void refresh(ReadMode);
     bool hasFewDaemons() const;
+    void readRecords(const std::vector<KeyValue>&);
     void readKeeperView(const std::string& value);
     void awaitNextRound(bool isEntered, Milliseconds pause) const;
     void updateMayAttest();
@@ -91,6 +94,7 @@
     EnterHook m_onEnter;
     AnnounceHook m_onAnnounce;
     std::function<void(const KeeperView&)> m_onKeeperView;
+    std::map<std::string, std::function<void(const std::string& value)>> m_onRecord;
     std::function<bool()> m_mayEnter;
     AttestHook m_onMayAttest;
     Milliseconds m_startDelay { 0 };
--- a/lib/Gateway/RepetitionTracker.cpp
+++ b/lib/Gateway/RepetitionTracker.cpp
@@ -5,11 +5,16 @@
 #include "basilpoint/Net/FiberRuntime.h"
 #include "basilpoint/Support/Error.h"
 
+#include <nlohmann/json.hpp>
+
 namespace basilpoint {
 
 // How long the other gateways do not know of a run that has ended here.
 static constexpr Milliseconds tickInterval { 100 };
 static constexpr Milliseconds sweepInterval { 1'000 };
+static constexpr Milliseconds saveInterval { 300 };
+// Bounds the stored record. Few requests are limited at a time.
+static constexpr std::size_t maxStoredRuns = 300;
 
 RepetitionTracker::RepetitionTracker(const TargetDirectory& directory, NoticeController& notices, RandomEngine::result_type seed, const Clock& clock, JsonLog& log, Metrics& metrics)
     : m_directory(directory)
@@ -31,6 +36,43 @@
         for (;; sleepFiber(sweepInterval))
             m_limit.sweep(m_clock.now(), [this](const std::string& lifetime) { return fateOf(lifetime); });
     });
+    spawnFiber([this] {
+        for (;; sleepFiber(saveInterval))
+            save();
+    });
+}
+
+void RepetitionTracker::load(const std::string& runs)
+{
+    if (std::exchange(m_isLoaded, true) || runs.empty())
+        return;
+    auto json = nlohmann::json::parse(runs, nullptr, false);
+    if (!json.is_array()) {
+        m_log.write(LogLine("stored-runs-unreadable").field("bytes", runs.size()));
+        return;
+    }
+    for (const auto& it : json)
+        if (it.is_string())
+            apply({ NoticeKind::UnansweredRun, it.get<std::string>() }, true);
+    m_log.write(LogLine("stored-runs-loaded").field("runs", m_limit.size()));
+}
+
+// Each gateway writes what it knows of all, which is nearly the same at each.
+void RepetitionTracker::save()
+{
+    if (!m_onSave || !m_isLoaded || !std::exchange(m_hasUnsaved, false))
+        return;
+    std::vector<UnansweredRun> runs = m_limit.limitedRuns();
+    auto json = nlohmann::json::array();
+    for (std::size_t n = 0; n < std::min(runs.size(), maxStoredRuns); ++n)
+        json.push_back(toText(runs[n]));
+    std::string text = json.dump();
+    if (text == m_saved || (m_saved.empty() && runs.empty()))
+        return;
+    if (m_onSave(text))
+        m_saved = std::move(text);
+    else
+        m_hasUnsaved = true;
 }
 
 std::uint64_t RepetitionTracker::sent(const Digest& request, const std::string& lifetime)
@@ -79,6 +121,7 @@
 void RepetitionTracker::tick()
 {
     RepetitionLimit::Changes changes = m_limit.takeChanges(m_clock.now());
+    m_hasUnsaved = m_hasUnsaved || !changes.unanswered.empty() || !changes.cleared.empty();
     for (const UnansweredRun& it : changes.unanswered) {
         m_metrics.count("unanswered_runs_total");
         m_log.write(LogLine("run-unanswered").field("repetition", it.request.text()).field("lifetime", it.lifetime));
@@ -100,6 +143,7 @@
             m_limit.noted(run, m_clock.now());
         else
             m_limit.cleared(run);
+        m_hasUnsaved = m_hasUnsaved || m_limit.hasOwnRun(run.request);
         Verdict after = m_limit.verdictOn(run.request);
         if (after == before || (after != Verdict::Refused && before != Verdict::Refused))
             return;
--- a/lib/Gateway/RepetitionTracker.h
+++ b/lib/Gateway/RepetitionTracker.h
@@ -17,6 +17,17 @@
 
     RepetitionTracker(const TargetDirectory&, NoticeController&, RandomEngine::result_type seed, const Clock&, JsonLog&, Metrics&);
 
+    /// Stores the runs of limited requests. \returns whether they are stored.
+    using SaveHook = std::function<bool(const std::string& runs)>;
+
+    /// Key of the stored runs, in the list of daemons, so that each daemon reads them with the list.
+    static constexpr const char* key = "daemons/.runs";
+
+    /// Without this hook, a fleet that restarts as a whole forgets all runs.
+    void onSave(SaveHook hook) { m_onSave = std::move(hook); }
+    /// Takes over the stored runs, once: later on, the notices are newer.
+    void load(const std::string& runs);
+
     void start();
 
     Verdict verdictOn(const Digest& request) const { return m_limit.verdictOn(request); }
@@ -39,6 +50,7 @@
 private:
     RepetitionLimit::TargetFate fateOf(const std::string& lifetime) const;
     void tick();
+    void save();
 
     const TargetDirectory& m_directory;
     NoticeController& m_notices;
@@ -47,6 +59,11 @@
     JsonLog& m_log;
     Metrics& m_metrics;
     RepetitionLimit m_limit;
+    SaveHook m_onSave;
+    bool m_isLoaded = false;
+    /// Whether runs of limited requests may have changed since they were stored.
+    bool m_hasUnsaved = false;
+    std::string m_saved;
 };
 
 } // namespace basilpoint
--- a/unittests/Forwarding/RepetitionLimitTest.cpp
+++ b/unittests/Forwarding/RepetitionLimitTest.cpp
@@ -200,6 +200,22 @@
     BOOST_TEST(limit.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(onlyRunsOfLimitedRequestsAreStored)
+{
+    limit.noted({ digestOf("other"), 99, "t/1" }, now);
+    BOOST_TEST(!limit.hasOwnRun(digestOf("other")));
+    for (unsigned n = 0; n < 3; ++n) {
+        BOOST_TEST(limit.limitedRuns().empty());
+        runInVain("t/1");
+    }
+    BOOST_TEST(limit.hasOwnRun(deadly));
+    BOOST_TEST(limit.limitedRuns().size() == 3U);
+    RepetitionLimit restarted;
+    for (const UnansweredRun& it : limit.limitedRuns())
+        restarted.noted(it, now);
+    BOOST_TEST((restarted.verdictOn(deadly) == Verdict::OneTarget));
+}
+
 BOOST_AUTO_TEST_CASE(floodOfRunsForgetsTheOldest)
 {
     for (std::size_t n = 0; n < RepetitionLimit::maxRuns + 10; ++n)
