Reject registrations with numbers out of range

What callers saw: calls went to a target that does not exist, or that took four billion calls at once as far as gateways knew: another writer's entry with a negative, fractional or huge number, or port 0, named a target to use. Durations beyond what an integer holds had no defined value, and differ between x86-64 and arm64.

Ruled out there: deep nesting, a million bytes, text that is not UTF-8, ports above 65535, which were rejected before.

--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -67,6 +67,51 @@
     BOOST_TEST(!decodeRegistration("others/i-1", registrationText));
 }
 
+static std::string registrationWith(const char* field, const std::string& value)
+{
+    return R"({"service":"s1","addr":"10.128.0.9:8080","zone":"a","slots":4,"state":"ready","coldLeftMs":0,"born":1700,)" + ('"' + std::string(field)) + "\":" + value + "}";
+}
+
+// Guards against an entry of another writer that ends the process that reads it, or names a target with meaningless numbers.
+BOOST_AUTO_TEST_CASE(registrationsOutOfRangeAreRejected)
+{
+    BOOST_TEST(decodeRegistration("servers/i-1", registrationWith("x", "1")).has_value());
+    for (const char* field : { "slots", "born", "coldLeftMs" })
+        for (const char* value : { "-1", "1e300", "-1e300", "99999999999999999999999", "1e999", "true", "\"1\"", "[1]", "{}" })
+            BOOST_TEST(!decodeRegistration("servers/i-1", registrationWith(field, value)).has_value(), field << " " << value);
+    for (const char* value : { "1.5", "4294967295", "4294967297", "18446744073709551615" })
+        BOOST_TEST(!decodeRegistration("servers/i-1", registrationWith("slots", value)).has_value(), value);
+    for (const char* value : { "\"10.0.0.1:0\"", "\"10.0.0.1:65536\"", "\"10.0.0.1:-1\"", "\"10.0.0.1:99999999999999999999\"", "\"10.0.0.1:\"", "8080" })
+        BOOST_TEST(!decodeRegistration("servers/i-1", registrationWith("addr", value)).has_value(), value);
+}
+
+BOOST_AUTO_TEST_CASE(deeplyNestedAndHugeDocumentsAreReadOrRejected)
+{
+    for (std::size_t depth : { 100U, 100'000U, 1'000'000U }) {
+        std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        BOOST_TEST(decodeRegistration("servers/i-1", registrationWith("x", nested)).has_value());
+        for (const std::string& text : { nested, std::string(depth, '['), registrationWith("state", nested), registrationWith("zone", nested) }) {
+            BOOST_TEST(!decodeRegistration("servers/i-1", text).has_value());
+            BOOST_TEST(!decodeConfiguration(text).has_value());
+        }
+    }
+    BOOST_TEST(!decodeRegistration("servers/i-1", registrationWith("addr", '"' + std::string(1'000'000, '1') + '"')).has_value());
+}
+
+RC_BOOST_PROP(registrationsWithOddFieldsAreRejectedOrInRange, ())
+{
+    static const char* const fields[] { "service", "addr", "zone", "slots", "state", "coldLeftMs", "born", "seq" };
+    static const char* const oddities[] { "null", "-0.0", "1e308", "-9223372036854775808", "\"\"", "\"\\ud800\"", "\"\xff\"", "[[[]]]", "{\"a\":{}}", "3.5" };
+    std::string odd = *rc::gen::arbitrary<bool>() ? oddities[*rc::gen::inRange<std::size_t>(0, std::size(oddities))] : std::to_string(*rc::gen::arbitrary<std::int64_t>());
+    auto registration = decodeRegistration("servers/i-1", registrationWith(fields[*rc::gen::inRange<std::size_t>(0, std::size(fields))], odd));
+    if (!registration)
+        return;
+    RC_ASSERT(registration->slots >= 1U && registration->slots <= 100'000U);
+    RC_ASSERT(registration->endpoint.port > 0U);
+    RC_ASSERT(registration->startedAt >= 0);
+    RC_ASSERT(registration->coldFor >= Milliseconds(0) && registration->coldFor <= std::chrono::hours(24 * 365));
+}
+
 RC_BOOST_PROP(damagedDocumentsAreIgnored, ())
 {
     std::string text = *rc::gen::arbitrary<bool>() ? configurationText : registrationText;
