--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -20,6 +20,8 @@
 
     /// Writes a key, as the operator or a target does.
     void put(const std::string& key, const std::string& value);
+    /// Writes a key whose value the store gives as \p encoded, which need not be base64.
+    void putRaw(const std::string& key, const std::string& encoded) { m_items[key] = { encoded, ++m_revision, true }; }
     void remove(const std::string& key);
     bool has(const std::string& key) const { return m_items.contains(key) && m_items.at(key).exists; }
     /// Value of a key that exists.
