Reject messages that are nested too deeply for the stack

What callers saw: a gateway or keeper ended by itself, with all calls on it, when a message between daemons, or a record of ours in the store, held some hundred thousand nested arrays.

Cause: the CBOR parser of the JSON library calls itself for each level, and fibers have small stacks. Frames of peer links were guarded (PeerFrameTest), the other decoders not.

Evidence: StoreCodecTest/deeplyNestedMessagesAreRejected on the code before: memory access violation in the first decoder. Now nineteen decoders reject three kinds of nesting.

All decoders go through parseCbor(), which counts levels before it builds the document, and allows 64.

--- a/include/basilpoint/Support/Cbor.h
+++ b/include/basilpoint/Support/Cbor.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 namespace basilpoint {
 
@@ -12,6 +13,12 @@
     return buf;
 }
 
+/// Deepest nesting of arrays and objects in a message; none of ours has more than a few levels.
+inline constexpr unsigned maxCborDepth = 64;
+
+/// Parses CBOR. \throws nlohmann::json::exception if \p bytes are not valid, or nested more deeply than \ref maxCborDepth.
+nlohmann::json parseCbor(std::string_view bytes);
+
 /// Converts arbitrary bytes to a CBOR byte string.
 inline nlohmann::json bytesToJson(const std::string& bytes)
 {
--- a/lib/Fleet/Cbor.h
+++ b/lib/Fleet/Cbor.h
@@ -15,7 +15,7 @@
 auto fromCbor(std::string_view bytes, const char* what, const Decode& decode)
 {
     try {
-        return decode(Json::from_cbor(bytes));
+        return decode(parseCbor(bytes));
     } catch (const Json::exception&) {
         throw InvalidInputError(what, std::to_string(bytes.size()) + " bytes", "CBOR of a known message");
     }
--- a/lib/Gateway/AllowanceCodec.cpp
+++ b/lib/Gateway/AllowanceCodec.cpp
@@ -19,7 +19,7 @@
 AllowanceRequest decodeAllowanceRequest(const std::string& bytes)
 {
     try {
-        Json json = Json::from_cbor(bytes);
+        Json json = parseCbor(bytes);
         AllowanceRequest request { json.at(0).get<std::string>(), json.at(1).get<std::string>(), json.at(2).get<std::size_t>(), json.at(3).get<std::string>(), json.at(4).get<AllowanceStamp>(), json.at(5).get<bool>(), {} };
         for (const Json& it : json.at(6))
             request.demands.push_back({ it.at(0).get<std::string>(), it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>() });
@@ -40,7 +40,7 @@
 AllowanceAnswer decodeAllowanceAnswer(const std::string& bytes)
 {
     try {
-        Json json = Json::from_cbor(bytes);
+        Json json = parseCbor(bytes);
         AllowanceAnswer answer { json.at(0).get<std::string>(), json.at(1).get<AllowanceStamp>(), json.at(2).get<bool>(), {} };
         for (const Json& it : json.at(3))
             answer.grants.push_back({ it.at(0).get<std::string>(), it.at(1).get<std::uint32_t>(), Milliseconds(it.at(2).get<Milliseconds::rep>()) });
--- a/lib/Gateway/KeeperCodec.cpp
+++ b/lib/Gateway/KeeperCodec.cpp
@@ -11,7 +11,7 @@
 static auto decodeCbor(const char* what, const std::string& bytes, Read read)
 {
     try {
-        return read(Json::from_cbor(bytes));
+        return read(parseCbor(bytes));
     } catch (const Json::exception&) {
         throw DamagedRecordError(what);
     }
--- a/lib/Gateway/RelayedCall.cpp
+++ b/lib/Gateway/RelayedCall.cpp
@@ -70,7 +70,7 @@
 RelayedCall decodeRelayedCall(const std::string& bytes)
 {
     try {
-        return callFrom(Json::from_cbor(bytes));
+        return callFrom(parseCbor(bytes));
     } catch (const Json::exception& error) {
         throw InvalidInputError(messageName, error.what(), "CBOR of a call");
     }
--- a/lib/Gateway/StoreCodec.cpp
+++ b/lib/Gateway/StoreCodec.cpp
@@ -10,7 +10,7 @@
 static auto decode(const std::string& bytes, Read read)
 {
     try {
-        return read(Json::from_cbor(bytes));
+        return read(parseCbor(bytes));
     } catch (const Json::exception&) {
         throw KeyValueUnavailableError("message of another shape between daemons");
     }
--- a/lib/Program/Records.cpp
+++ b/lib/Program/Records.cpp
@@ -2,6 +2,8 @@
 
 #include "StateCodec.h"
 
+#include "basilpoint/Support/Cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace basilpoint {
@@ -95,7 +97,7 @@
 ProgramRecord decodeRecord(std::string_view bytes)
 {
     try {
-        return decodeJson(Json::from_cbor(bytes));
+        return decodeJson(parseCbor(bytes));
     } catch (const Json::exception&) {
         throw InvalidInputError("journal record", std::to_string(bytes.size()) + " bytes", "CBOR of a known record type");
     }
--- a/lib/Shard/Codec.cpp
+++ b/lib/Shard/Codec.cpp
@@ -119,7 +119,7 @@
 static auto fromBytes(const char* field, std::string_view bytes, Decode decode)
 {
     try {
-        return decode(Json::from_cbor(bytes));
+        return decode(parseCbor(bytes));
     } catch (const Json::exception&) {
         throw InvalidInputError(field, std::to_string(bytes.size()) + " bytes", "CBOR of the documented shape");
     }
--- a/lib/Turns/RecordCodec.h
+++ b/lib/Turns/RecordCodec.h
@@ -20,7 +20,7 @@
 auto readRecord(const char* what, const std::string& bytes, Read read)
 {
     try {
-        return read(nlohmann::json::from_cbor(bytes));
+        return read(parseCbor(bytes));
     } catch (const nlohmann::json::exception&) {
         throw DamagedRecordError(what);
     }
--- a/unittests/Gateway/StoreCodecTest.cpp
+++ b/unittests/Gateway/StoreCodecTest.cpp
@@ -1,4 +1,9 @@
 #include "StoreCodec.h"
+#include "AllowanceCodec.h"
+#include "KeeperCodec.h"
+#include "RelayedCall.h"
+
+#include "basilpoint/Fleet/NoticeGossip.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -39,6 +44,35 @@
     BOOST_TEST(decodeRelease(encodeRelease({ DaemonLifetime("d"), true })).isReleased);
 }
 
+// Guards against a message that ends the process that reads it: a recursive parser would overflow its stack.
+BOOST_AUTO_TEST_CASE(deeplyNestedMessagesAreRejected)
+{
+    for (const char* opening : { "\x81", "\x9f", "\xa1\x61\x61" }) {
+        std::string bytes;
+        while (bytes.size() < 4'000'000)
+            bytes += opening;
+        BOOST_CHECK_THROW(decodeTransaction(bytes), Error);
+        BOOST_CHECK_THROW(decodeResult(bytes), Error);
+        BOOST_CHECK_THROW(decodeSnapshot(bytes), Error);
+        BOOST_CHECK_THROW(decodeQuery(bytes), Error);
+        BOOST_CHECK_THROW(decodeChanges(bytes), Error);
+        BOOST_CHECK_THROW(decodeAttestation(bytes), Error);
+        BOOST_CHECK_THROW(decodeHandover(bytes), Error);
+        BOOST_CHECK_THROW(decodeRelease(bytes), Error);
+        BOOST_CHECK_THROW(decodeRelayedCall(bytes), Error);
+        BOOST_CHECK_THROW(decodeAllowanceRequest(bytes), Error);
+        BOOST_CHECK_THROW(decodeAllowanceAnswer(bytes), Error);
+        BOOST_CHECK_THROW(decodeRequest(bytes), Error);
+        BOOST_CHECK_THROW(decodeAnswer(bytes), Error);
+        BOOST_CHECK_THROW(decodeContents(bytes), Error);
+        BOOST_CHECK_THROW(decodeProbe(bytes), Error);
+        BOOST_CHECK_THROW(decodeReport(bytes), Error);
+        BOOST_CHECK_THROW(decodeEntries(bytes), Error);
+        BOOST_CHECK_THROW(decodePrograms(bytes), Error);
+        BOOST_CHECK_THROW(decodeNoticeMessage(bytes), Error);
+    }
+}
+
 RC_BOOST_PROP(malformedBytesThrowKeyValueUnavailableError, ())
 {
     auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
