Forget lifted runs when notices run out of room; expire a run that counts again once

Found by reading. In an overload, runs that were answered late left lifted notices for ten minutes each; with 5,000 of them no run was noted any more. They are dropped first now. A run that was cleared and counted again stood twice in the order of runs; once both were due, the second would have ended the process.

LeavingTest/liftedRunsLeaveRoomForOthers, RepetitionLimitTest/runThatCountsAgainExpiresOnce; neither was run on the code before.

--- a/include/basilpoint/Fleet/NoticeGossip.h
+++ b/include/basilpoint/Fleet/NoticeGossip.h
@@ -98,7 +98,7 @@
 
     /// Maximum number of notices. Beyond it, further suspected requests are not noted.
     static constexpr std::size_t maxEntries = 10'000;
-    /// Beyond this number, further unanswered runs are not noted.
+    /// Beyond this number, unanswered runs that were lifted are forgotten, and further ones are not noted.
     static constexpr std::size_t maxEntriesWithRuns = maxEntries / 2;
 
 private:
--- a/lib/Fleet/NoticeGossip.cpp
+++ b/lib/Fleet/NoticeGossip.cpp
@@ -5,6 +5,7 @@
 #include "basilpoint/Support/Hash.h"
 
 #include <algorithm>
+#include <cassert>
 #include <tuple>
 
 namespace basilpoint {
@@ -103,6 +104,7 @@
     case NoticeKind::CutOffDaemon:
         return true;
     }
+    assert(false && "unhandled enumerator");
     return true;
 }
 
@@ -144,6 +146,8 @@
 {
     NoticeActions actions;
     std::erase_if(m_entries, [&](const auto& it) { return it.second.expiresAt <= now; });
+    if (m_entries.size() >= maxEntriesWithRuns)
+        std::erase_if(m_entries, [](const auto& it) { return it.second.lifted && it.first.kind == NoticeKind::UnansweredRun; });
     bool hasUnsentChanges = std::any_of(m_entries.begin(), m_entries.end(), [](const auto& it) { return it.second.burstsLeft > 0; });
     bool periodDue = now >= m_nextPeriod;
     if (periodDue)
--- a/lib/Forwarding/RepetitionLimit.cpp
+++ b/lib/Forwarding/RepetitionLimit.cpp
@@ -233,6 +233,9 @@
     std::erase_if(m_uncertain, isOld);
     std::erase_if(m_order, [&](const auto& it) { return !isNoted(it.first, it.second); });
     for (const auto& [request, id] : m_order) {
+        // A run that counts again after it was cleared is in the list twice.
+        if (!isNoted(request, id))
+            continue;
         Noted& noted = m_runs.at(request).at(id);
         if (noted.isExpired(now)) {
             erase(request, id);
--- a/unittests/Fleet/LeavingTest.cpp
+++ b/unittests/Fleet/LeavingTest.cpp
@@ -224,6 +224,24 @@
         BOOST_TEST(static_cast<std::size_t>(fleet.inForce(it)) == count);
 }
 
+// Guards against runs that are not noted any more, since those of an overload, long answered, take all room.
+BOOST_AUTO_TEST_CASE(liftedRunsLeaveRoomForOthers)
+{
+    NoticeFleet fleet(2);
+    auto subject = [](std::size_t n) { return NoticeSubject { NoticeKind::UnansweredRun, "run-" + std::to_string(n) }; };
+    for (std::size_t n = 0; n <= NoticeGossip::maxEntriesWithRuns; ++n) {
+        fleet.daemons[0].raise(subject(n), 10min, fleet.now);
+        fleet.daemons[0].lift(subject(n), fleet.now);
+    }
+    BOOST_TEST(fleet.daemons[0].size() == NoticeGossip::maxEntriesWithRuns);
+    fleet.daemons[0].tick(fleet.now);
+    NoticeSubject quarantine { NoticeKind::QuarantinedRequest, "crashing" };
+    fleet.daemons[0].raise(quarantine, 10min, fleet.now);
+    fleet.daemons[0].raise(subject(0), 10min, fleet.now);
+    BOOST_TEST(fleet.daemons[0].inForce(subject(0), fleet.now));
+    BOOST_TEST(fleet.daemons[0].size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(restartedDaemonThatKnowsNothingLearnsTheNoticesInForce)
 {
     NoticeFleet fleet(7);
--- a/unittests/Forwarding/RepetitionLimitTest.cpp
+++ b/unittests/Forwarding/RepetitionLimitTest.cpp
@@ -167,6 +167,21 @@
     BOOST_TEST(limit.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(runThatCountsAgainExpiresOnce)
+{
+    for (RunEnd end : { RunEnd::EndedWithConnection, RunEnd::ConnectionLost }) {
+        limit.noted(runOn("t/2"), now);
+        limit.sent(runOn("t/1"), now);
+        limit.ended(lastId, end, now);
+        limit.accepted("t/1", now);
+        limit.targetEnded("t/1", now);
+    }
+    BOOST_TEST(limit.size() == 4U);
+    now += RepetitionLimit::retention + 1s;
+    sweepWith(TargetFate::Unknown);
+    BOOST_TEST(limit.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(runOnATargetThatSurvivesItIsForgotten)
 {
     for (unsigned n = 0; n < 6; ++n)
