--- a/unittests/Fleet/LeavingTest.cpp
+++ b/unittests/Fleet/LeavingTest.cpp
@@ -144,6 +144,17 @@
         }
     }
 
+    /// Makes each daemon send to \p count others only.
+    void drawNeighbours(std::size_t count)
+    {
+        for (NoticeGossip& daemon : daemons) {
+            std::vector<InstanceId> peers;
+            for (std::size_t n = 0; n < count; ++n)
+                peers.emplace_back(std::to_string(std::uniform_int_distribution<std::size_t>(0, daemons.size() - 1)(random)));
+            daemon.setPeers(peers);
+        }
+    }
+
     /// Runs with 500 new notices a second about other requests.
     void runWithStorm(Milliseconds duration)
     {
@@ -181,14 +192,8 @@
 BOOST_AUTO_TEST_CASE(quarantineReachesAllGatewaysWithinThreeSecondsAmongManySuspects)
 {
     constexpr std::size_t count = 259;
-    constexpr std::size_t neighbours = 8;
     NoticeFleet fleet(count);
-    for (NoticeGossip& daemon : fleet.daemons) {
-        std::vector<InstanceId> peers;
-        for (std::size_t n = 0; n < neighbours; ++n)
-            peers.emplace_back(std::to_string(std::uniform_int_distribution<std::size_t>(0, count - 1)(fleet.random)));
-        daemon.setPeers(peers);
-    }
+    fleet.drawNeighbours(8);
     for (std::size_t n = 0; n < 600; ++n)
         fleet.perform(fleet.daemons[n % count].raise({ NoticeKind::SuspectedRequest, "sound-" + std::to_string(n) }, 10min, fleet.now));
     fleet.run(400ms);
@@ -204,15 +209,9 @@
 // Guards against runs of one request that are lost among those of many others, as when a rack of targets ends.
 BOOST_DATA_TEST_CASE(runsOfARequestReachAllGatewaysWithinThreeSecondsDuringAStorm, boost::unit_test::data::make({ 7, 72, 259 }), gateways)
 {
-    constexpr std::size_t neighbours = 8;
     auto count = static_cast<std::size_t>(gateways);
     NoticeFleet fleet(count);
-    for (NoticeGossip& daemon : fleet.daemons) {
-        std::vector<InstanceId> peers;
-        for (std::size_t n = 0; n < neighbours; ++n)
-            peers.emplace_back(std::to_string(std::uniform_int_distribution<std::size_t>(0, count - 1)(fleet.random)));
-        daemon.setPeers(peers);
-    }
+    fleet.drawNeighbours(8);
     fleet.runWithStorm(1s);
     std::vector<NoticeSubject> runs;
     for (unsigned n = 0; n < 6; ++n) {
