--- a/include/basilpoint/Forwarding/RepetitionLimit.h
+++ b/include/basilpoint/Forwarding/RepetitionLimit.h
@@ -90,9 +90,9 @@
     /// Records that a target's lifetime has ended without a planned stop.
     void targetEnded(const std::string& lifetime, TimePoint now);
 
-    /// Records what a daemon, this one or another, says about a run.
-    void noted(const UnansweredRun&, TimePoint now);
-    void cleared(const UnansweredRun&);
+    /// Counts or clears a run that a notice names, of this daemon or another.
+    void countReported(const UnansweredRun&, TimePoint now);
+    void clearReported(const UnansweredRun&);
 
     /// Checks runs by what has become of their targets. Call about once a second.
     void sweep(TimePoint now, const std::function<TargetFate(const std::string& lifetime)>& fateOf);
@@ -131,12 +131,12 @@
     struct Running {
         UnansweredRun run;
         TimePoint heardAt;
-        bool isNoted = false;
+        bool isCounted = false;
     };
 
-    struct Noted {
+    struct CountedRun {
         std::string lifetime;
-        TimePoint notedAt;
+        TimePoint countedAt;
         /// Whether this daemon has sent it and told the others.
         bool isOwn = false;
         bool hasTargetEnded = false;
@@ -145,7 +145,7 @@
     };
 
     /// Runs by their identifiers.
-    using Runs = std::map<std::uint64_t, Noted>;
+    using Runs = std::map<std::uint64_t, CountedRun>;
 
     /// Run that counts only if its target has ended with it, or in the case of a lost connection also if that stays unknown.
     struct Uncertain {
@@ -159,16 +159,18 @@
         std::size_t operator()(const Digest& digest) const noexcept { return digest.low; }
     };
 
-    void note(const UnansweredRun&, TimePoint now);
-    void add(const UnansweredRun&, bool isOwn, TimePoint now);
+    /// Counts a run of this daemon, and tells the others.
+    void countAndReport(const UnansweredRun&, TimePoint now);
+    /// Clears a run of any daemon, and tells the others.
+    void clearAndReport(const UnansweredRun&);
+    void count(const UnansweredRun&, bool isOwn, TimePoint now);
     void answered(const Digest& request, TimePoint now);
     bool wasAnswered(const Digest& request) const { return m_answers.contains(request); }
-    void clear(const UnansweredRun&);
     void erase(const Digest& request, std::uint64_t id);
-    bool isNoted(const Digest& request, std::uint64_t id) const;
+    bool isCounted(const Digest& request, std::uint64_t id) const;
     void dropOldAnswers(TimePoint now);
     template <typename Predicate>
-    void noteUncertain(Predicate, TimePoint now);
+    void countUncertain(Predicate, TimePoint now);
 
     std::unordered_map<std::uint64_t, Running> m_running;
     std::unordered_map<Digest, Runs, HashOfDigest> m_runs;
--- a/lib/Forwarding/RepetitionLimit.cpp
+++ b/lib/Forwarding/RepetitionLimit.cpp
@@ -40,7 +40,7 @@
     return it->second.size() < toleratedRuns + maxRepetitions ? Verdict::OneTarget : Verdict::Refused;
 }
 
-bool RepetitionLimit::isNoted(const Digest& request, std::uint64_t id) const
+bool RepetitionLimit::isCounted(const Digest& request, std::uint64_t id) const
 {
     auto it = m_runs.find(request);
     return it != m_runs.end() && it->second.contains(id);
@@ -51,8 +51,8 @@
     std::vector<UnansweredRun> limited;
     for (const auto& [request, runs] : m_runs)
         if (runs.size() >= toleratedRuns)
-            for (const auto& [id, noted] : runs)
-                limited.push_back({ request, id, noted.lifetime });
+            for (const auto& [id, counted] : runs)
+                limited.push_back({ request, id, counted.lifetime });
     std::sort(limited.begin(), limited.end());
     return limited;
 }
@@ -71,8 +71,8 @@
     running = { run, now };
     if (!m_runs.contains(run.request))
         return;
-    running.isNoted = true;
-    note(run, now);
+    running.isCounted = true;
+    countAndReport(run, now);
 }
 
 void RepetitionLimit::located(std::uint64_t id, const std::string& lifetime)
@@ -101,10 +101,10 @@
         answered(running.run.request, now);
         return;
     case RunEnd::NotRun:
-        clear(running.run);
+        clearAndReport(running.run);
         return;
     case RunEnd::EndedWithConnection:
-        clear(running.run);
+        clearAndReport(running.run);
         [[fallthrough]];
     case RunEnd::ConnectionLost:
         m_uncertain.push_back({ std::move(running.run), end, now });
@@ -112,33 +112,33 @@
             m_uncertain.pop_front();
         return;
     case RunEnd::Unanswered:
-        if (!running.isNoted)
-            note(running.run, now);
+        if (!running.isCounted)
+            countAndReport(running.run, now);
         return;
     }
 }
 
-void RepetitionLimit::note(const UnansweredRun& run, TimePoint now)
+void RepetitionLimit::countAndReport(const UnansweredRun& run, TimePoint now)
 {
-    if (wasAnswered(run.request) || isNoted(run.request, run.id))
+    if (wasAnswered(run.request) || isCounted(run.request, run.id))
         return;
-    add(run, true, now);
+    count(run, true, now);
     m_changes.unanswered.push_back(run);
 }
 
-void RepetitionLimit::noted(const UnansweredRun& run, TimePoint now)
+void RepetitionLimit::countReported(const UnansweredRun& run, TimePoint now)
 {
     // An answer shows that the request does not crash each target, whichever daemon has got it.
     if (wasAnswered(run.request)) {
         m_changes.cleared.push_back(run);
         return;
     }
-    add(run, false, now);
+    count(run, false, now);
 }
 
-void RepetitionLimit::add(const UnansweredRun& run, bool isOwn, TimePoint now)
+void RepetitionLimit::count(const UnansweredRun& run, bool isOwn, TimePoint now)
 {
-    if (!m_runs[run.request].try_emplace(run.id, Noted { run.lifetime, now, isOwn }).second)
+    if (!m_runs[run.request].try_emplace(run.id, CountedRun { run.lifetime, now, isOwn }).second)
         return;
     ++m_size;
     m_order.emplace_back(run.request, run.id);
@@ -148,7 +148,7 @@
     }
 }
 
-void RepetitionLimit::cleared(const UnansweredRun& run)
+void RepetitionLimit::clearReported(const UnansweredRun& run)
 {
     erase(run.request, run.id);
 }
@@ -163,9 +163,9 @@
         m_runs.erase(it);
 }
 
-void RepetitionLimit::clear(const UnansweredRun& run)
+void RepetitionLimit::clearAndReport(const UnansweredRun& run)
 {
-    if (!isNoted(run.request, run.id))
+    if (!isCounted(run.request, run.id))
         return;
     erase(run.request, run.id);
     m_changes.cleared.push_back(run);
@@ -177,8 +177,8 @@
     m_answerOrder.emplace_back(now, request);
     auto it = m_runs.find(request);
     if (it != m_runs.end())
-        for (const auto& [id, noted] : Runs(it->second))
-            clear({ request, id, noted.lifetime });
+        for (const auto& [id, counted] : Runs(it->second))
+            clearAndReport({ request, id, counted.lifetime });
     dropOldAnswers(now);
 }
 
@@ -193,12 +193,12 @@
 }
 
 template <typename Predicate>
-void RepetitionLimit::noteUncertain(Predicate isToBeNoted, TimePoint now)
+void RepetitionLimit::countUncertain(Predicate hasToCount, TimePoint now)
 {
     std::erase_if(m_uncertain, [&](const Uncertain& it) {
-        if (!isToBeNoted(it))
+        if (!hasToCount(it))
             return false;
-        note(it.run, now);
+        countAndReport(it.run, now);
         return true;
     });
 }
@@ -208,43 +208,43 @@
     for (Uncertain& it : m_uncertain)
         if (it.run.lifetime == lifetime && it.endedAt <= since) {
             it.isAccepted = true;
-            clear(it.run);
+            clearAndReport(it.run);
         }
 }
 
 void RepetitionLimit::targetEnded(const std::string& lifetime, TimePoint now)
 {
-    noteUncertain([&](const Uncertain& it) { return it.run.lifetime == lifetime; }, now);
+    countUncertain([&](const Uncertain& it) { return it.run.lifetime == lifetime; }, now);
     for (auto& [id, running] : m_running)
-        if (running.run.lifetime == lifetime && !std::exchange(running.isNoted, true))
-            note(running.run, now);
+        if (running.run.lifetime == lifetime && !std::exchange(running.isCounted, true))
+            countAndReport(running.run, now);
 }
 
-bool RepetitionLimit::Noted::isExpired(TimePoint now) const
+bool RepetitionLimit::CountedRun::isExpired(TimePoint now) const
 {
-    return now - notedAt > (hasTargetEnded ? TimePoint::duration(endedRetention) : TimePoint::duration(retention));
+    return now - countedAt > (hasTargetEnded ? TimePoint::duration(endedRetention) : TimePoint::duration(retention));
 }
 
 void RepetitionLimit::sweep(TimePoint now, const std::function<TargetFate(const std::string& lifetime)>& fateOf)
 {
     dropOldAnswers(now);
     auto isOld = [now](const Uncertain& it) { return now - it.endedAt > survivalTime; };
-    noteUncertain([&](const Uncertain& it) { return isOld(it) && it.end == RunEnd::ConnectionLost && fateOf(it.run.lifetime) != TargetFate::Alive; }, now);
+    countUncertain([&](const Uncertain& it) { return isOld(it) && it.end == RunEnd::ConnectionLost && fateOf(it.run.lifetime) != TargetFate::Alive; }, now);
     std::erase_if(m_uncertain, isOld);
-    std::erase_if(m_order, [&](const auto& it) { return !isNoted(it.first, it.second); });
+    std::erase_if(m_order, [&](const auto& it) { return !isCounted(it.first, it.second); });
     for (const auto& [request, id] : m_order) {
         // A run that counts again after it was cleared is in the list twice.
-        if (!isNoted(request, id))
+        if (!isCounted(request, id))
             continue;
-        Noted& noted = m_runs.at(request).at(id);
-        if (noted.isExpired(now)) {
+        CountedRun& counted = m_runs.at(request).at(id);
+        if (counted.isExpired(now)) {
             erase(request, id);
             continue;
         }
-        if (now - noted.notedAt <= survivalTime || noted.hasTargetEnded || m_running.contains(id))
+        if (now - counted.countedAt <= survivalTime || counted.hasTargetEnded || m_running.contains(id))
             continue;
-        UnansweredRun run { request, id, noted.lifetime };
-        bool isOwn = noted.isOwn;
+        UnansweredRun run { request, id, counted.lifetime };
+        bool isOwn = counted.isOwn;
         switch (fateOf(run.lifetime)) {
         case TargetFate::Alive:
             erase(request, id);
@@ -252,7 +252,7 @@
                 m_changes.cleared.push_back(std::move(run));
             break;
         case TargetFate::Ended:
-            noted.hasTargetEnded = true;
+            counted.hasTargetEnded = true;
             if (isOwn)
                 m_changes.ended.push_back(std::move(run));
             break;
@@ -264,10 +264,10 @@
 
 RepetitionLimit::Changes RepetitionLimit::takeChanges(TimePoint now)
 {
-    noteUncertain([now](const Uncertain& it) { return it.end == RunEnd::ConnectionLost && !it.isAccepted && now - it.endedAt >= maxProbeTime; }, now);
+    countUncertain([now](const Uncertain& it) { return it.end == RunEnd::ConnectionLost && !it.isAccepted && now - it.endedAt >= maxProbeTime; }, now);
     for (auto& [id, running] : m_running)
-        if (now - running.heardAt >= maxSilence && !std::exchange(running.isNoted, true))
-            note(running.run, now);
+        if (now - running.heardAt >= maxSilence && !std::exchange(running.isCounted, true))
+            countAndReport(running.run, now);
     return std::exchange(m_changes, {});
 }
 
--- a/lib/Gateway/RepetitionTracker.cpp
+++ b/lib/Gateway/RepetitionTracker.cpp
@@ -140,9 +140,9 @@
         UnansweredRun run = parseUnansweredRun(subject.text);
         Verdict before = m_limit.verdictOn(run.request);
         if (inForce)
-            m_limit.noted(run, m_clock.now());
+            m_limit.countReported(run, m_clock.now());
         else
-            m_limit.cleared(run);
+            m_limit.clearReported(run);
         m_hasUnsaved = m_hasUnsaved || m_limit.hasOwnRun(run.request);
         Verdict after = m_limit.verdictOn(run.request);
         if (after == before || (after != Verdict::Refused && before != Verdict::Refused))
--- a/unittests/Forwarding/RepetitionLimitTest.cpp
+++ b/unittests/Forwarding/RepetitionLimitTest.cpp
@@ -52,8 +52,8 @@
 {
     for (unsigned n = 0; n < 6; ++n) {
         UnansweredRun run = runOn("t/1");
-        limit.noted(run, now);
-        limit.noted(run, now);
+        limit.countReported(run, now);
+        limit.countReported(run, now);
     }
     BOOST_TEST((limit.verdictOn(deadly) == Verdict::Refused));
     BOOST_TEST(limit.size() == 6U);
@@ -85,7 +85,7 @@
 {
     for (unsigned n = 0; n < 4; ++n)
         runInVain("t/1");
-    limit.noted(runOn("t/2"), now);
+    limit.countReported(runOn("t/2"), now);
     limit.sent(runOn("t/3"), now);
     limit.ended(lastId, RunEnd::Answered, now);
     BOOST_TEST((limit.verdictOn(deadly) == Verdict::Unlimited));
@@ -100,7 +100,7 @@
     for (unsigned n = 0; n < 9; ++n)
         runInVain("t/2");
     UnansweredRun other = runOn("t/3");
-    limit.noted(other, now);
+    limit.countReported(other, now);
     BOOST_TEST((limit.verdictOn(deadly) == Verdict::Unlimited));
     BOOST_TEST((limit.takeChanges(now).cleared == std::vector { other }));
     now += RepetitionLimit::answerRetention + 1s;
@@ -170,7 +170,7 @@
 BOOST_AUTO_TEST_CASE(runThatCountsAgainExpiresOnce)
 {
     for (RunEnd end : { RunEnd::EndedWithConnection, RunEnd::ConnectionLost }) {
-        limit.noted(runOn("t/2"), now);
+        limit.countReported(runOn("t/2"), now);
         limit.sent(runOn("t/1"), now);
         limit.ended(lastId, end, now);
         limit.accepted("t/1", now);
@@ -217,7 +217,7 @@
 
 BOOST_AUTO_TEST_CASE(onlyRunsOfLimitedRequestsAreStored)
 {
-    limit.noted({ digestOf("other"), 99, "t/1" }, now);
+    limit.countReported({ digestOf("other"), 99, "t/1" }, now);
     BOOST_TEST(!limit.hasOwnRun(digestOf("other")));
     for (unsigned n = 0; n < 3; ++n) {
         BOOST_TEST(limit.limitedRuns().empty());
@@ -227,14 +227,14 @@
     BOOST_TEST(limit.limitedRuns().size() == 3U);
     RepetitionLimit restarted;
     for (const UnansweredRun& it : limit.limitedRuns())
-        restarted.noted(it, now);
+        restarted.countReported(it, now);
     BOOST_TEST((restarted.verdictOn(deadly) == Verdict::OneTarget));
 }
 
 BOOST_AUTO_TEST_CASE(floodOfRunsForgetsTheOldest)
 {
     for (std::size_t n = 0; n < RepetitionLimit::maxRuns + 10; ++n)
-        limit.noted({ digestOf(std::to_string(n)), n, "t/1" }, now);
+        limit.countReported({ digestOf(std::to_string(n)), n, "t/1" }, now);
     for (unsigned n = 0; n < 6; ++n)
         runInVain("t/1");
     BOOST_TEST(limit.size() == RepetitionLimit::maxRuns);
