--- a/unittests/Platform/CrashingRequestTest.cpp
+++ b/unittests/Platform/CrashingRequestTest.cpp
@@ -1,5 +1,6 @@
 #include "Deployment.h"
 
+#include "basilpoint/Net/Errors.h"
 #include "basilpoint/Net/FiberRuntime.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 const char* const deadlyBody = "deadly";
 // Targets that one request may crash, and retries that may still reach a target later than propagationLimit after that.
 constexpr unsigned maxCrashes = 3;
+constexpr unsigned maxRetries = 3;
 constexpr auto propagationLimit = 3s;
 constexpr auto restartDelay = 400ms;
 
@@ -49,6 +51,21 @@
         return deployment.call(deployment.instances[gateway].callers, "POST", "/work/x", { { "x-basilpoint-program-id", "p" }, { "x-basilpoint-deadline-ms", "900" } }, deadlyBody).status;
     }
 
+    /// One attempt of the request's caller, which leaves before it gets an answer.
+    void leaveDeadly(const std::string& gateway, std::chrono::milliseconds after)
+    {
+        HttpClient client(testRuntime().io());
+        HttpCallOptions options;
+        options.deadline = std::chrono::steady_clock::now() + after;
+        HttpHeaders headers { { "host", "h.example" }, { "x-basilpoint-request-id", "leaves-" + std::to_string(++attempts) }, { "x-basilpoint-program-id", "p" }, { "x-basilpoint-deadline-ms", "900" } };
+        try {
+            client.call({ "127.0.0.1", static_cast<std::uint16_t>(deployment.instances[gateway].callers) }, { "POST", "/work/x", headers, deadlyBody }, options);
+        } catch (const TargetError&) {
+            // The caller has left, unless it was refused before.
+            return;
+        }
+    }
+
     /// Starts a caller of sound requests that tries each twice more, through the other gateway, as callers do. Ends with the
     /// day.
     void startSoundCaller(const std::string& name)
@@ -70,23 +87,75 @@
 
     /// Restarts crashed services after some time, as their supervisor does.
     void startSupervisor()
+    {
+        supervise([this](FakeTarget& target) {
+            pause(restartDelay);
+            target.restart();
+            deployment.put(target);
+        });
+    }
+
+    /// Restarts crashed services at their addresses, with registrations that nobody sees.
+    void startHiddenSupervisor()
+    {
+        supervise([](FakeTarget& target) {
+            pause(restartDelay);
+            target.restartInPlace();
+        });
+    }
+
+    void supervise(const std::function<void(FakeTarget&)>& restart)
     {
         for (FakeTarget* it : tools())
-            spawnFiber([this, it] {
+            spawnFiber([this, it, restart] {
                 ++soundCallers;
-                while (!isOver) {
-                    unsigned before = it->crashes();
-                    pause(20ms);
-                    if (it->crashes() == before)
-                        continue;
-                    pause(restartDelay);
-                    it->restart();
-                    deployment.put(*it);
-                }
+                for (unsigned seen = it->crashes(); !isOver; pause(5ms))
+                    if (it->crashes() != seen) {
+                        seen = it->crashes();
+                        restart(*it);
+                    }
                 --soundCallers;
             });
     }
 
+    void setEnding(TargetEnd ending)
+    {
+        for (FakeTarget* it : tools())
+            it->ending = ending;
+    }
+
+    /// One attempt of the request's caller, at the gateways in turn.
+    using Try = std::function<void(const std::string& gateway)>;
+
+    /// Sends the request again and again until it has crashed as many targets as are tolerated and all gateways may know it.
+    void repeatUntilKnown(const Try& attempt)
+    {
+        auto end = std::chrono::steady_clock::now() + 30s;
+        for (; crashes() < maxCrashes && std::chrono::steady_clock::now() < end; pause(200ms))
+            attempt(nextGateway());
+        BOOST_REQUIRE(crashes() >= maxCrashes);
+        auto deadline = std::chrono::steady_clock::now() + propagationLimit;
+        for (; std::chrono::steady_clock::now() < deadline; pause(200ms))
+            attempt(nextGateway());
+    }
+
+    /// Sends the request twelve times more. \returns how often targets ran it.
+    unsigned runsOfRepetitions(const Try& attempt)
+    {
+        unsigned before = deadlyRuns();
+        for (unsigned n = 0; n < 12; ++n, pause(200ms))
+            attempt(nextGateway());
+        return deadlyRuns() - before;
+    }
+
+    std::string nextGateway() { return ++attempts % 2 ? "a" : "b"; }
+
+    void checkSoundCalls() const
+    {
+        BOOST_TEST(denied == 0U);
+        BOOST_TEST(sound > 20U);
+    }
+
     unsigned crashes()
     {
         unsigned n = 0;
@@ -99,7 +168,7 @@
     {
         std::ptrdiff_t n = 0;
         for (FakeTarget* it : tools())
-            n += std::count_if(it->runs.begin(), it->runs.end(), [](const auto& run) { return run.body == deadlyBody; });
+            n += std::count_if(it->runs.begin(), it->runs.end(), [](const auto& run) { return run.body.ends_with(deadlyBody); });
         return static_cast<unsigned>(n);
     }
 
@@ -124,6 +193,7 @@
     // Never deleted, since fibers of the fakes use it until the process ends.
     Deployment& deployment;
     bool isOver = false;
+    unsigned attempts = 0;
     unsigned soundCallers = 0;
     unsigned sound = 0;
     unsigned soundServed = 0;
@@ -165,7 +235,7 @@
             status = day.tryDeadly(n % 2 ? "a" : "b");
             pause(200ms);
         }
-        BOOST_TEST(day.deadlyRuns() - before <= 3U);
+        BOOST_TEST(day.deadlyRuns() - before <= maxRetries);
         BOOST_TEST(!day.hasRepeatedAttempt());
         // Callers retry after 502 and 503, but not after 400.
         BOOST_TEST(status == 400);
@@ -176,6 +246,134 @@
     });
 }
 
+// Targets that lose power answer nothing and reset nothing, so that attempts end at their deadlines.
+BOOST_AUTO_TEST_CASE(requestThatEndsTargetsSilentlyReachesFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.setEnding(TargetEnd::Silent);
+        day.startSupervisor();
+        day.startSoundCaller("s1");
+        auto attempt = [&](const std::string& gateway) { day.tryDeadly(gateway); };
+        day.repeatUntilKnown(attempt);
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= maxRetries);
+        day.checkSoundCalls();
+        day.end();
+    });
+}
+
+// The targets are back at their addresses before the attempts end, and their registrations cannot be read.
+BOOST_AUTO_TEST_CASE(requestThatEndsTargetsWhileTheStoreIsAwayReachesFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.setEnding(TargetEnd::Silent);
+        day.startHiddenSupervisor();
+        day.deployment.store.isDown = true;
+        auto attempt = [&](const std::string& gateway) { day.tryDeadly(gateway); };
+        day.repeatUntilKnown(attempt);
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= maxRetries);
+        day.deployment.store.isDown = false;
+        day.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(requestWhoseCallersLeaveBeforeItsTargetsEndReachesFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.setEnding(TargetEnd::Silent);
+        day.startSupervisor();
+        auto attempt = [&](const std::string& gateway) { day.leaveDeadly(gateway, 150ms); };
+        day.repeatUntilKnown(attempt);
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= maxRetries);
+        day.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(requestThatNamesAnotherProgramAndHostEachTimeReachesFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.startSupervisor();
+        day.startSoundCaller("s1");
+        auto attempt = [&](const std::string& gateway) {
+            day.deployment.call(day.deployment.instances[gateway].callers, "POST", "/work/x", { { "host", day.attempts % 3 ? "h.example" : "h.example:80" }, { "x-basilpoint-program-id", "p" + std::to_string(day.attempts) }, { "x-basilpoint-deadline-ms", "900" } }, deadlyBody);
+        };
+        day.repeatUntilKnown(attempt);
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= maxRetries);
+        day.checkSoundCalls();
+        day.end();
+    });
+}
+
+// A target that both requests end counts for each of them.
+BOOST_AUTO_TEST_CASE(twoRequestsThatEndTheSameTargetsReachFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.setEnding(TargetEnd::Silent);
+        day.startSupervisor();
+        auto attempt = [&](const std::string& gateway) {
+            std::string other = gateway == "a" ? "b" : "a";
+            spawnFiber([&day, other] { day.deployment.call(day.deployment.instances[other].callers, "POST", "/work/x", { { "x-basilpoint-program-id", "q" }, { "x-basilpoint-deadline-ms", "700" } }, std::string("more ") + deadlyBody); });
+            day.tryDeadly(gateway);
+        };
+        day.repeatUntilKnown(attempt);
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= 2 * maxRetries);
+        pause(1s);
+        day.end();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(requestThatEndsTargetsReachesFewMoreAfterAllGatewaysWereKilled)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.setEnding(TargetEnd::Silent);
+        day.startSupervisor();
+        auto attempt = [&](const std::string& gateway) { day.tryDeadly(gateway); };
+        day.repeatUntilKnown(attempt);
+        for (const char* it : { "a", "b" })
+            BOOST_REQUIRE(day.deployment.kill(it));
+        for (const char* it : { "a", "b" })
+            day.deployment.start(it, true);
+        BOOST_REQUIRE(eventually([&] { return day.deployment.isReady("a") && day.deployment.isReady("b"); }));
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= maxRetries);
+        day.end();
+    });
+}
+
+// Guards against sound requests that are refused since the targets they were sent to fell silent.
+BOOST_AUTO_TEST_CASE(soundRequestsAreServedAfterTheirTargetsHaveGoneSilentAgainAndAgain)
+{
+    inFiber([] {
+        auto& day = *new CrashDay;
+        day.setEnding(TargetEnd::Silent);
+        day.startSupervisor();
+        for (const char* it : { "s1", "s2", "s3", "s4" })
+            day.startSoundCaller(it);
+        auto alike = [&](const std::string& gateway) { return day.deployment.call(day.deployment.instances[gateway].callers, "GET", "/work/x", { { "x-basilpoint-deadline-ms", "900" } }).status; };
+        BOOST_TEST(alike("a") == 200);
+        for (unsigned n = 0; n < 4; ++n) {
+            pause(1s);
+            for (FakeTarget* it : day.tools())
+                it->crash();
+            // Callers who send the same request, each with no fault of its own.
+            for (unsigned k = 0; k < 3; ++k)
+                spawnFiber([&] { alike(day.nextGateway()); });
+        }
+        pause(2s);
+        BOOST_TEST(day.denied == 0U);
+        for (const char* it : { "a", "b" })
+            BOOST_TEST(alike(it) == 200);
+        unsigned served = day.soundServed;
+        pause(1s);
+        BOOST_TEST(day.soundServed > served + 20);
+        day.end();
+    });
+}
+
 // Sound calls lose their targets several times, but to no fault of theirs.
 BOOST_AUTO_TEST_CASE(soundRequestsAreServedAfterAllTargetsHaveEndedAtOnceAgainAndAgain)
 {
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -169,7 +169,7 @@
     options.reuseConnection = false;
     options.readTimeout = std::chrono::seconds(4);
     options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
-    headers["host"] = "h.example";
+    headers.emplace("host", "h.example");
     headers.insert(callerHeaders.begin(), callerHeaders.end());
     headers.emplace("x-basilpoint-request-id", "call-" + std::to_string(++calls));
     // Closes its connection at the end.
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -147,24 +147,60 @@
     restart();
 }
 
+void FakeTarget::stop()
+{
+    m_isStopped = true;
+    if (m_server)
+        m_server->stop();
+    for (const auto& [lifetime, server] : m_silent)
+        server->stop();
+}
+
 void FakeTarget::crash()
 {
+    if (m_isDown)
+        return;
     ++m_crashes;
     m_isDown = true;
-    m_server->stop();
+    switch (ending) {
+    case TargetEnd::Refusing:
+        m_server->stop();
+        return;
+    case TargetEnd::Silent:
+        m_endpoint = m_server->endpoint();
+        m_silent[m_lifetime] = std::move(m_server);
+        return;
+    }
+}
+
+// A connection of a silent process stays open until the other side closes it.
+void FakeTarget::failIfEnded(unsigned lifetime) const
+{
+    while (m_silent.contains(lifetime) && !m_isStopped)
+        pause(std::chrono::milliseconds(pollMilliseconds));
+    if (m_isDown || lifetime != m_lifetime)
+        throw ConnectionLostError("crashed");
+}
+
+void FakeTarget::restartInPlace()
+{
+    if (m_silent.contains(m_lifetime))
+        m_silent.at(m_lifetime)->stop();
+    startAt(m_endpoint);
 }
 
-void FakeTarget::restart()
+void FakeTarget::startAt(const Endpoint& address)
 {
     ++m_lifetime;
     m_isDown = false;
-    m_server = std::make_unique<HttpServer>(m_io, Endpoint { "127.0.0.1", 0 }, HttpLimits {}, [this](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer); });
+    m_server = std::make_unique<HttpServer>(m_io, address, HttpLimits {}, [this, lifetime = m_lifetime](const HttpRequest& request, ResponseWriter& writer) { handle(request, writer, lifetime); });
     m_server->start();
+    m_endpoint = m_server->endpoint();
 }
 
 std::string FakeTarget::registration(const char* state) const
 {
-    return Json { { "service", m_service }, { "addr", m_server->endpoint().text() }, { "zone", "z" }, { "slots", 4 }, { "state", state }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1'700'000'000'000 + m_lifetime } }.dump();
+    return Json { { "service", m_service }, { "addr", m_endpoint.text() }, { "zone", "z" }, { "slots", 4 }, { "state", state }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1'700'000'000'000 + m_lifetime } }.dump();
 }
 
 std::size_t FakeTarget::openReservations() const
@@ -185,8 +221,9 @@
     sendJson(writer, 200, { { "hold", id } });
 }
 
-void FakeTarget::handle(const HttpRequest& request, ResponseWriter& writer)
+void FakeTarget::handle(const HttpRequest& request, ResponseWriter& writer, unsigned lifetime)
 {
+    failIfEnded(lifetime);
     static constexpr std::string_view dropPath = "/-/hold-drop/";
     if (request.target == "/-/hold-take")
         return reserve(request, writer);
@@ -202,7 +239,7 @@
         m_reservations.erase(it);
     maxRunning = std::max(maxRunning, ++running);
     try {
-        run(request, writer);
+        run(request, writer, lifetime);
     } catch (const Error&) {
         --running;
         throw;
@@ -210,7 +247,7 @@
     --running;
 }
 
-void FakeTarget::run(const HttpRequest& request, ResponseWriter& writer)
+void FakeTarget::run(const HttpRequest& request, ResponseWriter& writer, unsigned lifetime)
 {
     std::string call(request.header("x-basilpoint-request-id"));
     if (request.header("x-basilpoint-expect-instance") != m_id)
@@ -219,17 +256,12 @@
     writer.notifyOnDisconnect([this] { ++abandoned; });
     if (!crashesOn.empty() && request.body.ends_with(crashesOn))
         crash();
-    unsigned lifetime = m_lifetime;
-    auto failIfDown = [&] {
-        if (m_isDown || lifetime != m_lifetime)
-            throw ConnectionLostError("crashed");
-    };
-    failIfDown();
+    failIfEnded(lifetime);
     if (losesAnswers)
         throw ConnectionLostError("answer lost");
     if (delay.count() > 0) {
         pause(delay);
-        failIfDown();
+        failIfEnded(lifetime);
     }
     HttpHeaders headers { { "x-basilpoint-request-id", call }, { "x-basilpoint-server-stamp", "stamp-" + m_id } };
     headers.insert(answerHeaders.begin(), answerHeaders.end());
@@ -240,7 +272,7 @@
     for (const char* word : { "one", "two" }) {
         writer.write(std::string("id: ") + word + "\ndata: " + word + "-" + call + "\n\n");
         pause(std::chrono::milliseconds(pollMilliseconds));
-        failIfDown();
+        failIfEnded(lifetime);
         if (breaksStreams)
             throw ConnectionLostError("broken off");
     }
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -63,6 +63,14 @@
     std::vector<std::unique_ptr<HttpServer>> m_views;
 };
 
+/// How a target's process ends when it runs a request that crashes it.
+enum class TargetEnd {
+    /// Its connections are lost, and new ones are refused.
+    Refusing,
+    /// Its connections stay open, and nothing is sent on any.
+    Silent,
+};
+
 /// In-process fake of a target: streams events, or answers with a complete body.
 class FakeTarget {
 public:
@@ -71,14 +79,16 @@
     /// The registration that the target writes to the store.
     std::string registration(const char* state) const;
     const std::string& id() const { return m_id; }
-    Endpoint endpoint() const { return m_server->endpoint(); }
+    Endpoint endpoint() const { return m_endpoint; }
 
-    void stop() { m_server->stop(); }
+    void stop();
 
-    /// Ends the process: all its calls are lost, and nothing listens at its address.
+    /// Ends the process as \ref ending says.
     void crash();
     /// Starts a new lifetime at another address.
-    void restart();
+    void restart() { startAt({ "127.0.0.1", 0 }); }
+    /// Starts a new lifetime at the address of the last one.
+    void restartInPlace();
     unsigned crashes() const { return m_crashes; }
 
     struct Run {
@@ -98,6 +108,7 @@
     bool breaksStreams = false;
     /// The target crashes as soon as it runs a call with this body; empty if it never does.
     std::string crashesOn;
+    TargetEnd ending = TargetEnd::Refusing;
     /// Headers of all answers.
     HttpHeaders answerHeaders;
     /// Time that each call takes.
@@ -115,8 +126,10 @@
     std::size_t openReservations() const;
 
 private:
-    void handle(const HttpRequest&, ResponseWriter&);
-    void run(const HttpRequest&, ResponseWriter&);
+    void startAt(const Endpoint&);
+    void handle(const HttpRequest&, ResponseWriter&, unsigned lifetime);
+    void run(const HttpRequest&, ResponseWriter&, unsigned lifetime);
+    void failIfEnded(unsigned lifetime) const;
     void reserve(const HttpRequest&, ResponseWriter&);
 
     /// Ends of reservations, by id.
@@ -129,6 +142,11 @@
     unsigned m_lifetime = 0;
     unsigned m_crashes = 0;
     bool m_isDown = false;
+    bool m_isStopped = false;
+    /// Address of the last lifetime.
+    Endpoint m_endpoint;
+    /// Lifetimes that have ended silently, and their listeners.
+    std::map<unsigned, std::unique_ptr<HttpServer>> m_silent;
     std::unique_ptr<HttpServer> m_server;
 };
 
