--- a/unittests/Platform/CrashingRequestTest.cpp
+++ b/unittests/Platform/CrashingRequestTest.cpp
@@ -25,7 +25,8 @@
 /// service that runs it.
 class CrashDay {
 public:
-    CrashDay()
+    /// \param linked gateway that finds its targets at links, which can be cut; empty for none.
+    explicit CrashDay(const std::string& linked = {})
         : deployment(*new Deployment(0, 6))
     {
         deployment.putConfiguration(5, { "/work/" });
@@ -33,7 +34,12 @@
             it->crashesOn = deadlyBody;
             it->delay = 20ms;
         }
-        startAll(deployment, { { "keeper", defaultZone } });
+        std::map<std::string, std::string> keepers { { "keeper", defaultZone } };
+        if (!linked.empty()) {
+            deployment.linkTargets(linked);
+            keepers.clear();
+        }
+        startAll(deployment, keepers);
         BOOST_REQUIRE(eventually([&] { return deployment.statusAt(deployment.instances["a"].callers, "POST", "/work/x", {}, "first") == 200; }));
     }
 
@@ -307,6 +313,23 @@
     });
 }
 
+// The gateway that has the callers is cut off from all targets, so the other one chooses them.
+BOOST_AUTO_TEST_CASE(requestThatEndsTargetsThroughARelayReachesFewMoreAfterTheThird)
+{
+    inFiber([] {
+        auto& day = *new CrashDay("a");
+        day.setEnding(TargetEnd::Silent);
+        day.startSupervisor();
+        day.deployment.cut("a", CutKind::Silent);
+        pause(1s);
+        auto attempt = [&](const std::string&) { day.tryDeadly("a"); };
+        day.repeatUntilKnown(attempt);
+        BOOST_TEST(day.runsOfRepetitions(attempt) <= maxRetries);
+        BOOST_TEST(day.deployment.processes["a"]->log().find("\"relay\"") != std::string::npos);
+        day.end();
+    });
+}
+
 // A target that both requests end counts for each of them.
 BOOST_AUTO_TEST_CASE(twoRequestsThatEndTheSameTargetsReachFewMoreAfterTheThird)
 {
