--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 g++ -O1 -std=c++20 -Wall -Wextra -c -o bin/Harness.o harness/Harness.cpp
-for driver in Repetition Import Memory; do
+for driver in Repetition Import Memory Crashing; do
     g++ -O1 -std=c++20 -Wall -Wextra -o "bin/${driver,,}" "harness/$driver.cpp" bin/Harness.o -pthread
 done
--- a/review/harness/Harness.cpp
+++ b/review/harness/Harness.cpp
@@ -561,6 +561,10 @@
         m_runs.push_back({ id, request.body, secondsNow() });
     }
     m_record.write("replica " + m_id + " runs " + id + " " + request.target + ", body of " + std::to_string(request.body.size()) + " bytes");
+    if (!crashesOn.empty() && request.body.find(crashesOn) != std::string::npos) {
+        ++crashes;
+        goDark();
+    }
     if (!work(firstMs))
         return false;
     if (request.target.starts_with("/turn/"))
--- a/review/harness/Harness.h
+++ b/review/harness/Harness.h
@@ -186,6 +186,9 @@
     std::atomic<int> stepMs { 15 };
     std::atomic<int> events { 4 };
     std::string eventText = "word";
+    /// A request whose body contains this ends the process without a sign; empty if none does.
+    std::string crashesOn;
+    std::atomic<int> crashes { 0 };
 
 private:
     bool handle(const Request&, Channel&);
