Bound how long a silent path holds up a watch of the store

Cause: gateways watch through keepers. A silent keeper cost 1.6 s for each path in turn, up to 2.7 s once failed calls had raised the response time, and was tried again 250 ms later. A keeper that did not hear the store itself answered "no change" at the end of the gateway's wait, which counted as a sign of life.

Change: a call of a watch lasts 1.6 s at most; a path that failed last, and each path after the first, is asked without a wait; a relay reports "no change" only once the store has answered its own watch.

That the users saw this is only suspected: they kept no logs.

--- a/include/basilpoint/Gateway/StorePaths.h
+++ b/include/basilpoint/Gateway/StorePaths.h
@@ -89,6 +89,8 @@
     /// A failed path is about to be tried; until that call ends, other calls do not try it.
     void retried(const StorePath&, TimePoint now);
     void answered(const StorePath& path) { m_failures.erase(path); }
+    /// Whether the path has failed since it last answered.
+    bool hasFailed(const StorePath& path) const { return m_failures.contains(path); }
 
     const std::map<std::string, RelayAddress>& relays() const { return m_relays; }
 
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -20,8 +20,6 @@
 namespace basilpoint {
 
 static constexpr Milliseconds tickInterval { 200 };
-// A watch can break silently. Changes must be known within two seconds, so each call of a watch waits less.
-static constexpr Milliseconds watchWait { 1'200 };
 static constexpr Milliseconds summaryInterval { 10'000 };
 // All daemons of a deployment start within a third of a second. By the first read of the list, the keepers should be in it;
 // the spread keeps the first keeper from serving all gateways at once.
@@ -384,7 +382,7 @@
 void Gateway::watchConfiguration()
 {
     watchStore(
-        m_store, m_random, { m_format.configurationKey, watchWait },
+        m_store, m_random, { m_format.configurationKey },
         [this](const std::vector<KeyValue>& items) {
             for (const KeyValue& it : items)
                 if (it.key == m_format.configurationKey)
@@ -399,7 +397,7 @@
 void Gateway::watchTargets()
 {
     watchStore(
-        m_store, m_random, { m_format.registrationsPrefix, watchWait },
+        m_store, m_random, { m_format.registrationsPrefix },
         [this](const std::vector<KeyValue>& items) {
             std::vector<Registration> registrations;
             for (const KeyValue& it : items)
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -4,11 +4,17 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace basilpoint {
 
-// Minimum time beyond its wait after which a silent watch counts as broken.
+// Time beyond its wait after which a silent watch counts as broken.
 static constexpr Milliseconds minWatchTimeout { 400 };
+static constexpr Milliseconds maxWatchTimeout { 1'200 };
+// Longest call of a watch. Daemons must know of changes within two seconds, also those that a silent path has withheld.
+static constexpr Milliseconds maxWatchCall { 1'600 };
+static_assert(StoreClient::watchWait + minWatchTimeout <= maxWatchCall);
+static_assert(maxWatchTimeout < maxWatchCall);
 // After failures for this long, keepers and other daemons replace the store.
 static constexpr Milliseconds failingThreshold { 250 };
 // Writing the mark's key with each commit would serialise the commits. Readers of the mark allow for this delay.
@@ -191,9 +197,15 @@
 
 std::int64_t StoreClient::awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler& onChange)
 {
+    Milliseconds timeout = std::clamp(m_health.responseTimeout(), minWatchTimeout, maxWatchTimeout);
+    Milliseconds fullWait = std::min(wait, maxWatchCall - timeout);
+    bool isFirstTry = true;
     try {
-        return tryPaths("watch", pathsFor(StorePaths::Purpose::Watch), [&](TransactionalStore& store, const StorePath&) {
-            return store.awaitChanges(prefix, after, wait, std::max(minWatchTimeout, m_health.responseTimeout()), onChange);
+        return tryPaths("watch", pathsFor(StorePaths::Purpose::Watch), [&](TransactionalStore& store, const StorePath& path) {
+            // Once a path has been silent for the time of one call, changes are due at once. A path that was silent before
+            // may still be so.
+            bool isProbe = !std::exchange(isFirstTry, false) || m_paths.hasFailed(path);
+            return store.awaitChanges(prefix, after, isProbe ? std::min(wait, probeWait) : fullWait, timeout, onChange);
         });
     } catch (const KeyValueUnavailableError& error) {
         m_log.write(LogLine("watch-broken").field("prefix", prefix).field("after", after).field("reason", error.what()));
--- a/lib/Gateway/StoreClient.h
+++ b/lib/Gateway/StoreClient.h
@@ -39,9 +39,15 @@
     std::optional<KeyValue> recentGet(const std::string& key, const DataCentreId& commitDataCentre);
     /// Finds out whether a failing store answers again. \throws KeyValueUnavailableError if it does not.
     void probe(const std::string& key);
-    /// Waits up to \p wait for changes after revision \p after. \returns the revision from which to continue.
+    /// Waits up to \p wait for changes after revision \p after; less if the store is slow, so that a path that has fallen
+    /// silent is noticed before a change is late. \returns the revision from which to continue.
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, const KeyValueStore::ChangeHandler&);
 
+    /// Usual wait for changes.
+    static constexpr Milliseconds watchWait { 1'200 };
+    /// Wait of a call that only shows whether the store is heard.
+    static constexpr Milliseconds probeWait { 1 };
+
     /// Records with \p prefix that are newer than revision \p after, from the cache of a keeper. They have been stored,
     /// but more may exist. Empty if no keeper has any or answers.
     std::vector<KeyValue> recall(const std::string& prefix, std::int64_t after, const DataCentreId& commitDataCentre);
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -15,8 +15,8 @@
 static constexpr std::size_t maxRecentReads = 1'000;
 // How long a shared read waits for further requests.
 static constexpr Milliseconds snapshotInterval { 20 };
-// A watch can break silently, and daemons must know of changes within two seconds.
-static constexpr Milliseconds relayedWatchWait { 1'200 };
+// Time in which the store answers the first call of a watch, unless it is slow or out of reach.
+static constexpr Milliseconds establishLimit { 300 };
 static constexpr Milliseconds watchIdleLimit { 5'000 };
 // Holds the records of half a minute at 0.5 MB/s, the rate of one data centre of a large deployment.
 static constexpr std::size_t maxCachedBytes = 16 * 1024 * 1024;
@@ -152,8 +152,10 @@
     try {
         while (m_clock.now() - watch->askedAt < watchIdleLimit) {
             std::vector<KeyValue> items;
-            std::int64_t next = m_store.awaitChanges(prefix, watch->log.upTo(), relayedWatchWait, [&](const std::string& key, const std::optional<KeyValue>& item) { items.push_back(item ? *item : KeyValue { key, {}, 0 }); });
+            Milliseconds wait = watch->isEstablished ? StoreClient::watchWait : StoreClient::probeWait;
+            std::int64_t next = m_store.awaitChanges(prefix, watch->log.upTo(), wait, [&](const std::string& key, const std::optional<KeyValue>& item) { items.push_back(item ? *item : KeyValue { key, {}, 0 }); });
             watch->log.append(std::move(items), next);
+            watch->isEstablished = true;
             watch->changed.notifyAll();
         }
     } catch (const KeyValueUnavailableError&) {
@@ -165,6 +167,17 @@
     watch->changed.notifyAll();
 }
 
+// "No change" is true only if the store is heard: a daemon that is told so stays with this relay.
+void StoreRelay::awaitEstablished(PrefixWatch& watch)
+{
+    for (TimePoint end = m_clock.now() + establishLimit; !watch.isEstablished && !watch.isBroken;) {
+        TimePoint now = m_clock.now();
+        if (now >= end)
+            throw KeyValueUnavailableError("the relay does not hear the store");
+        watch.changed.waitFor(std::chrono::ceil<Milliseconds>(end - now));
+    }
+}
+
 std::string StoreRelay::changes(const std::string& body)
 {
     StoreQuery query = decodeQuery(body);
@@ -172,6 +185,7 @@
     if (!watch->log.covers(query.after))
         return readChanges(query);
     watch->askedAt = m_clock.now();
+    awaitEstablished(*watch);
     for (TimePoint end = m_clock.now() + query.wait;;) {
         if (std::vector<KeyValue> items = watch->log.since(query.after); !items.empty())
             return encodeChanges({ std::move(items), std::max(query.after, watch->log.upTo()) });
--- a/lib/Gateway/StoreRelay.h
+++ b/lib/Gateway/StoreRelay.h
@@ -48,6 +48,8 @@
 
         ChangeLog log;
         TimePoint askedAt;
+        /// Whether the store has answered.
+        bool isEstablished = false;
         bool isBroken = false;
         FiberSignal changed;
     };
@@ -64,6 +66,8 @@
     std::string readChanges(const StoreQuery&);
     std::shared_ptr<PrefixWatch> watchFor(const StoreQuery&);
     void runWatch(const std::string& prefix, const std::shared_ptr<PrefixWatch>&);
+    /// \throws KeyValueUnavailableError if the store does not answer the watch in time.
+    void awaitEstablished(PrefixWatch&);
     void sendReadyCalls();
     void run(const CommitGroup::Call&);
     void refuseOutdated();
--- a/lib/Gateway/StoreWatch.h
+++ b/lib/Gateway/StoreWatch.h
@@ -9,8 +9,8 @@
 /// Keys to watch.
 struct WatchedKeys {
     std::string prefix;
-    /// Longest wait of one call, which bounds how long a broken watch goes unnoticed.
-    Milliseconds wait { 1'200 };
+    /// Longest wait of one call.
+    Milliseconds wait = StoreClient::watchWait;
 };
 
 /// Watches keys until the process ends: reads all of them, then each change, and starts again whenever the watch fails.
--- a/unittests/Gateway/StoreRelayTest.cpp
+++ b/unittests/Gateway/StoreRelayTest.cpp
@@ -27,9 +27,13 @@
         count();
         return memory.commit(transaction, limit);
     }
-    std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds, const ChangeHandler& onChange) override
+    std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler& onChange) override
     {
         count();
+        if (isSilent) {
+            pause(wait + limit);
+            throw KeyValueUnavailableError("timeout");
+        }
         TimePoint end = std::chrono::steady_clock::now() + wait;
         while (std::chrono::steady_clock::now() < end) {
             bool anyFound = false;
@@ -57,6 +61,8 @@
 
     MemoryStore memory;
     bool isFailing = false;
+    /// Watches get no answer.
+    bool isSilent = false;
     int calls = 0;
 
 private:
@@ -180,6 +186,27 @@
     });
 }
 
+// A daemon that is told of no change does not ask another relay, which may know of one.
+BOOST_AUTO_TEST_CASE(relayThatDoesNotHearTheStoreReportsNoWatch)
+{
+    testRuntime().run([] {
+        auto& relay = *new Relay;
+        auto watch = [](RelayedStore& it) { it.awaitChanges("config/", 0, Milliseconds(1'200), readLimit, [](const std::string&, const std::optional<KeyValue>&) {}); };
+        BOOST_TEST(relay.callAtOnce(1, watch) == 0);
+        relay.store.isSilent = true;
+        // Every call that begins once the shared watch has fallen silent fails, and soon.
+        BOOST_TEST(waitUntil([&] { return relay.callAtOnce(1, watch) == 1; }));
+        for (int n = 0; n < 10; ++n) {
+            TimePoint start = relay.clock.now();
+            BOOST_TEST(relay.callAtOnce(2, watch) == 2);
+            BOOST_TEST((relay.clock.now() - start < Milliseconds(1'000)));
+        }
+        relay.store.isSilent = false;
+        BOOST_TEST(waitUntil([&] { return relay.callAtOnce(1, watch) == 0; }));
+        relay.server.stop();
+    });
+}
+
 // Programs that go on after their budget is spent do so through many daemons, each of which must be certain of it.
 BOOST_AUTO_TEST_CASE(recentReadsOfAKeyAreOneCall)
 {
--- a/unittests/Platform/ConfigurationChangeTest.cpp
+++ b/unittests/Platform/ConfigurationChangeTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <fmt/format.h>
 #include <random>
 
@@ -85,10 +86,94 @@
     std::map<std::string, std::chrono::steady_clock::time_point> m_startedAt;
 };
 
+/// Gateways that reach the store themselves but watch it through keepers, the first of which fall silent.
+class SilentKeeperDay {
+public:
+    explicit SilentKeeperDay(unsigned seed)
+        : m_storeLink(std::make_shared<FakeLink>(testRuntime().io(), m_deployment.store.endpoint()))
+        , m_random(seed)
+    {
+        m_deployment.storeAddresses["k1"] = m_storeLink->endpoint();
+        startAll(m_deployment, { { "k1", "z1" }, { "k2", "z2" }, { "k3", "z3" } });
+    }
+
+    /// Cuts the first keeper off from the store for good.
+    void loseStore() { m_storeLink->cut(CutKind::Silent); }
+    void stopKeeper(const std::string& name) { m_deployment.processes[name]->signal(SIGSTOP); }
+    void resumeKeeper(const std::string& name) { m_deployment.processes[name]->signal(SIGCONT); }
+
+    /// Makes changes at any moment of a watch, and checks each one at both gateways.
+    void changeConfigurations()
+    {
+        for (const char* name : { "a", "b" })
+            spawnFiber([this, name] { runPrograms(name); });
+        pause(stableTime);
+        for (int version = firstVersion; version < firstVersion + versions; ++version) {
+            pause(std::chrono::milliseconds(m_random() % 1'500));
+            m_deployment.putConfiguration(version, { prefixOf(version) });
+            pause(changeLimit);
+            for (const char* name : { "a", "b" })
+                BOOST_TEST(m_deployment.call(m_deployment.instances[name].callers, "GET", prefixOf(version) + "1", { { "x-basilpoint-deadline-ms", "900" } }).status == 200, name << " does not serve version " << version);
+        }
+    }
+
+    void end()
+    {
+        m_isEnding = true;
+        BOOST_TEST(eventually([&] { return m_running == 0; }));
+        m_deployment.end();
+        m_storeLink->stop();
+    }
+
+private:
+    // The commits of turns go through the same keepers.
+    void runPrograms(const std::string& gateway)
+    {
+        ++m_running;
+        for (int n = 0; !m_isEnding; ++n) {
+            m_deployment.turn(gateway, fmt::format("{}-{}", gateway, n), "", "in", fmt::format("program-{}-{}", gateway, n));
+            pause(50ms);
+        }
+        --m_running;
+    }
+
+    // Never deleted, as above.
+    Deployment& m_deployment = *new Deployment(1);
+    std::shared_ptr<FakeLink> m_storeLink;
+    std::mt19937 m_random;
+    int m_running = 0;
+    bool m_isEnding = false;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ConfigurationChangeTest)
 
+// Guards against a keeper that reports no change while it does not hear from the store.
+BOOST_AUTO_TEST_CASE(changeIsInForceInTimeThoughAKeeperHasLostTheStore)
+{
+    inFiber([] {
+        SilentKeeperDay day(2);
+        day.loseStore();
+        day.changeConfigurations();
+        day.end();
+    });
+}
+
+// Guards against a watch that waits for one silent keeper after the other.
+BOOST_AUTO_TEST_CASE(changeIsInForceInTimeThoughTwoKeepersAreSilent)
+{
+    inFiber([] {
+        SilentKeeperDay day(3);
+        for (const char* name : { "k1", "k2" })
+            day.stopKeeper(name);
+        day.changeConfigurations();
+        for (const char* name : { "k1", "k2" })
+            day.resumeKeeper(name);
+        day.end();
+    });
+}
+
 // Guards against gateways that keep an older version after a change, or get one back when many start at a time.
 BOOST_AUTO_TEST_CASE(changeIsInForceEverywhereInTimeWhileGatewaysRestart)
 {
