Guard a planned stop while the store is away and a keeper stops

The related path through the store and the keepers had not been played: turns wait for them while the gateway stops. The test passes without a change of the code.

--- a/unittests/Platform/PlannedStopTest.cpp
+++ b/unittests/Platform/PlannedStopTest.cpp
@@ -148,4 +148,41 @@
     });
 }
 
+// Guards against turns that are cut because they wait for the store or for a keeper that stops as well.
+BOOST_AUTO_TEST_CASE(requestsInAPlannedStopAreAnsweredWhileTheStoreIsAwayAndAKeeperStops)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment(1);
+        startAll(deployment, { { "k1", "z1" }, { "k2", "z2" }, { "k3", "z3" } });
+        BOOST_REQUIRE(eventually([&] { return deployment.turn("a", "first", "", "in", "p") == 200; }));
+        deployment.engine.delay = 700ms;
+        deployment.tool.delay = 700ms;
+        auto start = std::chrono::steady_clock::now();
+        int sent = 0;
+        std::vector<int> statuses;
+        auto send = [&](const std::function<int()>& call) {
+            ++sent;
+            spawnFiber([&, call] { statuses.push_back(call()); });
+        };
+        for (int n = 0; std::chrono::steady_clock::now() - start < lateSending; ++n) {
+            // One after the other, with requests in between.
+            if (n == 2)
+                deployment.store.isDown = true;
+            if (n == 4)
+                for (const char* it : { "a", "k1" })
+                    deployment.processes[it]->signal(SIGTERM);
+            std::string id = fmt::format("turn-{}", n);
+            send([&, id, program = fmt::format("p{}", n)] { return deployment.turn("a", id, "", "in", program); });
+            send([&, id] { return deployment.turn("a", id + "-next", "first", "in", "p"); });
+            send([&] { return deployment.call(deployment.instances["a"].callers, "POST", "/pay/1", { { "x-basilpoint-deadline-ms", "3000" } }, body).status; });
+            pause(200ms);
+        }
+        BOOST_REQUIRE(eventually([&] { return statuses.size() == static_cast<std::size_t>(sent); }));
+        BOOST_TEST(std::count(statuses.begin(), statuses.end(), 0) == 0);
+        BOOST_TEST(std::count(statuses.begin(), statuses.end(), 200) > 0);
+        BOOST_TEST(eventually([&] { return !deployment.processes["a"]->running() && !deployment.processes["k1"]->running(); }));
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
