Take a value that the store rejects for an error of its own, not an outage

What callers saw: one turn whose record the store never takes (400, 413) made its gateway, the other gateways and the keeper hold the store for lost, so that all programs ran as in an outage. The call was repeated without end, and commits of other daemons that a keeper had merged with it failed too.

Cause: the store's client knew one error only, KeyValueUnavailableError.

Change: KeyValueRejectedError. It does not count against a path or the store's health. Keepers pass it on by the code of the error in a header, which earlier releases ignore. CommitGroup sends the transactions of a rejected call one by one. The ledger stores the program's turns one by one and gives up the one at fault with those that continue it; its tokens are charged, its caller's stream is broken off. Keepers put off the upload of such entries, so that those of other programs pass.

--- a/include/basilpoint/Gateway/CommitGroup.h
+++ b/include/basilpoint/Gateway/CommitGroup.h
@@ -60,6 +60,10 @@
     /// Ends a call whose outcome is unknown. \returns its transactions, whose outcomes are unknown as well.
     std::vector<Ticket> markUnknown(std::uint64_t number);
 
+    /// Ends a call that the store rejects for what it contains. \returns the transaction at fault. If the call has several,
+    /// each is sent again in a call of its own, and none is returned.
+    std::optional<Ticket> rejected(std::uint64_t number);
+
     /// Waiting and in-flight transactions that write \p key.
     std::vector<KeyTransaction> pendingWrites(const std::string& key) const;
 
@@ -70,6 +74,8 @@
         Ticket ticket = 0;
         KeyTransaction transaction;
         std::size_t bytes = 0;
+        /// Was part of a rejected call, so that it must not share another one.
+        bool isAlone = false;
     };
 
     /// Waiting transactions that form the next call.
--- a/include/basilpoint/Net/KeyValueStore.h
+++ b/include/basilpoint/Net/KeyValueStore.h
@@ -21,10 +21,22 @@
 };
 
 /// The service did not respond, or responded with a failure. A write may have taken effect.
-class KeyValueUnavailableError final : public Error {
+class KeyValueUnavailableError : public Error {
 public:
     /// \param executed No only if the call was not sent.
     explicit KeyValueUnavailableError(const std::string& reason, Executed executed = Executed::Unknown);
+
+protected:
+    KeyValueUnavailableError(ErrorKind, const std::string& reason);
+};
+
+/// The service rejects a call for what it contains, such as a value that is too large: it has done nothing, and would
+/// reject the call again. To callers that know no better it is a failure like any other.
+class KeyValueRejectedError final : public KeyValueUnavailableError {
+public:
+    explicit KeyValueRejectedError(const std::string& reason);
+
+    static constexpr std::string_view errorCode = "key-value-rejected";
 };
 
 /// The platform's key-value service. Calls suspend the calling fiber.
--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -184,6 +184,8 @@
     Stored,
     /// The reservation exceeded the budget.
     Denied,
+    /// The store takes no record of the turn, whose tokens are charged all the same.
+    Rejected,
 };
 
 /// Limits of a ledger.
@@ -269,6 +271,10 @@
     void batchStored(std::uint64_t number, std::int64_t revision);
     /// A condition of the batch failed; \p current contains the records of its conditions' keys that exist.
     void batchRefused(std::uint64_t number, const std::vector<StoredRecord>& current);
+    /// The store rejects the batch for what it contains. Its turns are stored one by one from then on, and the one at fault is
+    /// given up, with those that continue it.
+    /// \returns whether further batches may differ; if not, the batch has no turn to be given up.
+    bool batchRejected(std::uint64_t number);
     /// The outcome of the batch is unknown; its changes go into another batch.
     void batchOutcomeUnknown(std::uint64_t number);
 
@@ -330,6 +336,8 @@
         std::set<CallId> imported;
         std::deque<Change> changes;
         bool isInBatch = false;
+        /// The store has rejected a batch, so that each has one turn until one is stored.
+        bool isStoredSingly = false;
         /// Number of admitted turns that have not ended.
         std::size_t admitted = 0;
         /// Maximum tokens of the turns that run here.
@@ -403,6 +411,9 @@
     void rebase(Program&, const ProgramAccount&, std::int64_t revision);
     void endBatch(std::uint64_t number, const std::function<void(const BatchState&, Program&)>&);
     void addTurn(Program&, TurnRecord);
+    void removeTurn(Program&, const CallId& turn);
+    /// Gives up the first unstored turn and those that continue it; their changes charge its tokens only.
+    void giveUpFirstTurn(Program&);
     void evict();
 
     DaemonLifetime m_self;
--- a/lib/Gateway/CommitGroup.cpp
+++ b/lib/Gateway/CommitGroup.cpp
@@ -66,9 +66,11 @@
         if (!isDisjoint)
             continue;
         bool isFirst = selection.positions.empty();
+        if (member.isAlone && !isFirst)
+            continue;
         entries += member.transaction.entries();
         bytes += member.bytes;
-        selection.isFull = entries >= m_settings.maxEntries || bytes >= m_settings.maxBytes;
+        selection.isFull = member.isAlone || entries >= m_settings.maxEntries || bytes >= m_settings.maxBytes;
         if (isFirst || (entries <= m_settings.maxEntries && bytes <= m_settings.maxBytes))
             selection.positions.push_back(n);
         if (selection.isFull)
@@ -206,4 +208,16 @@
     return tickets;
 }
 
+std::optional<CommitGroup::Ticket> CommitGroup::rejected(std::uint64_t number)
+{
+    std::vector<Member> members = take(number);
+    if (members.size() == 1)
+        return members.front().ticket;
+    for (auto it = members.rbegin(); it != members.rend(); ++it) {
+        it->isAlone = true;
+        m_waiting.push_front(std::move(*it));
+    }
+    return std::nullopt;
+}
+
 } // namespace basilpoint
--- a/lib/Gateway/LedgerWriter.cpp
+++ b/lib/Gateway/LedgerWriter.cpp
@@ -86,6 +86,10 @@
             m_ledger.batchStored(batch.number, *result.revision);
         else
             m_ledger.batchRefused(batch.number, recordsFrom(result.current));
+    } catch (const KeyValueRejectedError& error) {
+        m_log.write(LogLine("ledger-write-rejected").field("batch", batch.number).field("entries", batch.entries()).field("reason", error.what()));
+        if (!m_ledger.batchRejected(batch.number))
+            pause();
     } catch (const KeyValueUnavailableError& error) {
         m_log.write(LogLine("ledger-write-unknown").field("batch", batch.number).field("entries", batch.entries()).field("reason", error.what()));
         m_ledger.batchOutcomeUnknown(batch.number);
--- a/lib/Gateway/PeerCall.cpp
+++ b/lib/Gateway/PeerCall.cpp
@@ -11,8 +11,9 @@
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 
-PeerUnavailableError::PeerUnavailableError(const std::string& reason)
+PeerUnavailableError::PeerUnavailableError(const std::string& reason, std::string peerCode)
     : Error({ "peer-unavailable", 503, Executed::Unknown }, { { "reason", reason } })
+    , m_peerCode(std::move(peerCode))
 {
 }
 
@@ -26,8 +27,10 @@
         HttpResponse response = client.call(peer, { "POST", path, {}, std::move(body) }, options);
         if (response.status == statusNotFound)
             return {};
-        if (response.status != statusOk)
-            throw PeerUnavailableError(fmt::format("status {}", response.status));
+        if (response.status != statusOk) {
+            auto code = response.headers.find(peerErrorCodeHeader);
+            throw PeerUnavailableError(fmt::format("status {}", response.status), code == response.headers.end() ? std::string() : code->second);
+        }
         return std::move(response.body);
     } catch (const TargetError& error) {
         throw PeerUnavailableError(error.what());
--- a/lib/Gateway/PeerCall.h
+++ b/lib/Gateway/PeerCall.h
@@ -37,9 +37,19 @@
 /// Another daemon did not answer, or refused the call.
 class PeerUnavailableError final : public Error {
 public:
-    explicit PeerUnavailableError(const std::string& reason);
+    explicit PeerUnavailableError(const std::string& reason, std::string peerCode = {});
+
+    /// Code of the error by which the other daemon refused the call; empty if it did not answer or is of a release that
+    /// does not tell.
+    const std::string& peerCode() const { return m_peerCode; }
+
+private:
+    std::string m_peerCode;
 };
 
+// Header of refused calls between daemons with the code of the error.
+inline constexpr const char* peerErrorCodeHeader = "x-error-code";
+
 /// Calls another daemon. \returns the body of its answer; empty if it found nothing.
 /// \throws PeerUnavailableError, also if no answer arrives within \p limit.
 std::string callPeer(HttpClient&, const Endpoint&, const char* path, std::string body, Milliseconds limit);
--- a/lib/Gateway/PeerServer.cpp
+++ b/lib/Gateway/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include "PeerServer.h"
 
+#include "PeerCall.h"
 #include "RelayedCall.h"
 
 #include "basilpoint/Support/Error.h"
@@ -43,7 +44,7 @@
         body = handler->second(request.body);
     } catch (const Error& error) {
         // The calling daemon logs the failure.
-        return writer.send({ statusUnavailable, {}, error.what() });
+        return writer.send({ statusUnavailable, { { peerErrorCodeHeader, std::string(error.code()) } }, error.what() });
     }
     int status = body.empty() ? statusNotFound : 200;
     writer.send({ status, {}, std::move(body) });
--- a/lib/Gateway/RelayedStore.cpp
+++ b/lib/Gateway/RelayedStore.cpp
@@ -22,6 +22,8 @@
     try {
         return callPeer(m_client, m_relay, path, std::move(body), limit + relayOverhead);
     } catch (const PeerUnavailableError& error) {
+        if (error.peerCode() == KeyValueRejectedError::errorCode)
+            throw KeyValueRejectedError("by the store, through a relay");
         throw KeyValueUnavailableError(error.what());
     }
 }
--- a/lib/Gateway/StoreClient.cpp
+++ b/lib/Gateway/StoreClient.cpp
@@ -59,6 +59,10 @@
             auto result = call(relayStore ? static_cast<TransactionalStore&>(*relayStore) : m_direct, path);
             m_paths.answered(path);
             return result;
+        } catch (const KeyValueRejectedError&) {
+            // No other path would lead to another answer.
+            m_paths.answered(path);
+            throw;
         } catch (const KeyValueUnavailableError& error) {
             m_metrics.count(fmt::format("store_failures_total{{kind=\"{}\",by=\"{}\"}}", kind, relayStore ? "relay" : "direct"));
             m_paths.failed(path, m_clock.now());
@@ -74,13 +78,20 @@
 {
     TimePoint start = m_clock.now();
     auto elapsed = [&] { return std::chrono::duration_cast<Milliseconds>(m_clock.now() - start); };
-    try {
-        auto result = tryPaths(kind, paths, call);
+    auto noteAnswer = [&] {
         m_metrics.observe("store_call_seconds", m_clock.now() - start);
         auto failingSince = m_health.failingSince();
         if (m_health.answered(elapsed(), m_clock.now()))
             m_log.write(LogLine("store-regained").field("call", kind).field("lostForMs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - *failingSince)));
+    };
+    try {
+        auto result = tryPaths(kind, paths, call);
+        noteAnswer();
         return result;
+    } catch (const KeyValueRejectedError& error) {
+        noteAnswer();
+        m_log.write(LogLine("store-call-rejected").field("call", kind).field("reason", error.what()));
+        throw;
     } catch (const KeyValueUnavailableError& error) {
         if (m_health.failed(elapsed(), m_clock.now()))
             m_log.write(LogLine("store-lost").field("call", kind).field("waitedMs", elapsed()).field("reason", error.what()));
--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -206,10 +206,12 @@
     while (!outcome)
         m_outcomeKnown.wait();
     auto node = m_commitOutcomes.extract(ticket);
-    std::optional<KeyTransactionResult>& result = *node.mapped();
-    if (!result)
+    CommitOutcome& known = *node.mapped();
+    if (known.isRejected)
+        throw KeyValueRejectedError("by the store");
+    if (!known.result)
         throw KeyValueUnavailableError("commit by the relay of unknown fate");
-    return std::move(*result);
+    return std::move(*known.result);
 }
 
 // The store would refuse these commits as well, and with them the whole call into which they are merged. While the store
@@ -220,7 +222,7 @@
         return;
     auto refused = m_group.refuseOutdated([this](const std::string& key) { return m_commits.latest(key); });
     for (auto& [ticket, result] : refused)
-        m_commitOutcomes[ticket] = std::optional(std::move(result));
+        m_commitOutcomes[ticket] = CommitOutcome { std::move(result) };
     if (refused.empty())
         return;
     m_metrics.count("commits_refused_by_memory_total", refused.size());
@@ -258,13 +260,17 @@
         KeyTransactionResult result = m_store.commit(call.transaction);
         recordResult(call.transaction, result);
         for (auto& [ticket, settled] : m_group.answered(call.number, result))
-            m_commitOutcomes[ticket] = std::optional(std::move(settled));
+            m_commitOutcomes[ticket] = CommitOutcome { std::move(settled) };
+    } catch (const KeyValueRejectedError&) {
+        m_metrics.count("commits_rejected_total");
+        if (auto ticket = m_group.rejected(call.number))
+            m_commitOutcomes[*ticket] = CommitOutcome { std::nullopt, true };
     } catch (const KeyValueUnavailableError& error) {
         if (error.executed() != Executed::No)
             m_commits.markUnknown(call.transaction, m_clock.now());
         // Each waiting daemon gets the error that the outcome is unknown.
         for (CommitGroup::Ticket ticket : m_group.markUnknown(call.number))
-            m_commitOutcomes[ticket] = std::optional<KeyTransactionResult>();
+            m_commitOutcomes[ticket] = CommitOutcome {};
     }
     m_outcomeKnown.notifyAll();
     sendReadyCalls();
--- a/lib/Gateway/StoreRelay.h
+++ b/lib/Gateway/StoreRelay.h
@@ -90,9 +90,13 @@
     std::map<std::string, std::shared_ptr<RecentRead>> m_recentReads;
     /// Current reads that have not begun, by prefix.
     std::map<std::string, std::shared_ptr<SharedCall>> m_sharedSnapshots;
-    /// Outcomes of commits for which daemons wait: empty while pending; contains an empty optional if the call failed, so
-    /// that the outcome stays unknown.
-    std::map<CommitGroup::Ticket, std::optional<std::optional<KeyTransactionResult>>> m_commitOutcomes;
+    struct CommitOutcome {
+        /// Empty if the call failed, so that the outcome stays unknown.
+        std::optional<KeyTransactionResult> result;
+        bool isRejected = false;
+    };
+    /// Outcomes of commits for which daemons wait; empty while pending.
+    std::map<CommitGroup::Ticket, std::optional<CommitOutcome>> m_commitOutcomes;
     FiberSignal m_outcomeKnown;
     bool m_isTimerSet = false;
 };
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -540,6 +540,12 @@
         persistEntries({ grantStoredEntry(grant.program, grant.daemon, change.step, change.keepUntil) });
 }
 
+void TurnJournalServer::postpone(const std::vector<JournalEntry>& entries)
+{
+    for (const JournalEntry& it : entries)
+        m_firstSeenAt[{ it.daemon, it.step() }] = m_clock.now();
+}
+
 void TurnJournalServer::uploadOverdue()
 {
     // Others have the entries of a keeper that has left, and may know more of them. One that is leaving still gets all.
@@ -551,7 +557,12 @@
             old[entry.program].push_back(entry);
     std::size_t n = 0;
     for (const auto& [program, entries] : old) {
-        upload(program, entries);
+        try {
+            upload(program, entries);
+        } catch (const KeyValueRejectedError& error) {
+            m_log.write(LogLine("journal-upload-rejected").field("program", program.text()).field("entries", entries.size()).field("reason", error.what()));
+            postpone(entries);
+        }
         if (++n == uploadsPerInterval)
             return;
     }
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -88,6 +88,8 @@
     void upload(const ProgramId&, const std::vector<JournalEntry>&);
     void charge(const JournalEntry& grant);
     void uploadOverdue();
+    /// Delays the next upload of the entries, so that those behind them have their turn.
+    void postpone(const std::vector<JournalEntry>&);
     bool isOld(const EntryName&) const;
     void settleOldGrants();
     void compactIfLarge();
--- a/lib/Net/HttpKeyValueStore.cpp
+++ b/lib/Net/HttpKeyValueStore.cpp
@@ -15,7 +15,17 @@
 static constexpr Milliseconds watchReadTimeout { 30'000 };
 
 KeyValueUnavailableError::KeyValueUnavailableError(const std::string& reason, Executed executed)
-    : Error({ "key-value-unavailable", 503, executed }, { { "reason", reason } })
+    : KeyValueUnavailableError({ "key-value-unavailable", 503, executed }, reason)
+{
+}
+
+KeyValueUnavailableError::KeyValueUnavailableError(ErrorKind kind, const std::string& reason)
+    : Error(kind, { { "reason", reason } })
+{
+}
+
+KeyValueRejectedError::KeyValueRejectedError(const std::string& reason)
+    : KeyValueUnavailableError({ errorCode, 503, Executed::No }, reason)
 {
 }
 
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -529,6 +529,16 @@
     slot = std::make_shared<const TurnRecord>(std::move(record));
 }
 
+void TurnLedger::removeTurn(Program& program, const CallId& turn)
+{
+    auto node = program.turns.extract(turn);
+    if (!node)
+        return;
+    std::size_t bytes = turnOverheadBytes + node.mapped()->input.size() + node.mapped()->output.size();
+    program.bytes -= bytes;
+    m_cachedBytes -= bytes;
+}
+
 void TurnLedger::evict()
 {
     auto it = m_recent.begin();
--- a/lib/Turns/TurnLedgerBatches.cpp
+++ b/lib/Turns/TurnLedgerBatches.cpp
@@ -96,7 +96,7 @@
         // Two entries for a turn, one for the account.
         std::size_t needed = (change.record ? 2 : 0) + 1;
         std::size_t recordBytes = change.record ? SplitTurn::bytesOf(*change.record) : 0;
-        bool isTooLarge = bytes > 0 && bytes + recordBytes > m_settings.maxValueBytes;
+        bool isTooLarge = bytes > 0 && recordBytes > 0 && (program.isStoredSingly || bytes + recordBytes > m_settings.maxValueBytes);
         if (isTooLarge || batch.entries() + needed > m_settings.maxBatchEntries) {
             isComplete = false;
             break;
@@ -226,6 +226,7 @@
             program.completeUpTo = revision;
         rebase(program, state.account, revision);
         dropStored(program, state.step);
+        program.isStoredSingly = false;
     });
 }
 
@@ -245,6 +246,36 @@
     });
 }
 
+void TurnLedger::giveUpFirstTurn(Program& program)
+{
+    std::set<CallId> givenUp;
+    for (Change& it : program.changes) {
+        std::optional<TurnRecord>& record = it.change.record;
+        if (!record || !(givenUp.empty() || givenUp.contains(record->previous)))
+            continue;
+        givenUp.insert(record->turn);
+        removeTurn(program, record->turn);
+        record.reset();
+        m_outcomes.emplace_back(it.id, ChangeOutcome::Rejected);
+        // What is left of the change has an outcome of its own, for which nobody waits.
+        it.id = ChangeId(m_nextChange++);
+    }
+}
+
+bool TurnLedger::batchRejected(std::uint64_t number)
+{
+    bool mayDiffer = false;
+    endBatch(number, [&](const BatchState& state, Program& program) {
+        auto records = std::count_if(program.changes.begin(), program.changes.end(), [&](const Change& it) { return it.change.step <= state.step && it.change.record; });
+        mayDiffer = records > 0;
+        if (records > 1)
+            program.isStoredSingly = true;
+        else if (records == 1)
+            giveUpFirstTurn(program);
+    });
+    return mayDiffer;
+}
+
 void TurnLedger::batchOutcomeUnknown(std::uint64_t number)
 {
     endBatch(number, [](const BatchState&, Program&) {});
--- a/unittests/Gateway/CommitGroupTest.cpp
+++ b/unittests/Gateway/CommitGroupTest.cpp
@@ -56,6 +56,32 @@
 
 BOOST_FIXTURE_TEST_SUITE(CommitGroupTest, Fixture)
 
+// Guards against one rejected value that fails the commits of other daemons.
+BOOST_AUTO_TEST_CASE(transactionsOfARejectedCallAreSentOneByOne)
+{
+    group.submit(write("first", 0));
+    group.answered(group.next(now)->number, { 1, {} });
+    now += settings.interval;
+    std::vector<CommitGroup::Ticket> tickets;
+    for (const char* it : { "a", "bad", "c" })
+        tickets.push_back(group.submit(write(it, 0)));
+    auto merged = group.next(now);
+    BOOST_REQUIRE(merged && merged->transaction.puts.size() == 3U);
+    BOOST_TEST(!group.rejected(merged->number));
+    for (CommitGroup::Ticket it : tickets) {
+        auto call = group.next(now);
+        BOOST_REQUIRE(call && call->transaction.puts.size() == 1U);
+        if (call->transaction.puts.front().key == "bad") {
+            BOOST_TEST((group.rejected(call->number) == std::optional(it)));
+            continue;
+        }
+        auto settled = group.answered(call->number, { 2, {} });
+        BOOST_REQUIRE(settled.size() == 1U);
+        BOOST_TEST((settled.front().first == it));
+    }
+    BOOST_TEST(group.waiting() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(firstCommitIsSentAtOnceAndLaterOnesShareACall)
 {
     group.submit(write("a", 0));
--- a/unittests/Gateway/StoreRelayTest.cpp
+++ b/unittests/Gateway/StoreRelayTest.cpp
@@ -8,6 +8,7 @@
 
 #include "basilpoint/Net/FiberRuntime.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace basilpoint;
@@ -25,6 +26,8 @@
     KeyTransactionResult commit(const KeyTransaction& transaction, Milliseconds limit) override
     {
         count();
+        if (std::any_of(transaction.puts.begin(), transaction.puts.end(), [](const KeyWrite& it) { return it.value.size() > maxValueBytes; }))
+            throw KeyValueRejectedError("too large");
         return memory.commit(transaction, limit);
     }
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler& onChange) override
@@ -59,6 +62,7 @@
         return result;
     }
 
+    static constexpr std::size_t maxValueBytes = 100;
     MemoryStore memory;
     bool isFailing = false;
     /// Watches get no answer.
@@ -234,6 +238,30 @@
     });
 }
 
+// Guards against a value that no store takes and that every daemon then holds for an outage.
+BOOST_AUTO_TEST_CASE(rejectedValueFailsItsOwnCommitOnlyAndIsNoOutage)
+{
+    testRuntime().run([] {
+        auto& relay = *new Relay;
+        int rejected = 0;
+        int n = 0;
+        auto commit = [&](RelayedStore& it) {
+            std::string key = "key-" + std::to_string(n++);
+            std::string value(key == "key-3" ? CountingStore::maxValueBytes + 1 : 1, 'x');
+            try {
+                BOOST_TEST(it.commit({ { { key, 0 } }, { { key, value } }, {} }, readLimit).revision.has_value());
+            } catch (const KeyValueRejectedError&) {
+                ++rejected;
+            }
+        };
+        BOOST_TEST(relay.callAtOnce(8, commit) == 0);
+        BOOST_TEST(rejected == 1);
+        BOOST_TEST(relay.store.memory.items.size() == 7U);
+        BOOST_TEST(!relay.relay.health().failingSince().has_value());
+        relay.server.stop();
+    });
+}
+
 // All daemons repeat their calls while the store fails; it must get few of them.
 BOOST_AUTO_TEST_CASE(relayRefusesCallsWhileTheStoreFails)
 {
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -103,11 +103,14 @@
 
 void FakeStore::transact(const Json& body, ResponseWriter& writer)
 {
-    for (const Json& it : body.at("puts"))
-        if (decodeBase64(it.at("value").get<std::string>()).size() > maxValueBytes) {
-            ++tooLarge;
+    for (const Json& it : body.at("puts")) {
+        std::string value = decodeBase64(it.at("value").get<std::string>());
+        bool hasRejectedText = !rejectedText.empty() && value.find(rejectedText) != std::string::npos;
+        if (value.size() > maxValueBytes || hasRejectedText) {
+            ++rejected;
             return sendJson(writer, 400, Json::object());
         }
+    }
     bool holds = true;
     Json current = Json::array();
     for (const Json& it : body.at("expected")) {
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -38,8 +38,10 @@
 
     /// Bytes of the largest value that the store takes.
     static constexpr std::size_t maxValueBytes = 1024 * 1024;
-    /// Calls refused for the size of a value.
-    unsigned tooLarge = 0;
+    /// Calls refused for a value.
+    unsigned rejected = 0;
+    /// Values with this text are refused as if they were too large; empty for none.
+    std::string rejectedText;
 
     /// Fails all waiting calls and accepts no more.
     void stop()
--- a/unittests/Platform/LongTurnTest.cpp
+++ b/unittests/Platform/LongTurnTest.cpp
@@ -68,11 +68,42 @@
             BOOST_TEST(eventually([&] { return deployment.turn("b", std::string("next-") + program, "long-1", "more;", program) == 200; }));
             BOOST_TEST((deployment.engine.runs.back().body == inputOf(1) + "one-long-1\ntwo-long-1\nmore;"));
         }
-        BOOST_TEST(deployment.store.tooLarge == 0U);
+        BOOST_TEST(deployment.store.rejected == 0U);
         for (const char* it : { "a", "b", "keeper" })
             BOOST_TEST(deployment.peakMegabytes(it) < memoryMegabytes, it << " used " << deployment.peakMegabytes(it) << " MB");
         deployment.end();
     });
 }
 
+// Guards against a value that the store never takes and that all processes then hold for an outage.
+BOOST_AUTO_TEST_CASE(valueThatTheStoreRejectsFailsItsTurnOnly)
+{
+    inFiber([] {
+        auto& deployment = *new Deployment;
+        startAll(deployment, { { "keeper", defaultZone } });
+        BOOST_REQUIRE(eventually([&] { return deployment.turn("a", "t", "", "first;", "warm") == 200; }));
+        deployment.store.rejectedText = "poison";
+        bool isOver = false;
+        spawnFiber([&] {
+            BOOST_TEST(deployment.turn("a", "bad", "", "poison;", "program-bad") != 200);
+            isOver = true;
+        });
+        unsigned served = 0;
+        constexpr unsigned turns = 40;
+        for (unsigned n = 0; n < turns; ++n) {
+            std::string id = "sound-" + std::to_string(n);
+            served += deployment.turn(n % 2 == 0 ? "a" : "b", id, "", "in;", "program-" + id) == 200 ? 1 : 0;
+        }
+        BOOST_TEST(served == turns);
+        BOOST_TEST(eventually([&] { return isOver; }));
+        BOOST_TEST(deployment.turn("a", "next", "", "in;", "program-bad") == 200);
+        unsigned before = deployment.store.rejected;
+        pause(2s);
+        BOOST_TEST(deployment.store.rejected == before);
+        for (const char* it : { "a", "b", "keeper" })
+            BOOST_TEST(deployment.processes[it]->log().find("store-lost") == std::string::npos, it << " holds the store for lost");
+        deployment.end();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -72,6 +72,46 @@
     BOOST_TEST(admitted.lastTarget.text() == "t");
 }
 
+// Guards against a record that the store never takes and that keeps all later turns of its program from being stored.
+BOOST_AUTO_TEST_CASE(turnThatTheStoreRejectsIsGivenUpAloneAndCharged)
+{
+    admit(a, request("0", "", "p", 3'000));
+    flush(a, store);
+    std::map<std::string, ChangeId> ends;
+    for (const char* it : { "1", "bad", "2" }) {
+        admit(a, request(it, "", "p", 3'000));
+        ends[it] = *a.end(request(it, "", "p", 3'000), 30, TurnRecord { CallId(it), CallId(), "in", "out", TargetId("t") });
+    }
+    std::map<ChangeId, ChangeOutcome> outcomes;
+    int batches = 0;
+    while (auto batch = a.nextBatch()) {
+        BOOST_REQUIRE(++batches < 10);
+        bool isRejected = std::any_of(batch->puts.begin(), batch->puts.end(), [&](const auto& it) { return it.first == TurnLedger::turnKey(ProgramId("p"), CallId("bad")); });
+        if (isRejected)
+            BOOST_TEST(a.batchRejected(batch->number));
+        else
+            a.batchStored(batch->number, store.commit(*batch));
+        for (auto [id, outcome] : a.takeOutcomes())
+            outcomes[id] = outcome;
+    }
+    BOOST_TEST((outcomes.at(ends["1"]) == ChangeOutcome::Stored));
+    BOOST_TEST((outcomes.at(ends["bad"]) == ChangeOutcome::Rejected));
+    BOOST_TEST((outcomes.at(ends["2"]) == ChangeOutcome::Stored));
+    BOOST_TEST(account().spent == 90U);
+    BOOST_TEST(!store.has(TurnLedger::turnKey(ProgramId("p"), CallId("bad"))));
+    // No turn continues one that is not stored.
+    BOOST_TEST(std::holds_alternative<TurnNotFound>(begin(a, request("3", "bad", "p", 3'000))));
+    BOOST_TEST(std::holds_alternative<TurnAdmitted>(begin(a, request("3", "2", "p", 3'000))));
+}
+
+BOOST_AUTO_TEST_CASE(rejectedBatchWithoutTurnsDoesNotDiffer)
+{
+    admit(a, request("1"));
+    auto batch = a.nextBatch();
+    BOOST_REQUIRE(batch);
+    BOOST_TEST(!a.batchRejected(batch->number));
+}
+
 // Guards against turns of routes that keep none running without a budget, or with a write for each of them.
 BOOST_AUTO_TEST_CASE(turnsThatAreNotKeptAreChargedWithFewerWrites)
 {
