Take a change of the keepers back if its target is lost

Cause: the second retirement leaves a joint view whose only new member is too few to keep entries, so the change waits until all is stored. When that member is lost, every step of the membership wanted its answer.

The test of the membership fails before (two checks).

Change: beginning a change anew, or taking it back, needs a read quorum of the previous members only. They have all that was acknowledged, and the store refuses the new view if the change has been completed meanwhile. A keeper that leaves stays if only members that are gone would remain.

--- a/lib/Gateway/KeeperMembership.cpp
+++ b/lib/Gateway/KeeperMembership.cpp
@@ -81,15 +81,14 @@
     return m_view.isJoint() && now - m_viewSince >= sealDelay ? gone(now) : InstanceNames();
 }
 
-// Without a quorum the change could not be completed.
-bool KeeperMembership::hasQuorumOfAnswers() const
+bool KeeperMembership::hasQuorumOfAnswers(const KeeperView& view) const
 {
     InstanceNames answering;
     for (const auto& [keeper, report] : m_reports)
         answering.insert(keeper);
-    if (m_view.contains(m_self.instance))
+    if (view.contains(m_self.instance))
         answering.insert(m_self.instance);
-    return isReadQuorum(m_view, answering, m_tolerated);
+    return isReadQuorum(view, answering, m_tolerated);
 }
 
 bool KeeperMembership::isFirstOf(const std::vector<RelayAddress>& keepers) const
@@ -114,10 +113,11 @@
         m_shortSince.reset();
     else if (!m_shortSince)
         m_shortSince = now;
-    if (!hasQuorumOfAnswers())
-        return {};
     if (m_view.isJoint())
         return nextOfJoint(gone);
+    // Without a quorum a change could not be completed.
+    if (!hasQuorumOfAnswers(m_view))
+        return {};
     if (!m_view.contains(m_self.instance))
         return join(staying, gone, now);
     Step step = removeEmptied(staying, gone, now);
@@ -183,7 +183,10 @@
     if (!isFirstOf(joining.empty() ? withoutJoining : joining))
         return {};
     if (members.size() == m_view.members.size())
-        return { Action::Complete };
+        return hasQuorumOfAnswers(m_view) ? Step { Action::Complete } : Step {};
+    // Until the change is completed, which the store refuses once another has begun, the previous members have all entries.
+    if (!hasQuorumOfAnswers({ m_view.version, m_view.previous }))
+        return {};
     return { Action::Begin, beginChange(m_view, members.empty() ? m_view.previous : members) };
 }
 
@@ -208,7 +211,7 @@
             removed.insert(it);
     std::vector<RelayAddress> members = without(m_view.members, removed);
     bool mayBeReplaced = m_shortSince && now - *m_shortSince < replacementLimit;
-    if (removed.empty() || members.empty() || mayBeReplaced)
+    if (removed.empty() || without(members, gone).empty() || mayBeReplaced)
         return {};
     return { Action::Begin, beginChange(m_view, std::move(members)) };
 }
--- a/lib/Gateway/KeeperMembership.h
+++ b/lib/Gateway/KeeperMembership.h
@@ -92,7 +92,8 @@
     Step grow(const std::vector<RelayAddress>& staying, const InstanceNames& gone, TimePoint now) const;
     std::vector<RelayAddress> standbysToAdd(std::size_t count, const std::vector<RelayAddress>& staying, TimePoint now) const;
     Step removeEmptied(const std::vector<RelayAddress>& staying, const InstanceNames& gone, TimePoint now) const;
-    bool hasQuorumOfAnswers() const;
+    /// Whether the keepers that answer include a read quorum of the view.
+    bool hasQuorumOfAnswers(const KeeperView&) const;
     bool isFirstOf(const std::vector<RelayAddress>&) const;
 
     RelayAddress m_self;
--- a/unittests/Gateway/KeeperMembershipTest.cpp
+++ b/unittests/Gateway/KeeperMembershipTest.cpp
@@ -138,6 +138,34 @@
     BOOST_TEST(fleet.members().size() == 5U);
 }
 
+// A change waits for entries to be stored while its members are too few to keep them.
+BOOST_AUTO_TEST_CASE(changeIsTakenBackIfTheOnlyMemberThatStaysIsLost)
+{
+    Fleet fleet(1);
+    for (const char* it : { "a", "b", "c" })
+        fleet.add(std::string(it) + "1", it);
+    fleet.pass(std::chrono::seconds(10));
+    fleet.keeper("a1").empty("a1");
+    fleet.pass(std::chrono::seconds(10));
+    fleet.kill("a1");
+    fleet.mayComplete = false;
+    fleet.keeper("c1").empty("c1");
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.members() == (InstanceNames { "b1" }), boost::test_tools::per_element());
+    BOOST_REQUIRE(fleet.view().isJoint());
+    fleet.kill("b1");
+    fleet.add("b2", "b");
+    fleet.pass(std::chrono::seconds(15));
+    // Gateways can read, though no change could be completed.
+    BOOST_TEST(isReadQuorum(fleet.view(), { "c1", "b2" }, 1));
+    std::uint64_t version = fleet.version();
+    fleet.pass(std::chrono::seconds(10));
+    BOOST_TEST(fleet.version() == version);
+    fleet.mayComplete = true;
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(fleet.members() == (InstanceNames { "b2" }), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(standbyJoinsBeforeAnEmptiedMemberLeaves)
 {
     Fleet fleet = startedFleet();
