Begin a view without lost keepers that have nothing unstored

What callers saw: two of three keepers are emptied and removed, in calm, and the last one is lost: no keeper ever begins a new view, and once the gateways have restarted no turn is served.

Cause: every step of the membership wanted an answer of a member, also where the members were too few for a write quorum. Such members take no entries, and what they were given had been stored before they became the members.

Change: if the members are no more than may be lost, and all are gone, a standby begins a view with itself; the change is completed without their answers once they count as sealed. Members that could have taken entries are still waited for, which a test guards.

--- a/lib/Gateway/KeeperMembership.cpp
+++ b/lib/Gateway/KeeperMembership.cpp
@@ -91,6 +91,17 @@
     return isReadQuorum(view, answering, m_tolerated);
 }
 
+// Members that are too few for a write quorum took no entries, and all from before were stored when they became the members.
+bool KeeperMembership::areExpendable(const std::vector<RelayAddress>& members, const InstanceNames& gone) const
+{
+    return members.size() <= m_tolerated && without(members, gone).empty();
+}
+
+bool KeeperMembership::isPreviousKnown(const InstanceNames& gone) const
+{
+    return hasQuorumOfAnswers({ m_view.version, m_view.previous }) || areExpendable(m_view.previous, gone);
+}
+
 bool KeeperMembership::isFirstOf(const std::vector<RelayAddress>& keepers) const
 {
     auto isAnswering = [&](const RelayAddress& it) { return it.instance == m_self.instance || m_reports.contains(it.instance); };
@@ -117,7 +128,7 @@
         return nextOfJoint(gone);
     // Without a quorum a change could not be completed.
     if (!hasQuorumOfAnswers(m_view))
-        return {};
+        return beginWithout(gone);
     if (!m_view.contains(m_self.instance))
         return join(staying, gone, now);
     Step step = removeEmptied(staying, gone, now);
@@ -183,13 +194,20 @@
     if (!isFirstOf(joining.empty() ? withoutJoining : joining))
         return {};
     if (members.size() == m_view.members.size())
-        return hasQuorumOfAnswers(m_view) ? Step { Action::Complete } : Step {};
+        return isPreviousKnown(gone) && hasQuorumOfAnswers({ m_view.version, m_view.members }) ? Step { Action::Complete } : Step {};
     // Until the change is completed, which the store refuses once another has begun, the previous members have all entries.
-    if (!hasQuorumOfAnswers({ m_view.version, m_view.previous }))
+    if (!isPreviousKnown(gone))
         return {};
     return { Action::Begin, beginChange(m_view, members.empty() ? m_view.previous : members) };
 }
 
+KeeperMembership::Step KeeperMembership::beginWithout(const InstanceNames& gone) const
+{
+    if (isLeaving() || !areExpendable(m_view.members, gone))
+        return {};
+    return { Action::Begin, beginChange(m_view, { m_self }) };
+}
+
 KeeperMembership::Step KeeperMembership::join(const std::vector<RelayAddress>& staying, const InstanceNames& gone, TimePoint now) const
 {
     if (isLeaving() || !m_shortSince)
--- a/lib/Gateway/KeeperMembership.h
+++ b/lib/Gateway/KeeperMembership.h
@@ -94,6 +94,12 @@
     Step removeEmptied(const std::vector<RelayAddress>& staying, const InstanceNames& gone, TimePoint now) const;
     /// Whether the keepers that answer include a read quorum of the view.
     bool hasQuorumOfAnswers(const KeeperView&) const;
+    /// Whether all \p members are gone and have no entry that is not stored.
+    bool areExpendable(const std::vector<RelayAddress>& members, const InstanceNames& gone) const;
+    /// Whether all entries of the previous members of a joint view can be read, or are stored.
+    bool isPreviousKnown(const InstanceNames& gone) const;
+    /// The first step of a view without the current members, if these are expendable.
+    Step beginWithout(const InstanceNames& gone) const;
     bool isFirstOf(const std::vector<RelayAddress>&) const;
 
     RelayAddress m_self;
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -387,7 +387,9 @@
     std::vector<RelayAddress> sources = joint.all();
     std::erase_if(sources, [&](const RelayAddress& it) { return !installed.contains(it.instance); });
     Collected collected = collect(sources, movedEntries, [](const Collected&) { return false; });
-    if (!isComplete(joint.previous, collected) || m_view != joint)
+    // Members too few for a write quorum took no entries.
+    bool isPreviousEmpty = joint.previous.size() <= m_tolerated;
+    if ((!isPreviousEmpty && !isComplete(joint.previous, collected)) || m_view != joint)
         return false;
     // Members that are too few for a write quorum keep nothing safe; all is stored first.
     if (joint.members.size() <= m_tolerated && hasUnstored(collected.entries))
--- a/unittests/Gateway/KeeperMembershipTest.cpp
+++ b/unittests/Gateway/KeeperMembershipTest.cpp
@@ -166,6 +166,43 @@
     BOOST_TEST(fleet.members() == (InstanceNames { "b2" }), boost::test_tools::per_element());
 }
 
+// Members too few for a write quorum have nothing that is not stored, so that nobody need wait for them.
+BOOST_AUTO_TEST_CASE(standbyBeginsAViewIfTheOnlyMemberIsLost)
+{
+    Fleet fleet(1);
+    for (const char* it : { "a", "b", "c" })
+        fleet.add(std::string(it) + "1", it);
+    fleet.pass(std::chrono::seconds(10));
+    for (const char* it : { "a1", "c1" }) {
+        fleet.keeper(it).empty(it);
+        fleet.pass(std::chrono::seconds(10));
+        fleet.kill(it);
+    }
+    BOOST_TEST(fleet.members() == (InstanceNames { "b1" }), boost::test_tools::per_element());
+    BOOST_REQUIRE(!fleet.view().isJoint());
+    fleet.kill("b1");
+    fleet.add("b2", "b");
+    fleet.add("c2", "c");
+    fleet.pass(std::chrono::seconds(20));
+    BOOST_TEST(fleet.members() == (InstanceNames { "b2", "c2" }), boost::test_tools::per_element());
+    BOOST_TEST(!fleet.view().isJoint());
+}
+
+// Their entries may be nowhere else.
+BOOST_AUTO_TEST_CASE(standbyDoesNotReplaceMembersThatTookEntries)
+{
+    Fleet fleet(1);
+    for (const char* it : { "a1", "b1", "c1" })
+        fleet.add(it, std::string(it).substr(0, 1));
+    fleet.pass(std::chrono::seconds(10));
+    for (const char* it : { "a1", "b1", "c1" })
+        fleet.kill(it);
+    std::uint64_t version = fleet.version();
+    fleet.add("a2", "a");
+    fleet.pass(std::chrono::seconds(40));
+    BOOST_TEST(fleet.version() == version);
+}
+
 BOOST_AUTO_TEST_CASE(standbyJoinsBeforeAnEmptiedMemberLeaves)
 {
     Fleet fleet = startedFleet();
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -219,6 +219,16 @@
     }));
 }
 
+void emptyAndRemove(Deployment& deployment, const std::string& keeper)
+{
+    deployment.store.put("op/retire/" + keeper, Json { { "durationS", 10 } }.dump());
+    BOOST_REQUIRE(eventually([&] { return deployment.store.has("status/retire/" + keeper); }));
+    BOOST_TEST(Json::parse(deployment.store.valueOf("status/retire/" + keeper)).at("state") == "done");
+    BOOST_REQUIRE(deployment.kill(keeper));
+    std::filesystem::remove_all(deployment.folder / keeper);
+    BOOST_TEST(eventually([&] { return !deployment.store.has("daemons/" + keeper); }));
+}
+
 void inFiber(const std::function<void()>& body)
 {
     testRuntime().run(body);
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -133,6 +133,9 @@
 /// Starts the gateways "a" and "b" and the keepers, and waits until all are in the list of daemons.
 void startAll(Deployment&, const std::map<std::string, std::string>& zonesOfKeepers);
 
+/// Has the operator empty a keeper, then removes it together with its disk.
+void emptyAndRemove(Deployment&, const std::string& keeper);
+
 /// Runs \p body in a fiber of the test's event loop.
 void inFiber(const std::function<void()>& body);
 
--- a/unittests/Platform/PlatformDayTest.cpp
+++ b/unittests/Platform/PlatformDayTest.cpp
@@ -14,17 +14,6 @@
 // Time in which turns must be served again once all processes have restarted.
 constexpr auto recoveryLimit = std::chrono::seconds(15);
 
-/// Has the operator empty a keeper, then removes it together with its disk.
-void emptyAndRemove(Deployment& deployment, const std::string& keeper)
-{
-    deployment.store.put("op/retire/" + keeper, Json { { "durationS", 10 } }.dump());
-    BOOST_REQUIRE(eventually([&] { return deployment.store.has("status/retire/" + keeper); }));
-    BOOST_TEST(Json::parse(deployment.store.valueOf("status/retire/" + keeper)).at("state") == "done");
-    BOOST_REQUIRE(deployment.kill(keeper));
-    std::filesystem::remove_all(deployment.folder / keeper);
-    BOOST_TEST(eventually([&] { return !deployment.store.has("daemons/" + keeper); }));
-}
-
 /// Kills all processes, then starts the gateways and \p zonesOfKeepers again.
 void restartAll(Deployment& deployment, const std::map<std::string, std::string>& zonesOfKeepers)
 {
