Continue an answer at the right byte if two owners are lost

What callers saw: a streamed answer had its pieces 0 to 5 and 12 to 15, and its closing event.

Cause: ForwardedResponse::resume reads the caller's Last-Event-ID from the request in which it sets the offset for the next owner. If that owner ends as well, its own offset counted as the caller's, and the delivered bytes were skipped twice; the content that was delivered was not handed on.

Two cases of ForwardedResponseTest fail without this change.

Change: the caller's offset is read once.

--- a/lib/Daemon/ForwardedResponse.cpp
+++ b/lib/Daemon/ForwardedResponse.cpp
@@ -79,19 +79,20 @@
     m_writer.send(answer);
 }
 
-void ForwardedResponse::resume(HttpRequest& request) const
+void ForwardedResponse::resume(HttpRequest& request)
 {
     std::string content = contentOf(m_delivered);
     if (content.empty())
         return;
     // If the caller itself resumed from an offset, the content before it is not known here, and the next owner
-    // needs the answer in its journal.
-    std::size_t startOffset = 0;
-    auto lastEventId = request.headers.find("last-event-id");
-    if (lastEventId != request.headers.end() && !firstIdOf(m_delivered).empty())
-        startOffset = std::stoul(lastEventId->second);
-    request.headers["last-event-id"] = std::to_string(startOffset + content.size());
-    if (startOffset > 0)
+    // needs the answer in its journal. Read once: later, the header has the offset that is set below.
+    if (!m_callerOffset) {
+        auto lastEventId = request.headers.find("last-event-id");
+        bool hasOffset = lastEventId != request.headers.end() && !firstIdOf(m_delivered).empty();
+        m_callerOffset = hasOffset ? std::stoul(lastEventId->second) : 0;
+    }
+    request.headers["last-event-id"] = std::to_string(*m_callerOffset + content.size());
+    if (*m_callerOffset > 0)
         return;
     nlohmann::json body = parseJsonBody(request);
     body["basilpoint_resume"] = content;
--- a/lib/Daemon/ForwardedResponse.h
+++ b/lib/Daemon/ForwardedResponse.h
@@ -2,6 +2,7 @@
 
 #include "basilpoint/Net/HttpServer.h"
 
+#include <optional>
 #include <string>
 
 namespace basilpoint {
@@ -29,7 +30,7 @@
     bool closed() const { return m_closed; }
 
     /// Changes \p request so that another owner continues the response after the content that was sent.
-    void resume(HttpRequest& request) const;
+    void resume(HttpRequest& request);
 
 private:
     void forwardCompleteEvents();
@@ -43,6 +44,8 @@
     /// Events that were sent.
     std::string m_delivered;
     std::string m_body;
+    /// Offset from which the caller asked for the answer.
+    std::optional<std::size_t> m_callerOffset;
 };
 
 } // namespace basilpoint
--- a/unittests/Daemon/ForwardedResponseTest.cpp
+++ b/unittests/Daemon/ForwardedResponseTest.cpp
@@ -69,6 +69,40 @@
     BOOST_TEST(!nlohmann::json::parse(request.body).contains("basilpoint_resume"));
 }
 
+// Guards against an answer that lacks the pieces between the delivered content and twice its length.
+BOOST_AUTO_TEST_CASE(secondResumeContinuesAfterTheDeliveredContentOnly)
+{
+    CollectingWriter writer;
+    ForwardedResponse forwarded(writer);
+    forwarded.onHeader(streamHeader);
+    forwarded.onBytes(eventOf(3, "abc"));
+    HttpRequest request { "POST", "/v1/chat/completions", {}, "{\"model\":\"m\"}" };
+    // The second owner ends before it sends anything, the third one after one event.
+    for (int n = 0; n < 2; ++n) {
+        forwarded.resume(request);
+        BOOST_TEST(request.headers["last-event-id"] == "3");
+        BOOST_TEST(nlohmann::json::parse(request.body)["basilpoint_resume"] == "abc");
+    }
+    forwarded.onHeader(streamHeader);
+    forwarded.onBytes(eventOf(5, "de"));
+    forwarded.resume(request);
+    BOOST_TEST(request.headers["last-event-id"] == "5");
+    BOOST_TEST(nlohmann::json::parse(request.body)["basilpoint_resume"] == "abcde");
+}
+
+BOOST_AUTO_TEST_CASE(secondResumeKeepsTheCallersOffset)
+{
+    CollectingWriter writer;
+    ForwardedResponse forwarded(writer);
+    forwarded.onHeader(streamHeader);
+    forwarded.onBytes(eventOf(12, "cd"));
+    HttpRequest request { "POST", "/v1/chat/completions", { { "last-event-id", "10" } }, "{\"model\":\"m\"}" };
+    for (int n = 0; n < 2; ++n) {
+        forwarded.resume(request);
+        BOOST_TEST(request.headers["last-event-id"] == "12");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(forwardsProblemDocumentsWithRetryAfter)
 {
     CollectingWriter writer;
