Let a relay wait for a slow store before it refuses a watch

A relay refused every watch whose first call the store had not answered in 300 ms. A slow store answers later, so that all daemons were refused by each relay and watched the store themselves: calls to a slow store grew with the number of daemons.

Change: while the store's calls succeed, the limit is the timeout of a call to it, which follows its response time. While they fail it stays 300 ms.

--- a/lib/Gateway/StoreRelay.cpp
+++ b/lib/Gateway/StoreRelay.cpp
@@ -15,7 +15,7 @@
 static constexpr std::size_t maxRecentReads = 1'000;
 // How long a shared read waits for further requests.
 static constexpr Milliseconds snapshotInterval { 20 };
-// Time in which the store answers the first call of a watch, unless it is slow or out of reach.
+// Time in which a store that is not slow answers the first call of a watch.
 static constexpr Milliseconds establishLimit { 300 };
 static constexpr Milliseconds watchIdleLimit { 5'000 };
 // Holds the records of half a minute at 0.5 MB/s, the rate of one data centre of a large deployment.
@@ -167,10 +167,13 @@
     watch->changed.notifyAll();
 }
 
-// "No change" is true only if the store is heard: a daemon that is told so stays with this relay.
+// "No change" is true only if the store is heard: a daemon that is told so stays with this relay. While the store is slow,
+// daemons that are refused would all call it themselves.
 void StoreRelay::awaitEstablished(PrefixWatch& watch)
 {
-    for (TimePoint end = m_clock.now() + establishLimit; !watch.isEstablished && !watch.isBroken;) {
+    const StoreHealth& health = m_store.health();
+    Milliseconds limit = health.failingSince() ? establishLimit : std::max(establishLimit, health.responseTimeout());
+    for (TimePoint end = m_clock.now() + limit; !watch.isEstablished && !watch.isBroken;) {
         TimePoint now = m_clock.now();
         if (now >= end)
             throw KeyValueUnavailableError("the relay does not hear the store");
--- a/unittests/Gateway/StoreRelayTest.cpp
+++ b/unittests/Gateway/StoreRelayTest.cpp
@@ -33,6 +33,7 @@
     std::int64_t awaitChanges(const std::string& prefix, std::int64_t after, Milliseconds wait, Milliseconds limit, const ChangeHandler& onChange) override
     {
         count();
+        pause(latency);
         if (isSilent) {
             pause(wait + limit);
             throw KeyValueUnavailableError("timeout");
@@ -58,13 +59,15 @@
     {
         count();
         KeySnapshot result = memory.snapshot(prefix, mode, limit);
-        pause(Milliseconds(10));
+        pause(Milliseconds(10) + latency);
         return result;
     }
 
     static constexpr std::size_t maxValueBytes = 100;
     MemoryStore memory;
     bool isFailing = false;
+    /// Additional time of each read and watch.
+    Milliseconds latency { 0 };
     /// Watches get no answer.
     bool isSilent = false;
     int calls = 0;
@@ -211,6 +214,20 @@
     });
 }
 
+// Guards against daemons that all watch a slow store themselves, since their relay refuses them.
+BOOST_AUTO_TEST_CASE(relayWatchesASlowStoreForAllDaemons)
+{
+    testRuntime().run([] {
+        auto& relay = *new Relay;
+        relay.store.latency = Milliseconds(700);
+        for (int n = 0; n < 3; ++n)
+            BOOST_TEST(relay.callAtOnce(1, [](RelayedStore& it) { it.snapshot("config/", ReadMode::Current, readLimit); }) == 0);
+        BOOST_TEST(relay.callAtOnce(40, [](RelayedStore& it) { it.awaitChanges("config/", 0, Milliseconds(400), readLimit, [](const std::string&, const std::optional<KeyValue>&) {}); }) == 0);
+        BOOST_TEST(relay.store.calls <= 7);
+        relay.server.stop();
+    });
+}
+
 // Programs that go on after their budget is spent do so through many daemons, each of which must be certain of it.
 BOOST_AUTO_TEST_CASE(recentReadsOfAKeyAreOneCall)
 {
