Review, case 10: a request that ends replicas is sent on beyond the bound

A replica that has started again answers before its entry shows it, which clears the run that ended it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,7 +10,7 @@
     g++ "${flags[@]}" -c "review/standins/$name.cpp" -o "$out/$name.o" &
 done
 for it in $(jobs -p); do wait "$it"; done
-for name in Restart Compaction Method Framing; do
+for name in Restart Compaction Method Framing Crash; do
     g++ "${flags[@]}" "review/standins/$name.cpp" "$out/Platform.o" "$out/Deployment.o" "${libraries[@]}" -o "$out/$name" &
 done
 for it in $(jobs -p); do wait "$it"; done
--- a/review/standins/Platform.cpp
+++ b/review/standins/Platform.cpp
@@ -91,6 +91,13 @@
     m_changed.notifyAll();
 }
 
+void Store::remove(const std::string& key)
+{
+    m_items.erase(key);
+    m_history.push_back({ key, { nullptr, ++m_revision, 0 } });
+    m_changed.notifyAll();
+}
+
 std::string Store::valueOf(const std::string& key) const
 {
     auto it = m_items.find(key);
--- a/review/standins/Platform.h
+++ b/review/standins/Platform.h
@@ -34,6 +34,8 @@
 
     /// Writes a key, as the operator or a replica does.
     void put(const std::string& key, const std::string& value);
+    /// Deletes a key.
+    void remove(const std::string& key);
     /// Value of a key; empty if there is none.
     std::string valueOf(const std::string& key) const;
     /// While down, each call is answered with 503, which says that nothing was done.
