--- a/include/basilpoint/Journal/RecordLog.h
+++ b/include/basilpoint/Journal/RecordLog.h
@@ -46,6 +46,9 @@
     /// Queues \p record; records are synced in groups. After a failed write or sync all later writes fail.
     void write(std::string record, Done done);
 
+    /// As write(), for \p records that load() gives back all or not at all, wherever the process or the disk fails.
+    void writeTogether(std::vector<std::string> records, Done done);
+
     /// Writes \p snapshot into a new segment and removes older ones once it is on disk. The snapshot must contain the
     /// effect of all earlier writes. If the disk has too little space for it, the older segments are kept.
     void compact(std::vector<std::string> snapshot, Done done);
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -40,9 +40,9 @@
         }
     };
 
-    /// State shared by a fiber and the disk thread whose writes it waits for.
+    /// Outcome of a write, which a fiber waits for.
     struct DiskWait {
-        std::size_t pending = 0;
+        bool isDone = false;
         std::exception_ptr failure;
         FiberSignal done;
     };
@@ -193,23 +193,24 @@
     return encodeAnswer({ std::nullopt, false, std::move(body) });
 }
 
-// Suspends until all operations are on disk, which takes few syncs, and applies them. Rethrows failures of the disk
-// thread.
+// Suspends until the operations are on disk, of which a crash keeps all or none, and applies them. Rethrows failures of the
+// disk thread.
 void TurnJournalServer::persist(const std::vector<JournalOperation>& operations)
 {
+    if (operations.empty())
+        return;
+    std::vector<std::string> records;
+    for (const JournalOperation& it : operations)
+        records.push_back(encodeOperation(it));
     auto wait = std::make_shared<DiskWait>();
-    wait->pending = operations.size();
-    for (const JournalOperation& it : operations) {
-        m_disk.write(encodeOperation(it), [this, wait](const std::exception_ptr& failure) {
-            boost::asio::post(m_io, [wait, failure] {
-                if (failure)
-                    wait->failure = failure;
-                --wait->pending;
-                wait->done.notifyAll();
-            });
+    m_disk.writeTogether(std::move(records), [this, wait](const std::exception_ptr& failure) {
+        boost::asio::post(m_io, [wait, failure] {
+            wait->isDone = true;
+            wait->failure = failure;
+            wait->done.notifyAll();
         });
-    }
-    while (wait->pending > 0)
+    });
+    while (!wait->isDone)
         wait->done.wait();
     if (wait->failure)
         std::rethrow_exception(wait->failure);
--- a/lib/Journal/GroupCommitter.cpp
+++ b/lib/Journal/GroupCommitter.cpp
@@ -2,6 +2,9 @@
 
 #include "basilpoint/Journal/Errors.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace basilpoint {
 
 // Limits the memory of one write, and thereby the wait of the next group.
@@ -26,10 +29,14 @@
 
 void GroupCommitter::write(std::string record, Done done)
 {
-    Task task;
-    task.records.push_back(std::move(record));
-    task.done = std::move(done);
-    enqueue(std::move(task));
+    std::vector<std::string> records;
+    records.push_back(std::move(record));
+    writeTogether(std::move(records), std::move(done));
+}
+
+void GroupCommitter::writeTogether(std::vector<std::string> records, Done done)
+{
+    enqueue({ std::move(records), false, std::move(done) });
 }
 
 void GroupCommitter::compact(std::vector<std::string> snapshot, Done done)
@@ -58,7 +65,9 @@
             break;
         group.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
-        groupBytes += group.back().isSnapshot ? 0 : group.back().records.front().size();
+        if (!group.back().isSnapshot)
+            for (const std::string& it : group.back().records)
+                groupBytes += it.size();
     }
     return group;
 }
@@ -73,9 +82,8 @@
             return nullptr;
         }
         std::vector<std::string> records;
-        records.reserve(group.size());
         for (Task& task : group)
-            records.push_back(std::move(task.records.front()));
+            std::move(task.records.begin(), task.records.end(), std::back_inserter(records));
         m_log.append(records);
         return nullptr;
     } catch (const JournalFullError&) {
--- a/lib/Journal/GroupCommitter.h
+++ b/lib/Journal/GroupCommitter.h
@@ -23,11 +23,13 @@
     ~GroupCommitter();
 
     void write(std::string record, Done);
+    /// Queues records that are written in one frame, so that all or none of them are read back.
+    void writeTogether(std::vector<std::string> records, Done);
     void compact(std::vector<std::string> snapshot, Done);
 
 private:
     struct Task {
-        /// One record, or all records of a snapshot.
+        /// Records of one write, or all records of a snapshot.
         std::vector<std::string> records;
         bool isSnapshot = false;
         Done done;
--- a/lib/Journal/RecordLog.cpp
+++ b/lib/Journal/RecordLog.cpp
@@ -44,6 +44,12 @@
     m_impl->committer->write(std::move(record), std::move(done));
 }
 
+void RecordLog::writeTogether(std::vector<std::string> records, Done done)
+{
+    assert(m_impl->committer && "load() must be called before the first write");
+    m_impl->committer->writeTogether(std::move(records), std::move(done));
+}
+
 void RecordLog::compact(std::vector<std::string> snapshot, Done done)
 {
     assert(m_impl->committer && "load() must be called before the first write");
--- a/unittests/Journal/GroupCommitterTest.cpp
+++ b/unittests/Journal/GroupCommitterTest.cpp
@@ -6,6 +6,8 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <set>
 
 using namespace basilpoint;
 
@@ -70,6 +72,29 @@
     BOOST_TEST(loaded == expected);
 }
 
+// Guards against a crash that keeps the first half of an operation which takes several records.
+BOOST_AUTO_TEST_CASE(recordsWrittenTogetherAreKeptOrLostTogether)
+{
+    open();
+    committer->writeTogether({ "a", "b", "c" }, countResult());
+    committer->writeTogether({ "d", "e" }, countResult());
+    close();
+    std::filesystem::path file;
+    for (const auto& it : std::filesystem::directory_iterator(folder.path()))
+        if (it.path().extension() == ".log")
+            file = it.path();
+    std::string whole = readFile(file);
+    std::set<std::size_t> counts;
+    for (std::size_t size = whole.size(); size >= segmentHeaderBytes; --size) {
+        std::filesystem::resize_file(file, size);
+        loaded.clear();
+        open();
+        counts.insert(loaded.size());
+        close();
+    }
+    BOOST_TEST((counts == std::set<std::size_t> { 0, 3, 5 } || counts == std::set<std::size_t> { 0, 5 }));
+}
+
 BOOST_AUTO_TEST_CASE(compactionIsOrderedWithWrites)
 {
     open();
