--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -86,6 +86,8 @@
     /// As all(), without copying.
     const std::map<EntryName, JournalEntry>& entries() const { return m_entries; }
     std::size_t size() const { return m_entries.size(); }
+    /// Approximate size of the entries on disk.
+    std::uint64_t bytes() const { return m_bytes; }
 
     /// Operations that recreate the journal.
     std::vector<JournalOperation> snapshot() const;
@@ -97,6 +99,7 @@
     std::vector<JournalEntry> entriesOf(const ProgramId&) const;
 
     std::map<EntryName, JournalEntry> m_entries;
+    std::uint64_t m_bytes = 0;
     std::map<CallId, std::set<EntryName>> m_byTurn;
     std::map<ProgramId, std::set<EntryName>> m_byProgram;
     /// Current as of the last call of outstandingPrograms(), except for \ref m_changed.
--- /dev/null
+++ b/lib/Gateway/DurableTurnJournal.cpp
@@ -0,0 +1,101 @@
+#include "DurableTurnJournal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilpoint {
+
+// A log is compacted once less than half of it is needed, so that rewriting costs no more than writing did.
+static constexpr std::uint64_t compactionGrowth = 2;
+
+DurableTurnJournal::DurableTurnJournal(const RecordLogSettings& settings, Post post)
+    : m_post(std::move(post))
+    , m_log(settings)
+{
+    m_log.load([this](std::string_view bytes) { m_journal.apply(decodeOperation(std::string(bytes))); });
+}
+
+DurableTurnJournal::~DurableTurnJournal() = default;
+
+std::vector<std::pair<EntryName, ProgramId>> DurableTurnJournal::names() const
+{
+    std::vector<std::pair<EntryName, ProgramId>> names;
+    for (const auto& [name, entry] : m_journal.entries())
+        names.emplace_back(name, entry.program);
+    for (const Write& write : m_pending)
+        for (const JournalOperation& it : write.operations)
+            if (it.kind == JournalOperation::Kind::Append) {
+                JournalEntry entry = decodeEntry(it.entry);
+                names.emplace_back(EntryName { entry.daemon, entry.step() }, entry.program);
+            }
+    return names;
+}
+
+void DurableTurnJournal::write(std::vector<JournalOperation> operations, Done done)
+{
+    enqueue({ std::move(operations), std::move(done) });
+}
+
+// Applied again once it is on disk, which changes nothing unless an operation before it has undone it.
+void DurableTurnJournal::applyAtOnce(JournalOperation operation)
+{
+    m_journal.apply(operation);
+    enqueue({ { std::move(operation) }, nullptr });
+}
+
+void DurableTurnJournal::enqueue(Write write)
+{
+    std::vector<std::string> records;
+    for (const JournalOperation& it : write.operations)
+        records.push_back(encodeOperation(it));
+    m_pending.push_back(std::move(write));
+    m_log.writeTogether(std::move(records), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
+        m_post([this, isAlive, failure] {
+            if (!isAlive.expired())
+                finishFirst(failure);
+        });
+    });
+}
+
+// The log reports writes in the order in which it was given them.
+void DurableTurnJournal::finishFirst(const std::exception_ptr& failure)
+{
+    Write write = std::move(m_pending.front());
+    m_pending.pop_front();
+    if (!failure)
+        for (const JournalOperation& it : write.operations)
+            m_journal.apply(it);
+    if (write.done)
+        write.done(failure);
+}
+
+void DurableTurnJournal::compactIfLarge(std::uint64_t minBytes)
+{
+    if (m_log.bytes() >= std::max(minBytes, m_journal.bytes() * compactionGrowth))
+        compact();
+}
+
+void DurableTurnJournal::compact()
+{
+    if (m_isCompacting)
+        return;
+    m_isCompacting = true;
+    std::vector<std::string> snapshot;
+    for (const JournalOperation& it : m_journal.snapshot())
+        snapshot.push_back(encodeOperation(it));
+    // The log drops what was queued before the snapshot, also what the journal does not contain yet.
+    for (const Write& write : m_pending)
+        for (const JournalOperation& it : write.operations)
+            snapshot.push_back(encodeOperation(it));
+    m_log.compact(std::move(snapshot), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
+        m_post([this, isAlive, failure] {
+            if (isAlive.expired())
+                return;
+            m_isCompacting = false;
+            if (m_onCompaction)
+                m_onCompaction(failure);
+        });
+    });
+}
+
+} // namespace basilpoint
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace basilpoint {
 
@@ -20,7 +21,7 @@
 static constexpr std::size_t maxTransferBytes = 1024 * 1024;
 // Selects the entries that a change of the view moves to other keepers; no instance has an empty name.
 static const std::string movedEntries;
-static constexpr std::uint64_t compactionThresholdBytes = 16 * 1024 * 1024;
+static constexpr std::uint64_t minCompactionBytes = 16 * 1024 * 1024;
 static constexpr std::size_t uploadsPerInterval = 20;
 // Longer than a daemon relies on an account that it has read, so that grants which that account lacks are still known.
 static constexpr std::chrono::minutes grantRetention { 10 };
@@ -65,24 +66,21 @@
     , m_relay(relay)
     , m_clock(clock)
     , m_log(log)
-    , m_disk(settingsFor(settings.folder))
+    , m_journal(settingsFor(settings.folder), [&io](std::function<void()> function) { boost::asio::post(io, std::move(function)); })
     , m_self(settings.instance)
     , m_tolerated(settings.tolerated)
 {
-    m_disk.load([this](std::string_view bytes) { m_journal.apply(decodeOperation(std::string(bytes))); });
-    for (const auto& [name, entry] : m_journal.entries())
+    m_journal.onCompaction([this](const std::exception_ptr& failure) { logCompaction(failure); });
+    for (const auto& [name, entry] : m_journal.state().entries())
         m_firstSeenAt[name] = clock.now();
-    if (!m_journal.view().empty()) {
-        m_view = decodeView(m_journal.view());
+    if (!m_journal.state().view().empty()) {
+        m_view = decodeView(m_journal.state().view());
         m_versionOnDisk = m_view.version;
         m_isViewKnown = true;
     }
-    m_log.write(LogLine("journal-loaded").field("entries", m_journal.size()).field("bytes", m_disk.bytes()).field("complete", m_journal.isSynchronized()).field("firstStart", settings.isFirstStart).field("version", m_view.version));
-    if (settings.isFirstStart && !m_journal.isSynchronized()) {
-        JournalOperation synchronized { JournalOperation::Kind::Synchronized };
-        m_journal.apply(synchronized);
-        m_disk.write(encodeOperation(synchronized), [](const std::exception_ptr&) {});
-    }
+    m_log.write(LogLine("journal-loaded").field("entries", entries()).field("bytes", m_journal.bytes()).field("complete", isSynchronized()).field("firstStart", settings.isFirstStart).field("version", m_view.version));
+    if (settings.isFirstStart && !isSynchronized())
+        m_journal.applyAtOnce({ JournalOperation::Kind::Synchronized });
     auto onCurrentView = [&](const char* path, std::string (TurnJournalServer::*handler)(const std::string&)) {
         server.on(path, [this, handler](const std::string& bytes) { return serve(bytes, [&](const std::string& body) { return (this->*handler)(body); }); });
     };
@@ -150,8 +148,8 @@
         operations.push_back({ JournalOperation::Kind::Reset });
         m_firstSeenAt.clear();
     } else if (!view.isJoint()) {
-        for (const auto& [name, entry] : m_journal.entries()) {
-            if (keeps(view, entry.program))
+        for (const auto& [name, program] : m_journal.names()) {
+            if (keeps(view, program))
                 continue;
             operations.push_back({ JournalOperation::Kind::Drop, {}, name });
             m_firstSeenAt.erase(name);
@@ -159,7 +157,7 @@
     }
     m_isWritingView = true;
     try {
-        persist(operations);
+        persist(std::move(operations));
         m_versionOnDisk = view.version;
     } catch (...) {
         m_isWritingView = false;
@@ -193,29 +191,21 @@
     return encodeAnswer({ std::nullopt, false, std::move(body) });
 }
 
-// Suspends until the operations are on disk, of which a crash keeps all or none, and applies them. Rethrows failures of the
-// disk thread.
-void TurnJournalServer::persist(const std::vector<JournalOperation>& operations)
+// Suspends until the operations have taken effect. Rethrows failures of the disk thread.
+void TurnJournalServer::persist(std::vector<JournalOperation> operations)
 {
     if (operations.empty())
         return;
-    std::vector<std::string> records;
-    for (const JournalOperation& it : operations)
-        records.push_back(encodeOperation(it));
     auto wait = std::make_shared<DiskWait>();
-    m_disk.writeTogether(std::move(records), [this, wait](const std::exception_ptr& failure) {
-        boost::asio::post(m_io, [wait, failure] {
-            wait->isDone = true;
-            wait->failure = failure;
-            wait->done.notifyAll();
-        });
+    m_journal.write(std::move(operations), [wait](const std::exception_ptr& failure) {
+        wait->isDone = true;
+        wait->failure = failure;
+        wait->done.notifyAll();
     });
     while (!wait->isDone)
         wait->done.wait();
     if (wait->failure)
         std::rethrow_exception(wait->failure);
-    for (const JournalOperation& it : operations)
-        m_journal.apply(it);
 }
 
 std::string TurnJournalServer::append(const std::string& body)
@@ -231,7 +221,7 @@
     if (entries.empty())
         throw DamagedRecordError("grant");
     persistEntries(entries);
-    return encodeEntries(m_journal.grantsOf(entries.front().program));
+    return encodeEntries(m_journal.state().grantsOf(entries.front().program));
 }
 
 void TurnJournalServer::persistEntries(const std::vector<JournalEntry>& entries)
@@ -240,14 +230,14 @@
     std::vector<const JournalEntry*> added;
     for (const JournalEntry& entry : entries) {
         // Duplicates are common, since a journal that lost its disk reads the others repeatedly until enough answer.
-        if (m_journal.has({ entry.daemon, entry.step() }))
+        if (m_journal.state().has({ entry.daemon, entry.step() }))
             continue;
         operations.push_back({ JournalOperation::Kind::Append, encodeEntry(entry) });
         added.push_back(&entry);
     }
-    persist(operations);
+    persist(std::move(operations));
     for (const JournalEntry* it : added) {
-        m_firstSeenAt.emplace(EntryName { it->daemon, it->step() }, m_clock.now());
+        m_firstSeenAt.try_emplace(EntryName { it->daemon, it->step() }, m_clock.now());
         m_log.write(LogLine("journal-append").field("program", it->program.text()).field("daemon", it->daemon.text()).field("step", it->step()).field("grant", isGrant(*it)));
     }
 }
@@ -255,20 +245,20 @@
 // A journal that has not read the others must not report entries as missing.
 void TurnJournalServer::requireSynchronized() const
 {
-    if (!m_journal.isSynchronized())
+    if (!isSynchronized())
         throw JournalNotReadyError();
 }
 
 std::string TurnJournalServer::grants(const std::string& body)
 {
     requireSynchronized();
-    return encodeEntries(m_journal.grantsOf(ProgramId(body)));
+    return encodeEntries(m_journal.state().grantsOf(ProgramId(body)));
 }
 
 std::string TurnJournalServer::find(const std::string& body)
 {
     requireSynchronized();
-    return encodeEntries(m_journal.findTurn(CallId(body)));
+    return encodeEntries(m_journal.state().findTurn(CallId(body)));
 }
 
 std::string TurnJournalServer::outstanding(const std::string&)
@@ -279,13 +269,11 @@
 
 void TurnJournalServer::drop(const EntryName& name)
 {
-    if (!m_journal.has(name))
+    if (!m_journal.state().has(name))
         return;
-    JournalOperation operation { JournalOperation::Kind::Drop, {}, name };
-    m_journal.apply(operation);
     m_firstSeenAt.erase(name);
-    // Not awaited: if a power failure loses the drop, the entry is found to be stored and is dropped again.
-    m_disk.write(encodeOperation(operation), [](const std::exception_ptr&) {});
+    // If a power failure loses the drop, the entry is found to be stored and is dropped again.
+    m_journal.applyAtOnce({ JournalOperation::Kind::Drop, {}, name });
 }
 
 /// What another keeper's journal had when it was read.
@@ -307,10 +295,10 @@
 std::string TurnJournalServer::contents(const std::string& selection) const
 {
     std::vector<JournalEntry> selected;
-    for (const auto& [name, entry] : m_journal.entries())
+    for (const auto& [name, entry] : m_journal.state().entries())
         if (selection == movedEntries ? m_view.movesEntriesOf(entry.program, m_tolerated) : m_view.keeps(selection, entry.program, m_tolerated))
             selected.push_back(entry);
-    return encodeContents({ m_journal.isSynchronized(), m_disk.holder().text(), std::move(selected) });
+    return encodeContents({ m_journal.state().isSynchronized(), m_journal.folder().text(), std::move(selected) });
 }
 
 // Reads the selected entries of \p keepers, until \p isEnough, and those of this journal.
@@ -360,14 +348,23 @@
     Collected collected = collect(view.all(), m_self, isEnough);
     if (!isEnough(collected) || m_view != view)
         return false;
-    std::vector<JournalEntry> entries;
-    for (auto& [name, entry] : collected.entries)
-        entries.push_back(std::move(entry));
-    persistEntries(entries);
-    if (m_view != view)
+    std::vector<JournalEntry> part;
+    std::size_t bytes = 0;
+    auto write = [&] {
+        persistEntries(std::exchange(part, {}));
+        bytes = 0;
+        return m_view == view;
+    };
+    for (auto& [name, entry] : collected.entries) {
+        bytes += encodeEntry(entry).size();
+        part.push_back(std::move(entry));
+        if (bytes >= maxTransferBytes && !write())
+            return false;
+    }
+    if (!write())
         return false;
     persist({ { JournalOperation::Kind::Synchronized } });
-    m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("answers", collected.answered.size() - 1).field("version", view.version));
+    m_log.write(LogLine("journal-complete").field("entries", m_journal.state().size()).field("answers", collected.answered.size() - 1).field("version", view.version));
     return true;
 }
 
@@ -447,7 +444,7 @@
 std::string TurnJournalServer::acceptTransfer(const std::string& body)
 {
     JournalTransfer transfer = decodeTransfer(body);
-    bool isOtherFolder = !transfer.folder.empty() && transfer.folder != m_disk.holder().text();
+    bool isOtherFolder = !transfer.folder.empty() && transfer.folder != m_journal.folder().text();
     if (transfer.version != m_view.version || isOtherFolder)
         throw JournalNotReadyError();
     // Installing the view may remove entries that would be taken for present.
@@ -455,9 +452,9 @@
     persistEntries(transfer.entries);
     // One that was a member before and lost its disk lacks the entries that stay where they are, which no transfer has.
     bool isJoining = !namesOf(m_view.previous).contains(m_self);
-    if (transfer.isLast && transfer.version == m_view.version && isJoining && !m_journal.isSynchronized()) {
+    if (transfer.isLast && transfer.version == m_view.version && isJoining && !isSynchronized()) {
         persist({ { JournalOperation::Kind::Synchronized } });
-        m_log.write(LogLine("journal-complete").field("entries", m_journal.size()).field("version", transfer.version));
+        m_log.write(LogLine("journal-complete").field("entries", entries()).field("version", transfer.version));
     }
     if (transfer.version != m_view.version)
         throw JournalNotReadyError();
@@ -552,11 +549,11 @@
 void TurnJournalServer::uploadOverdue()
 {
     // Others have the entries of a keeper that has left, and may know more of them. One that is leaving still gets all.
-    if (m_store.health().failingSince() || !m_view.contains(m_self) || !m_journal.isSynchronized())
+    if (m_store.health().failingSince() || !m_view.contains(m_self) || !isSynchronized())
         return;
     std::map<ProgramId, std::vector<JournalEntry>> old;
-    for (const auto& [name, entry] : m_journal.entries())
-        if (!isGrant(entry) && m_clock.now() - m_firstSeenAt[name] >= uploadAfter)
+    for (const auto& [name, entry] : m_journal.state().entries())
+        if (!isGrant(entry) && m_clock.now() - m_firstSeenAt.try_emplace(name, m_clock.now()).first->second >= uploadAfter)
             old[entry.program].push_back(entry);
     std::size_t n = 0;
     for (const auto& [program, entries] : old) {
@@ -582,7 +579,7 @@
 // A grant is dropped only once the account includes it, or its program has expired.
 void TurnJournalServer::settleOldGrants()
 {
-    for (const JournalEntry& it : m_journal.openGrants()) {
+    for (const JournalEntry& it : m_journal.state().openGrants()) {
         EntryName name { it.daemon, it.step() };
         if (!isOld(name))
             continue;
@@ -592,28 +589,31 @@
         else
             drop(name);
     }
-    for (const EntryName& it : m_journal.endedGrants())
+    for (const EntryName& it : m_journal.state().endedGrants())
         if (isOld(it))
             drop(it);
 }
 
-void TurnJournalServer::compactIfLarge()
+void TurnJournalServer::logCompaction(const std::exception_ptr& failure)
 {
-    if (m_disk.bytes() < compactionThresholdBytes)
-        return;
-    std::vector<std::string> snapshot;
-    for (const JournalOperation& it : m_journal.snapshot())
-        snapshot.push_back(encodeOperation(it));
-    m_disk.compact(std::move(snapshot), [](const std::exception_ptr&) {});
+    LogLine line("journal-compacted");
+    line.field("entries", entries()).field("bytes", m_journal.bytes());
+    try {
+        if (failure)
+            std::rethrow_exception(failure);
+        m_log.write(line);
+    } catch (const std::exception& error) {
+        m_log.write(line.field("failure", error.what()));
+    }
 }
 
 void TurnJournalServer::work()
 {
     try {
-        if (!m_journal.isSynchronized())
+        if (!isSynchronized())
             synchronize();
         uploadOverdue();
-        compactIfLarge();
+        m_journal.compactIfLarge(minCompactionBytes);
     } catch (const Error& error) {
         // The entries remain and are retried in the next interval.
         m_log.write(LogLine("journal-work-failed").field("reason", error.what()));
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -1,13 +1,12 @@
 #pragma once
 
+#include "DurableTurnJournal.h"
 #include "KeeperCodec.h"
 #include "PeerServer.h"
 #include "StoreClient.h"
 #include "StoreRelay.h"
 
-#include "basilpoint/Journal/RecordLog.h"
 #include "basilpoint/Net/FiberSignal.h"
-#include "basilpoint/Turns/TurnJournal.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -45,10 +44,10 @@
 
     /// Whether the journal is complete. After its disk was lost, or while it is no member, it is not until it has
     /// received the entries of the others.
-    bool isSynchronized() const { return m_journal.isSynchronized(); }
+    bool isSynchronized() const { return m_journal.state().isSynchronized(); }
 
     /// Number of entries in the journal.
-    std::size_t entries() const { return m_journal.size(); }
+    std::size_t entries() const { return m_journal.state().size(); }
 
     /// Gives the members of the joint view the entries of the previous members that they are to keep.
     /// \param installed keepers that have installed the view, so that they acknowledge nothing under older ones.
@@ -80,7 +79,7 @@
     std::string outstanding(const std::string&);
     void drop(const EntryName&);
     std::string acceptTransfer(const std::string& body);
-    void persist(const std::vector<JournalOperation>&);
+    void persist(std::vector<JournalOperation>);
     Collected collect(const std::vector<RelayAddress>&, const std::string& selection, const std::function<bool(const Collected&)>& isEnough);
     bool isComplete(const std::vector<RelayAddress>& members, const Collected&) const;
     bool sendMissing(const RelayAddress&, const KeeperView& joint, const Collected&);
@@ -92,7 +91,7 @@
     void postpone(const std::vector<JournalEntry>&);
     bool isOld(const EntryName&) const;
     void settleOldGrants();
-    void compactIfLarge();
+    void logCompaction(const std::exception_ptr& failure);
 
     boost::asio::io_context& m_io;
     HttpClient& m_client;
@@ -101,8 +100,7 @@
     StoreRelay& m_relay;
     const Clock& m_clock;
     JsonLog& m_log;
-    TurnJournal m_journal;
-    RecordLog m_disk;
+    DurableTurnJournal m_journal;
     std::string m_self;
     unsigned m_tolerated;
     KeeperView m_view;
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -2,12 +2,17 @@
 
 #include "RecordCodec.h"
 
+#include "basilpoint/Turns/SplitTurn.h"
+
 #include <algorithm>
 
 namespace basilpoint {
 
 using Json = nlohmann::json;
 
+// Typical size of an encoded change without its record's texts.
+static constexpr std::size_t changeBytes = 256;
+
 std::string encodeOperation(const JournalOperation& operation)
 {
     return toCbor({ { "k", static_cast<int>(operation.kind) }, { "e", bytesToJson(operation.entry) }, { "d", operation.name.daemon.text() }, { "s", operation.name.step } });
@@ -28,9 +33,20 @@
     return { entry.daemon, entry.step() };
 }
 
+static std::size_t approximateBytes(const JournalEntry& entry)
+{
+    std::size_t bytes = entry.changes.size() * changeBytes;
+    for (const AccountChange& it : entry.changes)
+        if (it.record)
+            bytes += SplitTurn::bytesOf(*it.record);
+    return bytes;
+}
+
 void TurnJournal::append(const JournalEntry& entry)
 {
-    m_entries.emplace(nameOf(entry), entry);
+    if (!m_entries.emplace(nameOf(entry), entry).second)
+        return;
+    m_bytes += approximateBytes(entry);
     m_byProgram[entry.program].insert(nameOf(entry));
     m_changed.insert(entry.program);
     for (const AccountChange& it : entry.changes)
@@ -57,12 +73,14 @@
             eraseName(m_byTurn, it.record->turn, name);
     eraseName(m_byProgram, entry->second.program, name);
     m_changed.insert(entry->second.program);
+    m_bytes -= approximateBytes(entry->second);
     m_entries.erase(entry);
 }
 
 void TurnJournal::reset()
 {
     m_isSynchronized = false;
+    m_bytes = 0;
     m_entries.clear();
     m_byTurn.clear();
     m_byProgram.clear();
