Clear a run only by proof that its process has outlived it

Cause: a run names the target's lifetime as registered. A target that has ended answers again before its registration shows the new start, and RepetitionLimit took each answer at the address for a sign of life of the old process: the run was cleared at all gateways until the registration followed. accepted(), relayed answers and runs that had not ended yet led to the same conclusion.

Change: an answer clears a run only if its connection is older than the last sign of the process that got the run; the client reports that age, and relays pass it on. A connection accepted after a loss no longer clears a run of a request under which three targets have ended.

--- a/include/basilpoint/Forwarding/RepetitionLimit.h
+++ b/include/basilpoint/Forwarding/RepetitionLimit.h
@@ -33,9 +33,11 @@
 /// Bounds how many targets a request may end, over all daemons together.
 ///
 /// A request that crashes targets is never answered, however they end and whatever the daemons see of it. So each lifetime
-/// of a target counts that has run the request without answering it whole, until the runs there turn out to be harmless: an
-/// answer to the same request clears all its runs, and any sign of life that a target gives after a run clears that one.
-/// Several runs on one lifetime are one end at most. The daemons tell each other of such runs.
+/// of a target counts that has run the request without answering it whole, until the runs there are proved harmless. A whole
+/// answer to the same request clears all its runs. A run is also cleared by proof that the process which got it has outlived
+/// it: what answers at the target's address, or accepts a connection there, may be its next process, under the name of the
+/// last lifetime until the registration changes. Several runs on one lifetime are one end at most, unless they follow each
+/// other after the request is limited. The daemons tell each other of such runs.
 class RepetitionLimit {
 public:
     enum class Verdict {
@@ -89,12 +91,13 @@
     void ended(std::uint64_t id, RunEnd, TimePoint now);
 
     /// Records that a target has accepted a connection that was requested at \p since, while its registrations can be read. So
-    /// it did not end with the connections lost before, unless its registration still shows that.
+    /// it probably did not end with the connections lost before, which do not count then, unless their requests are limited.
     void accepted(const std::string& lifetime, TimePoint since);
 
-    /// Records that a target has begun to answer a call that was sent to it at \p since, while its registrations can be read.
-    /// Like accepted(), but also for runs that no lost connection has ended.
-    void targetAnswered(const std::string& lifetime, TimePoint since, TimePoint now);
+    /// Records that a target has begun to answer a call that was sent to it at \p since, on a connection established at
+    /// \p connectedAt. The process at the other end has outlived the runs that it got before \p since, if it accepted the
+    /// connection before it was last heard of by them.
+    void targetAnswered(const std::string& lifetime, TimePoint connectedAt, TimePoint since, TimePoint now);
 
     /// Records that a target's lifetime has ended without a planned stop.
     void targetEnded(const std::string& lifetime, TimePoint now);
@@ -126,6 +129,8 @@
     /// Runs on one target whose registrations cannot be read are taken to have run together, and so are one end, if they count
     /// within this time.
     static constexpr Milliseconds minTimeBetweenEnds { 1'000 };
+    /// How long the report of a run may be on its way.
+    static constexpr Milliseconds maxReportTime { 5'000 };
     /// Longer than the attempt to connect to a target after it has lost a connection.
     static constexpr Milliseconds maxProbeTime { 500 };
     /// A target that is still registered this long after a run has survived it; longer than the registration of one that has ended.
@@ -149,6 +154,8 @@
     struct CountedRun {
         std::string lifetime;
         TimePoint countedAt;
+        /// A time at which the process that got the run was alive, or had not got it.
+        TimePoint aliveAt;
         /// Whether this daemon has sent it and told the others.
         bool isOwn = false;
         bool hasTargetEnded = false;
@@ -168,6 +175,8 @@
         UnansweredRun run;
         RunEnd end = RunEnd::ConnectionLost;
         TimePoint endedAt;
+        /// As \ref CountedRun::aliveAt.
+        TimePoint aliveAt;
         bool isAccepted = false;
     };
 
@@ -176,22 +185,25 @@
     };
 
     /// Counts a run of this daemon, and tells the others.
-    void countAndReport(const UnansweredRun&, TimePoint now);
+    void countAndReport(const UnansweredRun&, TimePoint aliveAt, TimePoint now);
     /// Clears a run of any daemon, and tells the others.
     void clearAndReport(const UnansweredRun&);
-    void count(const UnansweredRun&, bool isOwn, TimePoint now);
+    void count(const UnansweredRun&, bool isOwn, TimePoint aliveAt, TimePoint now);
     void answered(const Digest& request, TimePoint now);
     bool wasAnswered(const Digest& request) const { return m_answers.contains(request); }
     void erase(const Digest& request, std::uint64_t id);
     /// Keeps a run of this daemon that was cleared, until its target has survived it.
     void watchOn(const UnansweredRun&, TimePoint now);
-    void addUncertain(UnansweredRun, RunEnd, TimePoint now);
+    void addUncertain(UnansweredRun, RunEnd, TimePoint aliveAt, TimePoint now);
+    void accept(Uncertain&);
     /// Corrects \ref m_uncertainRuns for a run that is removed.
     void uncount(const Uncertain&);
     /// Removes uncertain runs for which \p predicate returns true.
     template <typename Predicate>
     void eraseUncertain(Predicate);
     static std::size_t endsOf(const Runs&);
+    static std::size_t repetitionsOf(const Runs&);
+    bool isLimited(const Digest& request) const { return verdictOn(request) != Verdict::Unlimited; }
     bool isCounted(const Digest& request, std::uint64_t id) const;
     void dropOldAnswers(TimePoint now);
     template <typename Predicate>
--- a/include/basilpoint/Net/HttpTypes.h
+++ b/include/basilpoint/Net/HttpTypes.h
@@ -34,6 +34,8 @@
     std::string body;
     /// Whether nothing but the end of the connection shows where the body of a received response ends.
     bool endsWithConnection = false;
+    /// When the connection of a received response was established, on the steady clock.
+    TimePoint connectedAt = TimePoint::max();
 
     /// Value of header \p name (lower case), or empty.
     std::string_view header(std::string_view name) const;
--- a/lib/Forwarding/RepetitionLimit.cpp
+++ b/lib/Forwarding/RepetitionLimit.cpp
@@ -39,7 +39,7 @@
     std::size_t ends = it == m_runs.end() ? 0 : endsOf(it->second);
     if (ends < toleratedEnds)
         return Verdict::Unlimited;
-    return ends < toleratedEnds + maxRepetitions ? Verdict::OneTarget : Verdict::Refused;
+    return ends + repetitionsOf(it->second) < toleratedEnds + maxRepetitions ? Verdict::OneTarget : Verdict::Refused;
 }
 
 // While registrations cannot be read, a target that has ended and started again keeps the name of its last known lifetime.
@@ -65,6 +65,35 @@
     return ends;
 }
 
+// Runs on a lifetime that counted before, sent after the request was limited. They may have ended further processes of the
+// target, whose registrations show only the first of them yet.
+std::size_t RepetitionLimit::repetitionsOf(const Runs& runs)
+{
+    std::map<std::string_view, std::vector<TimePoint>> counted;
+    for (const auto& [id, run] : runs)
+        if (run.isLifetimeCertain)
+            counted[run.lifetime].push_back(run.countedAt);
+    std::vector<TimePoint> ends;
+    for (auto& [lifetime, times] : counted) {
+        std::sort(times.begin(), times.end());
+        ends.push_back(times.front());
+    }
+    std::sort(ends.begin(), ends.end());
+    if (ends.size() < toleratedEnds)
+        return 0;
+    TimePoint limitedAt = ends[toleratedEnds - 1];
+    std::size_t n = 0;
+    for (const auto& [lifetime, times] : counted) {
+        TimePoint last = times.front();
+        for (TimePoint it : times)
+            if (it > limitedAt && it - last >= minTimeBetweenEnds) {
+                ++n;
+                last = it;
+            }
+    }
+    return n;
+}
+
 bool RepetitionLimit::isCounted(const Digest& request, std::uint64_t id) const
 {
     auto it = m_runs.find(request);
@@ -101,7 +130,7 @@
     if (!m_runs.contains(run.request))
         return;
     running.isCounted = true;
-    countAndReport(run, now);
+    countAndReport(run, now, now);
 }
 
 void RepetitionLimit::located(std::uint64_t id, const std::string& lifetime)
@@ -136,20 +165,20 @@
         clearAndReport(running.run);
         [[fallthrough]];
     case RunEnd::ConnectionLost:
-        addUncertain(std::move(running.run), end, now);
+        addUncertain(std::move(running.run), end, running.heardAt, now);
         return;
     case RunEnd::Unanswered:
         if (!running.isCounted)
-            countAndReport(running.run, now);
+            countAndReport(running.run, running.heardAt, now);
         return;
     }
 }
 
-void RepetitionLimit::countAndReport(const UnansweredRun& run, TimePoint now)
+void RepetitionLimit::countAndReport(const UnansweredRun& run, TimePoint aliveAt, TimePoint now)
 {
     if (wasAnswered(run.request) || isCounted(run.request, run.id))
         return;
-    count(run, true, now);
+    count(run, true, aliveAt, now);
     m_changes.unanswered.push_back(run);
 }
 
@@ -160,12 +189,13 @@
         m_changes.cleared.push_back(run);
         return;
     }
-    count(run, false, now);
+    // Its daemon heard of the target until it counted the run, or until a silence before that.
+    count(run, false, now - maxReportTime - maxSilence, now);
 }
 
-void RepetitionLimit::count(const UnansweredRun& run, bool isOwn, TimePoint now)
+void RepetitionLimit::count(const UnansweredRun& run, bool isOwn, TimePoint aliveAt, TimePoint now)
 {
-    if (!m_runs[run.request].try_emplace(run.id, CountedRun { run.lifetime, now, isOwn, false, m_areRegistrationsKnown }).second)
+    if (!m_runs[run.request].try_emplace(run.id, CountedRun { run.lifetime, now, aliveAt, isOwn, false, m_areRegistrationsKnown }).second)
         return;
     m_byLifetime[run.lifetime].emplace(run.request, run.id);
     ++m_size;
@@ -195,13 +225,13 @@
         running->second.isCounted = false;
         return;
     }
-    addUncertain(run, RunEnd::Unanswered, now);
+    addUncertain(run, RunEnd::Unanswered, now, now);
 }
 
-void RepetitionLimit::addUncertain(UnansweredRun run, RunEnd end, TimePoint now)
+void RepetitionLimit::addUncertain(UnansweredRun run, RunEnd end, TimePoint aliveAt, TimePoint now)
 {
     ++m_uncertainRuns[run.lifetime];
-    m_uncertain.push_back({ std::move(run), end, now });
+    m_uncertain.push_back({ std::move(run), end, now, aliveAt });
     if (m_uncertain.size() <= maxRuns)
         return;
     uncount(m_uncertain.front());
@@ -277,32 +307,46 @@
     eraseUncertain([&](const Uncertain& it) {
         if (!hasToCount(it))
             return false;
-        countAndReport(it.run, now);
+        countAndReport(it.run, it.aliveAt, now);
         return true;
     });
 }
 
+void RepetitionLimit::accept(Uncertain& uncertain)
+{
+    uncertain.isAccepted = true;
+    clearAndReport(uncertain.run);
+}
+
+// The next process of a target that is restarted at once accepts connections too. A request that has ended targets before
+// does not get the benefit of the doubt.
 void RepetitionLimit::accepted(const std::string& lifetime, TimePoint since)
 {
     if (!m_uncertainRuns.contains(lifetime))
         return;
     for (Uncertain& it : m_uncertain)
-        if (it.run.lifetime == lifetime && it.endedAt <= since) {
-            it.isAccepted = true;
-            clearAndReport(it.run);
-        }
+        if (it.run.lifetime == lifetime && it.endedAt <= since && !isLimited(it.run.request))
+            accept(it);
 }
 
-// A run that another daemon reported counts from the report on, which came after the run had ended or fallen silent.
-void RepetitionLimit::targetAnswered(const std::string& lifetime, TimePoint since, TimePoint now)
+// An address has one process at a time, and a connection one at each end. So the process that has answered is the one that got
+// the run, if the connection is older than the last sign of that one.
+void RepetitionLimit::targetAnswered(const std::string& lifetime, TimePoint connectedAt, TimePoint since, TimePoint now)
 {
-    accepted(lifetime, since);
+    if (m_uncertainRuns.contains(lifetime))
+        for (Uncertain& it : m_uncertain)
+            if (it.run.lifetime == lifetime && it.endedAt <= since && connectedAt <= it.aliveAt)
+                accept(it);
     auto found = m_byLifetime.find(lifetime);
     if (found == m_byLifetime.end())
         return;
     for (const auto& [request, id] : std::set<RunName>(found->second)) {
         const CountedRun& counted = m_runs.at(request).at(id);
-        if (counted.countedAt > since)
+        // A run that another daemon reported counts from the report on, which came after the run had ended or fallen silent.
+        if (counted.countedAt > since || connectedAt > counted.aliveAt)
+            continue;
+        // The target may end yet under a run that has not ended, which only its own daemon knows.
+        if (isLimited(request) && (!counted.isOwn || m_running.contains(id)))
             continue;
         UnansweredRun run { request, id, lifetime };
         if (counted.isOwn)
@@ -316,7 +360,7 @@
     countUncertain([&](const Uncertain& it) { return it.run.lifetime == lifetime; }, now);
     for (auto& [id, running] : m_running)
         if (running.run.lifetime == lifetime && !std::exchange(running.isCounted, true))
-            countAndReport(running.run, now);
+            countAndReport(running.run, running.heardAt, now);
 }
 
 bool RepetitionLimit::CountedRun::isExpired(TimePoint now) const
@@ -366,7 +410,7 @@
     countUncertain([now](const Uncertain& it) { return it.end == RunEnd::ConnectionLost && !it.isAccepted && now - it.endedAt >= maxProbeTime; }, now);
     for (auto& [id, running] : m_running)
         if (now - running.heardAt >= maxSilence && !std::exchange(running.isCounted, true))
-            countAndReport(running.run, now);
+            countAndReport(running.run, running.heardAt, now);
     return std::exchange(m_changes, {});
 }
 
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -257,6 +257,7 @@
         attempt.hasAnswer = true;
         attempt.response = response;
         call.endsWithConnection = response.endsWithConnection;
+        call.targetConnectedAt = response.connectedAt;
         if (attempt.run)
             m_repetitions.heard(*attempt.run);
         dropHopHeaders(attempt.response.headers);
@@ -285,12 +286,12 @@
         attempt.response.body = std::move(response.body);
 }
 
-void Forwarder::noteAnswer(const Registration& target, const Attempt& attempt)
+void Forwarder::noteAnswer(const Registration& target, const ForwardedCall& call, const Attempt& attempt)
 {
     if (!attempt.isRelayed)
         m_monitor.heard(target.id);
     if (attempt.relayEnd.empty())
-        m_repetitions.targetAnswered(target, attempt.sentAt);
+        m_repetitions.targetAnswered(target, call.targetConnectedAt, attempt.sentAt);
     if (attempt.attributes.isLeaving && m_directory.markLeaving(target.id, target.startedAt, m_clock.now()))
         m_log.write(LogLine("target-leaving").field("target", target.id.text()).field("startedAt", target.startedAt));
     if (attempt.attributes.describesTarget && !attempt.isRelayed)
@@ -312,6 +313,9 @@
     attempt.relayEnd = take(relayheaders::end);
     attempt.isRelayLeaving = !take(relayheaders::leaving).empty();
     call.endsWithConnection = !take(relayheaders::endsWithConnection).empty();
+    auto connectedFor = parseNumber<Milliseconds::rep>(take(relayheaders::connectedFor));
+    // A relay of a release before does not say it.
+    call.targetConnectedAt = connectedFor ? m_clock.now() - Milliseconds(*connectedFor) : TimePoint::max();
     std::optional<RoomRefusal> refusal = roomRefusalFrom(take(relayheaders::noRoom));
     auto retryAfter = parseNumber<Milliseconds::rep>(take(relayheaders::retryAfter));
     if (refusal && retryAfter)
@@ -324,7 +328,7 @@
     attempt.target = TargetId(lifetime.substr(0, lifetime.rfind('/')));
     const Registration* target = m_directory.find(attempt.target);
     if (target && lifetimeOf(*target) == lifetime)
-        noteAnswer(*target, attempt);
+        noteAnswer(*target, call, attempt);
 }
 
 ForwardEnd Forwarder::endOfRefusal(Attempt& attempt)
@@ -469,7 +473,7 @@
         HttpCallOptions options = optionsFor(call, isLast);
         options.group = lifetimeOf(chosen);
         options.body = call.bodyForTarget();
-        receive(call, attempt, chosen.endpoint, requestFor(call, room), options, [&] { noteAnswer(chosen, attempt); });
+        receive(call, attempt, chosen.endpoint, requestFor(call, room), options, [&] { noteAnswer(chosen, call, attempt); });
     });
     call.isRefusedByTarget = call.isRefusedByTarget || (end == ForwardEnd::NotRun && !attempt.isUnreachable);
     m_crashes.ended(call.content, end == ForwardEnd::Delivered && !call.endsWithConnection);
--- a/lib/Gateway/Forwarder.h
+++ b/lib/Gateway/Forwarder.h
@@ -58,6 +58,8 @@
     std::shared_ptr<const Organisation> organisation {};
     /// Whether the end of the target's answer was that of its connection.
     bool endsWithConnection = false;
+    /// When the connection was established on which a target has begun to answer the call last.
+    TimePoint targetConnectedAt = TimePoint::max();
     /// Whether a target has refused the call.
     bool isRefusedByTarget = false;
 
@@ -144,7 +146,7 @@
     template <typename Call>
     ForwardEnd attemptCall(ForwardedCall&, Attempt&, Call);
     void receive(ForwardedCall&, Attempt&, const Endpoint&, const HttpRequest&, const HttpCallOptions&, const std::function<void()>& onAnswer);
-    void noteAnswer(const Registration&, const Attempt&);
+    void noteAnswer(const Registration&, const ForwardedCall&, const Attempt&);
     void readRelayHeaders(ForwardedCall&, Attempt&);
     static ForwardEnd endOfRefusal(Attempt&);
     void passEvents(ForwardedCall&, Attempt&, std::string_view chunk);
--- a/lib/Gateway/RelayedCall.h
+++ b/lib/Gateway/RelayedCall.h
@@ -36,6 +36,8 @@
     inline constexpr const char* leaving = "basilpoint-relay-leaving";
     /// Present if nothing but the end of its connection has shown where the target's answer ends.
     inline constexpr const char* endsWithConnection = "basilpoint-relay-ends-with-connection";
+    /// Milliseconds since the connection was established on which the target has answered.
+    inline constexpr const char* connectedFor = "basilpoint-relay-connected-for";
     /// Why the relay has refused a call for which the engines have no room.
     inline constexpr const char* noRoom = "basilpoint-relay-no-room";
     /// Milliseconds after which the caller of such a call should try again.
--- a/lib/Gateway/RelayedCallController.cpp
+++ b/lib/Gateway/RelayedCallController.cpp
@@ -135,6 +135,8 @@
         headers[relayheaders::target] = call.call.lastTarget;
     if (call.call.endsWithConnection)
         headers[relayheaders::endsWithConnection] = "1";
+    if (call.call.targetConnectedAt != TimePoint::max())
+        headers[relayheaders::connectedFor] = std::to_string(std::chrono::duration_cast<Milliseconds>(m_clock.now() - call.call.targetConnectedAt).count());
     if (m_drainEnd)
         headers[relayheaders::leaving] = "1";
     if (call.call.noRoom) {
--- a/lib/Gateway/RepetitionTracker.cpp
+++ b/lib/Gateway/RepetitionTracker.cpp
@@ -90,10 +90,10 @@
 }
 
 // Without start times, the next lifetime of a target could not be told from the one that a run has ended.
-void RepetitionTracker::targetAnswered(const Registration& target, TimePoint since)
+void RepetitionTracker::targetAnswered(const Registration& target, TimePoint connectedAt, TimePoint since)
 {
     if (target.startedAt != 0 && m_directory.sourceKnownSince() <= m_clock.now())
-        m_limit.targetAnswered(lifetimeOf(target), since, m_clock.now());
+        m_limit.targetAnswered(lifetimeOf(target), connectedAt, since, m_clock.now());
 }
 
 void RepetitionTracker::targetEnded(const Registration& target)
--- a/lib/Gateway/RepetitionTracker.h
+++ b/lib/Gateway/RepetitionTracker.h
@@ -41,8 +41,9 @@
 
     /// Records that a target has accepted a connection that was requested at \p since.
     void accepted(const Registration&, TimePoint since);
-    /// Records that a target has begun to answer a call that was sent to it at \p since.
-    void targetAnswered(const Registration&, TimePoint since);
+    /// Records that a target has begun to answer a call that was sent to it at \p since, on a connection established at
+    /// \p connectedAt.
+    void targetAnswered(const Registration&, TimePoint connectedAt, TimePoint since);
     /// Records that a lifetime of a target has ended without a planned stop.
     void targetEnded(const Registration&);
 
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -49,6 +49,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer { maxUnparsedBytes };
+    TimePoint connectedAt;
     TimePoint idleUntil = TimePoint::max();
 };
 
@@ -165,6 +166,7 @@
     if (result.ec)
         throw TargetError(endpoint, Executed::No, result.ec.message(), failureToConnect(result.ec));
     setSocketOptions(connection->stream.socket());
+    connection->connectedAt = std::chrono::steady_clock::now();
     return connection;
 }
 
@@ -304,7 +306,7 @@
             isStale = !parser.got_some();
             throw TargetError(endpoint, Executed::Unknown, header.ec.message(), failureOf(header.ec));
         }
-        HttpResponse response { static_cast<int>(parser.get().result_int()), lowerCaseHeaders(parser.get()), {}, parser.need_eof() };
+        HttpResponse response { static_cast<int>(parser.get().result_int()), lowerCaseHeaders(parser.get()), {}, parser.need_eof(), connection.connectedAt };
         bool matches = !isInterim(response) && (!options.matchesRequest || options.matchesRequest(response));
         if (matches && options.onHeader)
             options.onHeader(response);
--- a/unittests/Forwarding/RepetitionLimitTest.cpp
+++ b/unittests/Forwarding/RepetitionLimitTest.cpp
@@ -2,7 +2,10 @@
 
 #include "basilpoint/Support/Error.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
+#include <random>
 
 using namespace basilpoint;
 using namespace std::chrono_literals;
@@ -38,6 +41,171 @@
     Digest deadly = digestOf("deadly");
     std::uint64_t lastId = 0;
     TimePoint now { 1h };
+    /// When connections were established that are older than all runs.
+    TimePoint before = now - 10s;
+};
+
+/// A request that ends each target which runs it, silently or with its connections, at once or after a while. Targets come back
+/// and answer sound calls, on open connections and new ones, before their registrations show it.
+class CrashingDay {
+public:
+    /// \param mayMeetAgain whether the request may reach a target again before its registration shows that it has ended.
+    CrashingDay(unsigned seed, bool mayMeetAgain)
+        : m_random(seed)
+        , m_mayMeetAgain(mayMeetAgain)
+        , m_targets(3 + m_random() % 6)
+        , m_isSilent(m_random() % 2 == 0)
+        , m_maxWork(m_random() % 2 == 0 ? 0 : 800)
+        , m_maxPause(100 + m_random() % 1'500)
+    {
+        for (; m_now < length; m_now += step) {
+            restartTargets();
+            endRun();
+            repeat();
+            callTargets();
+            limitTick();
+        }
+    }
+
+    /// Runs that reached a target later than the users allow after the third end.
+    std::size_t lateRuns() const
+    {
+        if (m_ends.size() < RepetitionLimit::toleratedEnds)
+            return 0;
+        TimePoint known = m_ends[RepetitionLimit::toleratedEnds - 1] + 3s;
+        return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [known](TimePoint it) { return it > known; }));
+    }
+
+private:
+    struct Connection {
+        TimePoint since;
+        unsigned process = 0;
+    };
+
+    struct Target {
+        /// Start of the current process, and the last one that the registration shows.
+        unsigned process = 1;
+        unsigned registered = 1;
+        bool isUp = true;
+        TimePoint restartAt;
+        TimePoint registerAt = TimePoint::max();
+        std::vector<Connection> connections;
+    };
+
+    struct Run {
+        std::size_t target = 0;
+        std::uint64_t id = 0;
+        TimePoint crashAt;
+        TimePoint deadline;
+        bool hasCrashed = false;
+    };
+
+    std::chrono::milliseconds upTo(unsigned n) { return std::chrono::milliseconds(n == 0 ? 0 : m_random() % n); }
+
+    std::string lifetimeOf(std::size_t n) const { return "t" + std::to_string(n) + "/" + std::to_string(m_targets[n].registered); }
+
+    void restartTargets()
+    {
+        for (std::size_t n = 0; n < m_targets.size(); ++n) {
+            Target& it = m_targets[n];
+            if (!it.isUp && m_now >= it.restartAt) {
+                it.isUp = true;
+                ++it.process;
+                it.registerAt = m_now + upTo(2'000);
+            }
+            if (m_now >= it.registerAt) {
+                m_limit.targetEnded(lifetimeOf(n), m_now);
+                it.registered = it.process;
+                it.registerAt = TimePoint::max();
+            }
+        }
+    }
+
+    void repeat()
+    {
+        if (m_run || m_now < m_nextTry)
+            return;
+        m_nextTry = m_now + 50ms + upTo(m_maxPause);
+        if (m_limit.verdictOn(m_deadly) == Verdict::Refused)
+            return;
+        std::size_t n = m_random() % m_targets.size();
+        m_limit.sent({ m_deadly, ++m_lastId, lifetimeOf(n) }, m_now);
+        const Target& target = m_targets[n];
+        if (!target.isUp || (!m_mayMeetAgain && target.process != target.registered)) {
+            m_limit.ended(m_lastId, RunEnd::NotRun, m_now);
+            return;
+        }
+        m_runs.push_back(m_now);
+        m_run = Run { n, m_lastId, m_now + upTo(m_maxWork), m_now + 900ms };
+    }
+
+    void endRun()
+    {
+        if (!m_run)
+            return;
+        Target& target = m_targets[m_run->target];
+        if (!m_run->hasCrashed && m_now >= m_run->crashAt) {
+            m_run->hasCrashed = true;
+            m_ends.push_back(m_now);
+            target.isUp = false;
+            target.restartAt = m_now + 1s + upTo(3'500);
+            target.registerAt = TimePoint::max();
+            if (!m_isSilent) {
+                m_limit.ended(m_run->id, RunEnd::ConnectionLost, m_now);
+                m_run.reset();
+                return;
+            }
+        }
+        if (m_now < m_run->deadline)
+            return;
+        m_limit.ended(m_run->id, RunEnd::Unanswered, m_now);
+        m_run.reset();
+    }
+
+    /// Answers a sound call that was sent one step before, if its target has not ended since.
+    void callTargets()
+    {
+        std::size_t n = m_random() % m_targets.size();
+        Target& target = m_targets[n];
+        if (!target.isUp)
+            return;
+        std::erase_if(target.connections, [&](const Connection& it) { return it.process != target.process; });
+        if (target.connections.empty() || m_random() % 2 == 0) {
+            target.connections.push_back({ m_now, target.process });
+            m_limit.accepted(lifetimeOf(n), m_now);
+        }
+        const Connection& used = target.connections[m_random() % target.connections.size()];
+        m_limit.targetAnswered(lifetimeOf(n), used.since, std::max(used.since, m_now - step), m_now);
+    }
+
+    void limitTick()
+    {
+        m_limit.takeChanges(m_now);
+        m_limit.sweep(m_now, [this](const std::string& lifetime) {
+            for (std::size_t n = 0; n < m_targets.size(); ++n)
+                if (lifetimeOf(n) == lifetime)
+                    return TargetFate::Alive;
+            return TargetFate::Ended;
+        });
+    }
+
+    static constexpr auto step = 25ms;
+    static constexpr TimePoint length { 1h + 60s };
+
+    std::mt19937 m_random;
+    bool m_mayMeetAgain;
+    RepetitionLimit m_limit;
+    Digest m_deadly = digestOf("deadly");
+    std::vector<Target> m_targets;
+    bool m_isSilent;
+    unsigned m_maxWork;
+    unsigned m_maxPause;
+    std::uint64_t m_lastId = 0;
+    std::optional<Run> m_run;
+    std::vector<TimePoint> m_ends;
+    std::vector<TimePoint> m_runs;
+    TimePoint m_now { 1h };
+    TimePoint m_nextTry { 1h };
 };
 
 } // namespace
@@ -120,11 +288,11 @@
 {
     runInVainOn(6);
     limit.takeChanges(now);
-    limit.targetAnswered("t0/1", now - 1ms, now);
+    limit.targetAnswered("t0/1", before, now - 1ms, now);
     BOOST_TEST((limit.verdictOn(deadly) == Verdict::Refused));
     now += 1s;
     for (unsigned n = 0; n < 6; ++n)
-        limit.targetAnswered("t" + std::to_string(n) + "/1", now - 500ms, now);
+        limit.targetAnswered("t" + std::to_string(n) + "/1", before, now - 500ms, now);
     BOOST_TEST(limit.size() == 0U);
     BOOST_TEST(limit.takeChanges(now).cleared.size() == 6U);
 }
@@ -132,9 +300,9 @@
 BOOST_AUTO_TEST_CASE(runOfAnotherDaemonIsClearedOnceItsTargetAnswersACallThatWasSentAfterTheReport)
 {
     limit.countReported(runOn("t/1"), now);
-    limit.targetAnswered("t/1", now - 1ms, now);
+    limit.targetAnswered("t/1", before, now - 1ms, now);
     BOOST_TEST(limit.size() == 1U);
-    limit.targetAnswered("t/1", now + 1ms, now + 2ms);
+    limit.targetAnswered("t/1", before, now + 1ms, now + 2ms);
     BOOST_TEST(limit.size() == 0U);
     BOOST_TEST(limit.takeChanges(now).cleared.size() == 1U);
 }
@@ -143,7 +311,7 @@
 BOOST_AUTO_TEST_CASE(clearedRunCountsAgainIfItsTargetTurnsOutToHaveEnded)
 {
     runInVain("t/1");
-    limit.targetAnswered("t/1", now + 100ms, now + 200ms);
+    limit.targetAnswered("t/1", before, now + 100ms, now + 200ms);
     UnansweredRun reported = runOn("t/2");
     limit.sent(reported, now);
     limit.ended(reported.id, RunEnd::Unanswered, now);
@@ -154,12 +322,58 @@
     BOOST_TEST(limit.size() == 2U);
 }
 
+// Guards against requests that are sent on, since targets which they have ended answer before their registrations show it.
+BOOST_AUTO_TEST_CASE(runIsNotClearedByAnAnswerOrConnectionOfTheNextProcess)
+{
+    for (RunEnd end : { RunEnd::Unanswered, RunEnd::ConnectionLost })
+        for (unsigned n = 0; n < 3; ++n) {
+            limit.sent(runOn("t" + std::to_string(n) + (end == RunEnd::Unanswered ? "/1" : "/2")), now);
+            limit.ended(lastId, end, now);
+        }
+    now += RepetitionLimit::maxProbeTime;
+    limit.takeChanges(now);
+    BOOST_TEST((limit.verdictOn(deadly) == Verdict::Refused));
+    now += 3s;
+    for (const char* process : { "/1", "/2" })
+        for (unsigned n = 0; n < 3; ++n) {
+            limit.accepted("t" + std::to_string(n) + process, now);
+            limit.targetAnswered("t" + std::to_string(n) + process, now, now, now + 20ms);
+        }
+    BOOST_TEST((limit.verdictOn(deadly) == Verdict::Refused));
+    BOOST_TEST(limit.takeChanges(now).cleared.empty());
+}
+
+// Guards against a run that is cleared while it goes on, under which the target ends later.
+BOOST_AUTO_TEST_CASE(runOfALimitedRequestCountsUntilItEnds)
+{
+    runInVainOn(3);
+    limit.sent(runOn("t/1"), now);
+    limit.countReported(runOn("t/2"), now);
+    now += 1s;
+    for (const char* it : { "t/1", "t/2" })
+        limit.targetAnswered(it, before, now, now + 20ms);
+    BOOST_TEST(limit.size() == 5U);
+}
+
+// Guards against retries without end at a target that ends again before its registration shows the first end.
+BOOST_AUTO_TEST_CASE(repetitionsOfALimitedRequestCountOnOneLifetimeToo)
+{
+    runInVainOn(3);
+    for (unsigned n = 0; n < 3; ++n) {
+        BOOST_TEST((limit.verdictOn(deadly) == Verdict::OneTarget));
+        now += RepetitionLimit::minTimeBetweenEnds;
+        runInVain("t0/1");
+        runInVain("t0/1");
+    }
+    BOOST_TEST((limit.verdictOn(deadly) == Verdict::Refused));
+}
+
 BOOST_AUTO_TEST_CASE(runThatFallsSilentAgainAfterASignOfLifeCountsAgain)
 {
     limit.sent(runOn("t/1"), now);
     now += RepetitionLimit::maxSilence;
     BOOST_TEST(limit.takeChanges(now).unanswered.size() == 1U);
-    limit.targetAnswered("t/1", now, now + 10ms);
+    limit.targetAnswered("t/1", before, now, now + 10ms);
     BOOST_TEST(limit.size() == 0U);
     now += RepetitionLimit::maxSilence + 10ms;
     BOOST_TEST(limit.takeChanges(now).unanswered.size() == 1U);
@@ -324,6 +538,20 @@
     BOOST_TEST((limit.verdictOn(deadly) == Verdict::Refused));
 }
 
+// Guards against each way in which a request comes to be sent on that ends the targets which run it.
+BOOST_AUTO_TEST_CASE(requestThatEndsTargetsIsRepeatedThreeTimesAtMost)
+{
+    for (unsigned seed = 1; seed <= 400; ++seed)
+        BOOST_TEST(CrashingDay(seed, false).lateRuns() <= RepetitionLimit::maxRepetitions, "seed " << seed);
+}
+
+// Guards against ends that are taken for one, since the target had not registered between them.
+BOOST_AUTO_TEST_CASE(requestThatEndsUnregisteredTargetsIsRepeatedThreeTimesAtMost)
+{
+    for (unsigned seed = 1; seed <= 400; ++seed)
+        BOOST_TEST(CrashingDay(seed, true).lateRuns() <= RepetitionLimit::maxRepetitions, "seed " << seed);
+}
+
 BOOST_AUTO_TEST_CASE(textOfARunIsReadBack)
 {
     UnansweredRun run { deadly, 0xfeed, "i-7/1700000000000" };
