--- a/include/basilpoint/Journal/RecordLog.h
+++ b/include/basilpoint/Journal/RecordLog.h
@@ -6,6 +6,7 @@
 #include <exception>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,12 @@
     /// effect of all earlier writes. If the disk has too little space for it, the older segments are kept.
     void compact(std::vector<std::string> snapshot, Done done);
 
+    /// Gives the records of a snapshot one after the other, and nothing after the last. Called on the log's thread.
+    using RecordSource = std::function<std::optional<std::string>()>;
+
+    /// As above, for a snapshot of about \p bytes that is not held as a whole.
+    void compact(RecordSource snapshot, std::uint64_t bytes, Done done);
+
     /// Bytes in all segments, to decide when to compact.
     std::uint64_t bytes() const;
 
--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -3,6 +3,7 @@
 #include "basilpoint/Turns/AccountChange.h"
 
 #include <map>
+#include <memory>
 #include <set>
 
 namespace basilpoint {
@@ -53,6 +54,9 @@
 /// As grantedTokens(), without grants whose tokens the account includes.
 TokenCount outstandingTokens(const std::vector<JournalEntry>& grants);
 
+/// Shared with whoever still reads an entry after it has been dropped.
+using SharedEntry = std::shared_ptr<const JournalEntry>;
+
 /// Turns and grants that keepers keep on their disks until the store has them.
 ///
 /// A turn is acknowledged once it is on one more disk than may be lost. A journal whose disk was lost counts as lost
@@ -84,7 +88,7 @@
 
     std::vector<JournalEntry> all() const;
     /// As all(), without copying.
-    const std::map<EntryName, JournalEntry>& entries() const { return m_entries; }
+    const std::map<EntryName, SharedEntry>& entries() const { return m_entries; }
     std::size_t size() const { return m_entries.size(); }
     /// Approximate size of the entries on disk.
     std::uint64_t bytes() const { return m_bytes; }
@@ -93,12 +97,12 @@
     std::vector<JournalOperation> snapshot() const;
 
 private:
-    void append(const JournalEntry&);
+    void append(JournalEntry);
     void drop(const EntryName&);
     void reset();
     std::vector<JournalEntry> entriesOf(const ProgramId&) const;
 
-    std::map<EntryName, JournalEntry> m_entries;
+    std::map<EntryName, SharedEntry> m_entries;
     std::uint64_t m_bytes = 0;
     std::map<CallId, std::set<EntryName>> m_byTurn;
     std::map<ProgramId, std::set<EntryName>> m_byProgram;
--- a/lib/Gateway/DurableTurnJournal.cpp
+++ b/lib/Gateway/DurableTurnJournal.cpp
@@ -21,9 +21,9 @@
 {
     std::vector<std::pair<EntryName, ProgramId>> names;
     for (const auto& [name, entry] : m_journal.entries())
-        names.emplace_back(name, entry.program);
+        names.emplace_back(name, entry->program);
     for (const Write& write : m_pending)
-        for (const JournalOperation& it : write.operations)
+        for (const JournalOperation& it : *write.operations)
             if (it.kind == JournalOperation::Kind::Append) {
                 JournalEntry entry = decodeEntry(it.entry);
                 names.emplace_back(EntryName { entry.daemon, entry.step() }, entry.program);
@@ -33,22 +33,22 @@
 
 void DurableTurnJournal::write(std::vector<JournalOperation> operations, Done done)
 {
-    enqueue({ std::move(operations), std::move(done) });
+    enqueue(std::move(operations), std::move(done));
 }
 
 // Applied again once it is on disk, which changes nothing unless an operation before it has undone it.
 void DurableTurnJournal::applyAtOnce(JournalOperation operation)
 {
     m_journal.apply(operation);
-    enqueue({ { std::move(operation) }, nullptr });
+    enqueue({ std::move(operation) }, nullptr);
 }
 
-void DurableTurnJournal::enqueue(Write write)
+void DurableTurnJournal::enqueue(std::vector<JournalOperation> operations, Done done)
 {
     std::vector<std::string> records;
-    for (const JournalOperation& it : write.operations)
+    for (const JournalOperation& it : operations)
         records.push_back(encodeOperation(it));
-    m_pending.push_back(std::move(write));
+    m_pending.push_back({ std::make_shared<const std::vector<JournalOperation>>(std::move(operations)), std::move(done) });
     m_log.writeTogether(std::move(records), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
         m_post([this, isAlive, failure] {
             if (!isAlive.expired())
@@ -63,7 +63,7 @@
     Write write = std::move(m_pending.front());
     m_pending.pop_front();
     if (!failure)
-        for (const JournalOperation& it : write.operations)
+        for (const JournalOperation& it : *write.operations)
             m_journal.apply(it);
     if (write.done)
         write.done(failure);
@@ -75,19 +75,48 @@
         compact();
 }
 
+// Refers to the entries, which are encoded one at a time when the log asks for them. The log drops what was queued before the
+// snapshot, also what the journal does not contain yet, so the snapshot ends with that.
+RecordLog::RecordSource DurableTurnJournal::snapshot() const
+{
+    struct Source {
+        std::deque<JournalOperation> first;
+        std::deque<SharedEntry> entries;
+        std::deque<std::pair<Operations, std::size_t>> pending;
+    };
+    auto source = std::make_shared<Source>();
+    if (!m_journal.view().empty())
+        source->first.push_back({ JournalOperation::Kind::View, m_journal.view() });
+    if (m_journal.isSynchronized())
+        source->first.push_back({ JournalOperation::Kind::Synchronized });
+    for (const auto& [name, entry] : m_journal.entries())
+        source->entries.push_back(entry);
+    for (const Write& write : m_pending)
+        for (std::size_t n = 0; n < write.operations->size(); ++n)
+            source->pending.emplace_back(write.operations, n);
+    return [source]() -> std::optional<std::string> {
+        std::optional<std::string> record;
+        if (!source->first.empty()) {
+            record = encodeOperation(source->first.front());
+            source->first.pop_front();
+        } else if (!source->entries.empty()) {
+            record = encodeOperation({ JournalOperation::Kind::Append, encodeEntry(*source->entries.front()) });
+            source->entries.pop_front();
+        } else if (!source->pending.empty()) {
+            const auto& [operations, n] = source->pending.front();
+            record = encodeOperation(operations->at(n));
+            source->pending.pop_front();
+        }
+        return record;
+    };
+}
+
 void DurableTurnJournal::compact()
 {
     if (m_isCompacting)
         return;
     m_isCompacting = true;
-    std::vector<std::string> snapshot;
-    for (const JournalOperation& it : m_journal.snapshot())
-        snapshot.push_back(encodeOperation(it));
-    // The log drops what was queued before the snapshot, also what the journal does not contain yet.
-    for (const Write& write : m_pending)
-        for (const JournalOperation& it : write.operations)
-            snapshot.push_back(encodeOperation(it));
-    m_log.compact(std::move(snapshot), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
+    m_log.compact(snapshot(), m_journal.bytes(), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
         m_post([this, isAlive, failure] {
             if (isAlive.expired())
                 return;
--- a/lib/Gateway/DurableTurnJournal.h
+++ b/lib/Gateway/DurableTurnJournal.h
@@ -54,13 +54,16 @@
     void compactIfLarge(std::uint64_t minBytes);
 
 private:
+    using Operations = std::shared_ptr<const std::vector<JournalOperation>>;
+
     /// Operations that were queued together.
     struct Write {
-        std::vector<JournalOperation> operations;
+        Operations operations;
         Done done;
     };
 
-    void enqueue(Write);
+    void enqueue(std::vector<JournalOperation>, Done);
+    RecordLog::RecordSource snapshot() const;
     void finishFirst(const std::exception_ptr& failure);
 
     TurnJournal m_journal;
--- a/lib/Gateway/TurnJournalServer.cpp
+++ b/lib/Gateway/TurnJournalServer.cpp
@@ -296,8 +296,8 @@
 {
     std::vector<JournalEntry> selected;
     for (const auto& [name, entry] : m_journal.state().entries())
-        if (selection == movedEntries ? m_view.movesEntriesOf(entry.program, m_tolerated) : m_view.keeps(selection, entry.program, m_tolerated))
-            selected.push_back(entry);
+        if (selection == movedEntries ? m_view.movesEntriesOf(entry->program, m_tolerated) : m_view.keeps(selection, entry->program, m_tolerated))
+            selected.push_back(*entry);
     return encodeContents({ m_journal.state().isSynchronized(), m_journal.folder().text(), std::move(selected) });
 }
 
@@ -487,17 +487,17 @@
 
 // Stores the changes that the account does not include yet. The entries belong to one program and are in order of their
 // steps; changes that do not fit into one call are stored in the next interval.
-void TurnJournalServer::upload(const ProgramId& program, const std::vector<JournalEntry>& entries)
+void TurnJournalServer::upload(const ProgramId& program, const std::vector<SharedEntry>& entries)
 {
     std::string key = TurnLedger::accountKey(program);
     auto current = m_store.get(key);
     ProgramAccount account = current ? decodeAccount(current->value) : ProgramAccount {};
     KeyTransaction transaction;
     std::vector<EntryName> done;
-    for (const JournalEntry& entry : entries) {
-        if (!addChanges(transaction, account, entry))
+    for (const SharedEntry& entry : entries) {
+        if (!addChanges(transaction, account, *entry))
             break;
-        done.push_back({ entry.daemon, entry.step() });
+        done.push_back({ entry->daemon, entry->step() });
     }
     bool isStored = transaction.puts.empty();
     if (!isStored) {
@@ -508,10 +508,10 @@
     m_log.write(LogLine("journal-upload").field("program", program.text()).field("entries", done.size()).field("turns", transaction.puts.size() / 2).field("done", isStored));
     if (!isStored)
         return;
-    for (const JournalEntry& entry : entries)
-        for (const AccountChange& it : entry.changes)
-            if (it.grant != 0 && it.step <= account.holds[entry.daemon].step)
-                persistEntries({ grantStoredEntry(program, entry.daemon, it.grant, it.keepUntil) });
+    for (const SharedEntry& entry : entries)
+        for (const AccountChange& it : entry->changes)
+            if (it.grant != 0 && it.step <= account.holds[entry->daemon].step)
+                persistEntries({ grantStoredEntry(program, entry->daemon, it.grant, it.keepUntil) });
     for (const EntryName& it : done)
         drop(it);
 }
@@ -540,10 +540,10 @@
         persistEntries({ grantStoredEntry(grant.program, grant.daemon, change.step, change.keepUntil) });
 }
 
-void TurnJournalServer::postpone(const std::vector<JournalEntry>& entries)
+void TurnJournalServer::postpone(const std::vector<SharedEntry>& entries)
 {
-    for (const JournalEntry& it : entries)
-        m_firstSeenAt[{ it.daemon, it.step() }] = m_clock.now();
+    for (const SharedEntry& it : entries)
+        m_firstSeenAt[{ it->daemon, it->step() }] = m_clock.now();
 }
 
 void TurnJournalServer::uploadOverdue()
@@ -551,10 +551,10 @@
     // Others have the entries of a keeper that has left, and may know more of them. One that is leaving still gets all.
     if (m_store.health().failingSince() || !m_view.contains(m_self) || !isSynchronized())
         return;
-    std::map<ProgramId, std::vector<JournalEntry>> old;
+    std::map<ProgramId, std::vector<SharedEntry>> old;
     for (const auto& [name, entry] : m_journal.state().entries())
-        if (!isGrant(entry) && m_clock.now() - m_firstSeenAt.try_emplace(name, m_clock.now()).first->second >= uploadAfter)
-            old[entry.program].push_back(entry);
+        if (!isGrant(*entry) && m_clock.now() - m_firstSeenAt.try_emplace(name, m_clock.now()).first->second >= uploadAfter)
+            old[entry->program].push_back(entry);
     std::size_t n = 0;
     for (const auto& [program, entries] : old) {
         try {
--- a/lib/Gateway/TurnJournalServer.h
+++ b/lib/Gateway/TurnJournalServer.h
@@ -84,11 +84,11 @@
     bool isComplete(const std::vector<RelayAddress>& members, const Collected&) const;
     bool sendMissing(const RelayAddress&, const KeeperView& joint, const Collected&);
     bool synchronize();
-    void upload(const ProgramId&, const std::vector<JournalEntry>&);
+    void upload(const ProgramId&, const std::vector<SharedEntry>&);
     void charge(const JournalEntry& grant);
     void uploadOverdue();
     /// Delays the next upload of the entries, so that those behind them have their turn.
-    void postpone(const std::vector<JournalEntry>&);
+    void postpone(const std::vector<SharedEntry>&);
     bool isOld(const EntryName&) const;
     void settleOldGrants();
     void logCompaction(const std::exception_ptr& failure);
--- a/lib/Journal/File.cpp
+++ b/lib/Journal/File.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
-#include <fstream>
 #include <sys/file.h>
 #include <sys/statvfs.h>
 #include <unistd.h>
@@ -95,14 +94,14 @@
         throw JournalWriteError(folder, "fsync", reason);
 }
 
-void writeWholeFile(const std::filesystem::path& path, std::string_view bytes, const FileHooks& hooks)
+void writeWholeFile(const std::filesystem::path& path, const std::function<void(File&)>& write, const FileHooks& hooks)
 {
     std::filesystem::path temporaryPath = path;
     temporaryPath += temporarySuffix;
     {
         File file(temporaryPath, hooks);
         file.truncate(0);
-        file.write(bytes);
+        write(file);
         file.sync();
     }
     if (::rename(temporaryPath.c_str(), path.c_str()) != 0)
@@ -122,6 +121,26 @@
     return bytes;
 }
 
+FileReader::FileReader(std::filesystem::path path)
+    : m_path(std::move(path))
+    , m_file(m_path, std::ios::binary)
+{
+    if (!m_file)
+        throw JournalFolderError(m_path, "open", errno);
+}
+
+std::string FileReader::read(std::uint64_t offset, std::size_t size)
+{
+    std::string bytes(size, '\0');
+    m_file.clear();
+    m_file.seekg(static_cast<std::streamoff>(offset));
+    m_file.read(bytes.data(), static_cast<std::streamsize>(size));
+    if (m_file.bad())
+        throw JournalFolderError(m_path, "read", errno);
+    bytes.resize(static_cast<std::size_t>(m_file.gcount()));
+    return bytes;
+}
+
 FolderLock::FolderLock(const std::filesystem::path& folder)
     : m_fd(::open((folder / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, filePermissions))
 {
--- a/lib/Journal/File.h
+++ b/lib/Journal/File.h
@@ -2,6 +2,8 @@
 
 #include "basilpoint/Journal/FileHooks.h"
 
+#include <fstream>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -32,12 +34,26 @@
 /// Syncs the directory, so that created, renamed and removed files in \p folder are durable.
 void syncFolder(const std::filesystem::path& folder, const FileHooks&);
 
-/// Replaces a file atomically: writes it under a temporary name, syncs it and renames it.
-void writeWholeFile(const std::filesystem::path&, std::string_view bytes, const FileHooks&);
+/// Replaces a file atomically: lets \p write fill it under a temporary name, syncs it and renames it.
+void writeWholeFile(const std::filesystem::path&, const std::function<void(File&)>& write, const FileHooks&);
 
 /// Reads at most the first \p maxBytes of a file. \throws JournalFolderError.
 std::string readFile(const std::filesystem::path&, std::size_t maxBytes = std::string::npos);
 
+/// Reads a file from its start on, in parts.
+class FileReader {
+public:
+    /// \throws JournalFolderError.
+    explicit FileReader(std::filesystem::path);
+
+    /// Reads \p size bytes at \p offset, or those that there are. \throws JournalFolderError.
+    std::string read(std::uint64_t offset, std::size_t size);
+
+private:
+    std::filesystem::path m_path;
+    std::ifstream m_file;
+};
+
 /// Exclusive lock on a folder. The operating system releases it when the process ends.
 class FolderLock {
 public:
--- a/lib/Journal/Frame.cpp
+++ b/lib/Journal/Frame.cpp
@@ -10,7 +10,7 @@
 static constexpr std::string_view frameMagic = "BPFR";
 static constexpr std::size_t lengthBytes = 4;
 static constexpr std::size_t integerBytes = 8;
-static constexpr std::size_t frameHeaderBytes = 4 + lengthBytes + integerBytes;
+static_assert(frameHeaderBytes == frameMagic.size() + lengthBytes + integerBytes);
 
 static void appendInteger(std::string& buf, std::uint64_t value, std::size_t width)
 {
@@ -79,20 +79,25 @@
     return records;
 }
 
-std::optional<Frame> decodeFrame(std::uint64_t segment, std::string_view bytes, std::uint64_t offset)
+std::optional<std::uint64_t> frameSize(std::string_view header)
 {
-    if (offset > bytes.size())
+    if (header.size() < frameHeaderBytes || !header.starts_with(frameMagic))
         return std::nullopt;
-    std::string_view rest = bytes.substr(offset);
-    if (rest.size() < frameHeaderBytes || !rest.starts_with(frameMagic))
+    return frameHeaderBytes + readInteger(header, frameMagic.size(), lengthBytes);
+}
+
+std::optional<Frame> decodeFrame(std::uint64_t segment, std::string_view bytes, std::uint64_t offset, std::uint64_t begin)
+{
+    if (offset - begin > bytes.size())
         return std::nullopt;
-    std::size_t size = readInteger(rest, frameMagic.size(), lengthBytes);
-    if (size > rest.size() - frameHeaderBytes)
+    std::string_view rest = bytes.substr(offset - begin);
+    auto size = frameSize(rest);
+    if (!size || *size > rest.size())
         return std::nullopt;
-    std::string_view payload = rest.substr(frameHeaderBytes, size);
+    std::string_view payload = rest.substr(frameHeaderBytes, *size - frameHeaderBytes);
     if (readInteger(rest, frameMagic.size() + lengthBytes, integerBytes) != checksum(segment, offset, payload))
         return std::nullopt;
-    return Frame { splitRecords(payload), offset + frameHeaderBytes + size };
+    return Frame { splitRecords(payload), offset + *size };
 }
 
 bool hasFrameAtOrAfter(std::uint64_t segment, std::string_view bytes, std::uint64_t offset)
--- a/lib/Journal/Frame.h
+++ b/lib/Journal/Frame.h
@@ -39,8 +39,14 @@
     std::uint64_t end = 0;
 };
 
-/// \returns empty if there is no valid frame at \p offset of a segment's \p bytes.
-std::optional<Frame> decodeFrame(std::uint64_t segment, std::string_view bytes, std::uint64_t offset);
+/// \param bytes the segment from \p begin on.
+/// \returns empty if there is no valid frame at \p offset of the segment.
+std::optional<Frame> decodeFrame(std::uint64_t segment, std::string_view bytes, std::uint64_t offset, std::uint64_t begin = 0);
+
+constexpr std::size_t frameHeaderBytes = 16;
+
+/// Size of the frame that begins with \p header. \returns empty if none does.
+std::optional<std::uint64_t> frameSize(std::string_view header);
 
 /// Whether a valid frame begins at \p offset or after it.
 bool hasFrameAtOrAfter(std::uint64_t segment, std::string_view bytes, std::uint64_t offset);
--- a/lib/Journal/GroupCommitter.cpp
+++ b/lib/Journal/GroupCommitter.cpp
@@ -44,6 +44,11 @@
     enqueue({ std::move(snapshot), true, std::move(done) });
 }
 
+void GroupCommitter::compact(SegmentLog::RecordSource snapshot, std::uint64_t bytes, Done done)
+{
+    enqueue({ {}, true, std::move(done), std::move(snapshot), bytes });
+}
+
 void GroupCommitter::enqueue(Task task)
 {
     {
@@ -78,7 +83,8 @@
         return m_failure;
     try {
         if (group.front().isSnapshot) {
-            m_log.compact(group.front().records);
+            const Task& snapshot = group.front();
+            snapshot.source ? m_log.compact(snapshot.source, snapshot.sourceBytes) : m_log.compact(snapshot.records);
             return nullptr;
         }
         std::vector<std::string> records;
--- a/lib/Journal/GroupCommitter.h
+++ b/lib/Journal/GroupCommitter.h
@@ -26,6 +26,8 @@
     /// Queues records that are written in one frame, so that all or none of them are read back.
     void writeTogether(std::vector<std::string> records, Done);
     void compact(std::vector<std::string> snapshot, Done);
+    /// As SegmentLog::compact(); calls \p snapshot on the committer's thread.
+    void compact(SegmentLog::RecordSource snapshot, std::uint64_t bytes, Done);
 
 private:
     struct Task {
@@ -33,6 +35,9 @@
         std::vector<std::string> records;
         bool isSnapshot = false;
         Done done;
+        /// Gives the records of a snapshot if they are not in \ref records.
+        SegmentLog::RecordSource source {};
+        std::uint64_t sourceBytes = 0;
     };
 
     void enqueue(Task);
--- a/lib/Journal/RecordLog.cpp
+++ b/lib/Journal/RecordLog.cpp
@@ -56,6 +56,12 @@
     m_impl->committer->compact(std::move(snapshot), std::move(done));
 }
 
+void RecordLog::compact(RecordSource snapshot, std::uint64_t bytes, Done done)
+{
+    assert(m_impl->committer && "load() must be called before the first write");
+    m_impl->committer->compact(std::move(snapshot), bytes, std::move(done));
+}
+
 std::uint64_t RecordLog::bytes() const
 {
     return m_impl->log.bytes();
--- a/lib/Journal/SegmentLog.cpp
+++ b/lib/Journal/SegmentLog.cpp
@@ -13,7 +13,8 @@
 static constexpr std::string_view segmentPrefix = "segment-";
 static constexpr std::string_view segmentSuffix = ".log";
 static constexpr std::uint64_t firstSegment = 1;
-static constexpr std::size_t maxSnapshotFrameBytes = 8 * 1024 * 1024;
+// Bounds the memory that writing and reading a snapshot take.
+static constexpr std::size_t maxSnapshotFrameBytes = 1024 * 1024;
 
 static HolderId randomHolderId()
 {
@@ -44,25 +45,6 @@
         std::filesystem::remove(path);
 }
 
-static std::string encodeSnapshot(const SegmentHeader& header, const std::vector<std::string>& snapshot)
-{
-    std::string buf = encodeSegmentHeader(header);
-    std::vector<std::string> group;
-    std::size_t groupBytes = 0;
-    for (const std::string& record : snapshot) {
-        group.push_back(record);
-        groupBytes += record.size();
-        if (groupBytes < maxSnapshotFrameBytes)
-            continue;
-        buf += encodeFrame(header.number, buf.size(), group);
-        group.clear();
-        groupBytes = 0;
-    }
-    if (!group.empty())
-        buf += encodeFrame(header.number, buf.size(), group);
-    return buf + encodeFrame(header.number, buf.size(), {});
-}
-
 SegmentLog::SegmentLog(SegmentLogSettings settings)
     : m_settings(std::move(settings))
 {
@@ -75,7 +57,7 @@
     }
     if (m_segments.empty()) {
         m_header.holder = randomHolderId();
-        createSegment(firstSegment, firstSegment, {});
+        createSegment(firstSegment, firstSegment, nullptr);
     }
     readHeaders();
 }
@@ -124,24 +106,59 @@
     m_bytes = std::accumulate(m_segments.begin(), m_segments.end(), std::uint64_t(0), [](std::uint64_t sum, const auto& it) { return sum + it.second; });
 }
 
-void SegmentLog::createSegment(std::uint64_t number, std::uint64_t base, const std::vector<std::string>& snapshot)
+void SegmentLog::createSegment(std::uint64_t number, std::uint64_t base, const RecordSource& snapshot)
 {
     m_header.number = number;
     m_header.base = base;
-    std::string bytes = snapshot.empty() ? encodeSegmentHeader(m_header) : encodeSnapshot(m_header, snapshot);
-    writeWholeFile(segmentPath(number), bytes, m_settings.hooks);
-    m_segments[number] = bytes.size();
-    m_bytes += bytes.size();
+    std::uint64_t size = segmentHeaderBytes;
+    auto write = [&](File& file) {
+        file.write(encodeSegmentHeader(m_header));
+        if (snapshot)
+            size = writeSnapshot(file, snapshot);
+    };
+    writeWholeFile(segmentPath(number), write, m_settings.hooks);
+    m_segments[number] = size;
+    m_bytes += size;
     m_file = File(segmentPath(number), m_settings.hooks);
 }
 
-// Returns the offset after the last valid group.
+// Writes the records in frames, and a mark after them. \returns the size of the segment.
+std::uint64_t SegmentLog::writeSnapshot(File& file, const RecordSource& snapshot) const
+{
+    std::uint64_t size = segmentHeaderBytes;
+    std::vector<std::string> group;
+    std::size_t groupBytes = 0;
+    auto writeGroup = [&] {
+        std::string frame = encodeFrame(m_header.number, size, group);
+        file.write(frame);
+        size += frame.size();
+        group.clear();
+        groupBytes = 0;
+    };
+    while (auto record = snapshot()) {
+        groupBytes += record->size();
+        group.push_back(std::move(*record));
+        if (groupBytes >= maxSnapshotFrameBytes)
+            writeGroup();
+    }
+    if (!group.empty())
+        writeGroup();
+    writeGroup();
+    return size;
+}
+
+// Returns the offset after the last valid group. Holds one group at a time.
 std::uint64_t SegmentLog::readSegment(std::uint64_t number, const std::function<void(std::string_view)>& replay) const
 {
-    std::string bytes = readFile(segmentPath(number));
+    FileReader file(segmentPath(number));
+    std::uint64_t end = m_segments.at(number);
     std::uint64_t offset = segmentHeaderBytes;
-    while (offset < bytes.size()) {
-        auto frame = decodeFrame(number, bytes, offset);
+    while (offset < end) {
+        auto size = frameSize(file.read(offset, frameHeaderBytes));
+        if (!size || *size > end - offset)
+            break;
+        std::string bytes = file.read(offset, *size);
+        auto frame = decodeFrame(number, bytes, offset, offset);
         if (!frame)
             break;
         for (std::string_view record : frame->records)
@@ -150,8 +167,8 @@
     }
     // A group is written only after the previous one was synced. A valid frame after an invalid one therefore shows that
     // the invalid one was on disk and has been damaged. Otherwise it is a torn write that was never acknowledged.
-    bool torn = number == m_header.number && !hasFrameAtOrAfter(number, bytes, offset);
-    if (offset < bytes.size() && !torn)
+    bool torn = offset == end || (number == m_header.number && !hasFrameAtOrAfter(number, readFile(segmentPath(number)), offset));
+    if (!torn)
         throw JournalCorruptError(segmentPath(number), offset, "a group has its checksum");
     return offset;
 }
@@ -197,15 +214,12 @@
 {
     // Sync the last mark, since a torn tail is accepted in the last segment only.
     m_file.sync();
-    createSegment(m_header.number + 1, m_header.base, {});
+    createSegment(m_header.number + 1, m_header.base, nullptr);
 }
 
-void SegmentLog::compact(const std::vector<std::string>& snapshot)
+void SegmentLog::compact(const RecordSource& snapshot, std::uint64_t bytes)
 {
-    // Upper bound: a frame header and the length of a record take less space than a segment header.
-    std::uint64_t needed = 2 * segmentHeaderBytes;
-    for (const std::string& record : snapshot)
-        needed += record.size() + segmentHeaderBytes;
+    std::uint64_t needed = 2 * segmentHeaderBytes + bytes;
     std::uint64_t free = m_settings.hooks.freeBytes(m_settings.folder);
     if (free < needed)
         throw JournalFullError(m_settings.folder, free, needed);
@@ -214,4 +228,14 @@
     syncFolder(m_settings.folder, m_settings.hooks);
 }
 
+void SegmentLog::compact(const std::vector<std::string>& snapshot)
+{
+    // Upper bound: a frame header and the length of a record take less space than a segment header.
+    std::uint64_t bytes = 0;
+    for (const std::string& record : snapshot)
+        bytes += record.size() + segmentHeaderBytes;
+    auto next = snapshot.begin();
+    compact([&] { return next == snapshot.end() ? std::nullopt : std::optional(*next++); }, bytes);
+}
+
 } // namespace basilpoint
--- a/lib/Journal/SegmentLog.h
+++ b/lib/Journal/SegmentLog.h
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace basilpoint {
 
@@ -39,15 +41,21 @@
     /// Marks the last group as synced, so that damage to it is not mistaken for a torn tail. Does not sync the mark.
     void markSynced();
 
-    /// Replaces all segments by one that contains \p snapshot.
+    /// Gives the records of a snapshot one after the other, and nothing after the last.
+    using RecordSource = std::function<std::optional<std::string>()>;
+
+    /// Replaces all segments by one that contains the records of \p snapshot, of about \p bytes together.
     /// \throws JournalFullError if there is too little space, in which case nothing is changed; JournalWriteError.
+    void compact(const RecordSource& snapshot, std::uint64_t bytes);
     void compact(const std::vector<std::string>& snapshot);
 
 private:
     std::filesystem::path segmentPath(std::uint64_t number) const;
     void createFolder();
     void readHeaders();
-    void createSegment(std::uint64_t number, std::uint64_t base, const std::vector<std::string>& snapshot);
+    /// \param snapshot records that the segment begins with; none if null.
+    void createSegment(std::uint64_t number, std::uint64_t base, const RecordSource& snapshot);
+    std::uint64_t writeSnapshot(File&, const RecordSource& snapshot) const;
     void removeSegmentsBefore(std::uint64_t number);
     std::uint64_t readSegment(std::uint64_t number, const std::function<void(std::string_view)>& replay) const;
     void startNextSegment();
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -42,10 +42,13 @@
     return bytes;
 }
 
-void TurnJournal::append(const JournalEntry& entry)
+void TurnJournal::append(JournalEntry appended)
 {
-    if (!m_entries.emplace(nameOf(entry), entry).second)
+    SharedEntry& slot = m_entries[nameOf(appended)];
+    if (slot)
         return;
+    slot = std::make_shared<const JournalEntry>(std::move(appended));
+    const JournalEntry& entry = *slot;
     m_bytes += approximateBytes(entry);
     m_byProgram[entry.program].insert(nameOf(entry));
     m_changed.insert(entry.program);
@@ -68,12 +71,12 @@
     auto entry = m_entries.find(name);
     if (entry == m_entries.end())
         return;
-    for (const AccountChange& it : entry->second.changes)
+    for (const AccountChange& it : entry->second->changes)
         if (it.record)
             eraseName(m_byTurn, it.record->turn, name);
-    eraseName(m_byProgram, entry->second.program, name);
-    m_changed.insert(entry->second.program);
-    m_bytes -= approximateBytes(entry->second);
+    eraseName(m_byProgram, entry->second->program, name);
+    m_changed.insert(entry->second->program);
+    m_bytes -= approximateBytes(*entry->second);
     m_entries.erase(entry);
 }
 
@@ -111,7 +114,7 @@
 std::vector<JournalEntry> TurnJournal::findTurn(const CallId& turn) const
 {
     auto names = m_byTurn.find(turn);
-    return names == m_byTurn.end() ? std::vector<JournalEntry>() : entriesOf(m_entries.at(*names->second.begin()).program);
+    return names == m_byTurn.end() ? std::vector<JournalEntry>() : entriesOf(m_entries.at(*names->second.begin())->program);
 }
 
 std::vector<JournalEntry> TurnJournal::entriesOf(const ProgramId& program) const
@@ -121,7 +124,7 @@
     if (names == m_byProgram.end())
         return found;
     for (const EntryName& it : names->second)
-        found.push_back(m_entries.at(it));
+        found.push_back(*m_entries.at(it));
     return found;
 }
 
@@ -207,8 +210,8 @@
 {
     std::vector<JournalEntry> grants;
     for (const auto& [name, entry] : m_entries)
-        if (isGrant(entry))
-            grants.push_back(entry);
+        if (isGrant(*entry))
+            grants.push_back(*entry);
     std::vector<JournalEntry> open;
     for (const auto& [name, state] : statesOf(grants))
         if (isOpen(state))
@@ -224,7 +227,7 @@
     if (names == m_byProgram.end())
         return grants;
     for (const EntryName& it : names->second) {
-        const JournalEntry& entry = m_entries.at(it);
+        const JournalEntry& entry = *m_entries.at(it);
         if (isGrant(entry))
             grants.push_back(entry);
     }
@@ -238,7 +241,7 @@
         open.insert(nameOf(it));
     std::vector<EntryName> names;
     for (const auto& [name, entry] : m_entries)
-        if (isGrant(entry) && !open.contains(name))
+        if (isGrant(*entry) && !open.contains(name))
             names.push_back(name);
     return names;
 }
@@ -247,7 +250,7 @@
 {
     std::vector<JournalEntry> entries;
     for (const auto& [name, entry] : m_entries)
-        entries.push_back(entry);
+        entries.push_back(*entry);
     return entries;
 }
 
@@ -259,7 +262,7 @@
     if (m_isSynchronized)
         operations.push_back({ JournalOperation::Kind::Synchronized });
     for (const auto& [name, entry] : m_entries)
-        operations.push_back({ JournalOperation::Kind::Append, encodeEntry(entry) });
+        operations.push_back({ JournalOperation::Kind::Append, encodeEntry(*entry) });
     return operations;
 }
 
--- a/unittests/Gateway/DurableTurnJournalTest.cpp
+++ b/unittests/Gateway/DurableTurnJournalTest.cpp
@@ -113,7 +113,10 @@
 
 Content contentOf(const TurnJournal& journal)
 {
-    return { journal.entries(), journal.isSynchronized(), journal.view() };
+    Content content { {}, journal.isSynchronized(), journal.view() };
+    for (const auto& [name, entry] : journal.entries())
+        content.entries.emplace(name, *entry);
+    return content;
 }
 
 JournalEntry entry(AccountChange::Kind kind, std::uint64_t step)
--- a/unittests/Journal/SegmentLogTest.cpp
+++ b/unittests/Journal/SegmentLogTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <map>
+#include <optional>
 #include <sys/stat.h>
 
 using namespace basilpoint;
@@ -255,6 +256,44 @@
     BOOST_TEST(std::filesystem::exists(segment(1)));
 }
 
+// Guards against processes that exceed their memory, since they hold a whole snapshot to write it.
+BOOST_AUTO_TEST_CASE(snapshotIsWrittenInParts)
+{
+    constexpr std::size_t recordBytes = 100'000;
+    constexpr unsigned records = 200;
+    constexpr std::size_t maxHeld = 2 * 1024 * 1024;
+    FileHooks hooks = systemFileHooks();
+    std::size_t given = 0;
+    std::size_t written = 0;
+    hooks.write = [&written, write = hooks.write](int fd, const void* data, std::size_t size) {
+        written += size;
+        return write(fd, data, size);
+    };
+    {
+        SegmentLog log(settings(hooks));
+        read(log);
+        written = 0;
+        unsigned n = 0;
+        auto source = [&]() -> std::optional<std::string> {
+            BOOST_TEST(given - std::min(given, written) <= maxHeld);
+            if (n == records)
+                return std::nullopt;
+            given += recordBytes;
+            return std::string(recordBytes, static_cast<char>('a' + n++ % 26));
+        };
+        log.compact(source, records * recordBytes);
+        BOOST_TEST(log.bytes() == std::filesystem::file_size(segment(2)));
+    }
+    SegmentLog log(settings());
+    unsigned n = 0;
+    log.load([&](std::string_view it) {
+        BOOST_TEST(it.size() == recordBytes);
+        BOOST_TEST(it.front() == static_cast<char>('a' + n % 26));
+        ++n;
+    });
+    BOOST_TEST(n == records);
+}
+
 BOOST_AUTO_TEST_CASE(failureAtAnyCallLosesNoAcknowledgedRecord)
 {
     auto work = [](SegmentLog& log, Records& acknowledged) {
