Refuse requests whose end their transfer coding leaves open

Cause: Beast's parser takes a request whose last transfer coding is not chunked for one without a body, and drops codings before chunked. The server read the next request from what followed.

Change: anything but chunked, once, without a length and in HTTP/1.1, is a 400 and the end of the connection, as RFC 9112, section 6.3, asks.

--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -229,6 +229,21 @@
     }
 }
 
+// The rule of the protocol that the request breaks, such that its body may be framed otherwise by whoever has passed it on; empty
+// if none. The parser takes a request for one without a body if its transfer coding does not end with "chunked" (RFC 9112,
+// section 6.3), and drops codings before that one.
+static std::string_view brokenFramingRule(unsigned version, const HttpHeaders& headers)
+{
+    auto coding = headers.find("transfer-encoding");
+    if (coding == headers.end())
+        return {};
+    if (!beast::iequals(coding->second, "chunked"))
+        return "chunked is the only transfer coding, once";
+    if (headers.contains("content-length"))
+        return "a request has a transfer coding or a length";
+    return version < 11 ? "HTTP/1.0 has no transfer codings" : std::string_view();
+}
+
 // Sends a problem document if the request violates a limit or the protocol; other read errors mean that the connection
 // is lost.
 static void rejectMalformedRequest(beast::tcp_stream& stream, boost::system::error_code ec, const HttpLimits& limits)
@@ -336,6 +351,18 @@
     return false;
 }
 
+// The connection is to be closed, since what follows may belong to the request or not.
+template <typename ServerState>
+static void refuseRequest(ServerState& state, beast::tcp_stream& stream, const Error& error)
+{
+    StreamWriter writer(stream, 11, false, state.limits.writeTimeout);
+    try {
+        writer.send(toProblem(error));
+    } catch (const ConnectionLostError&) {
+        return;
+    }
+}
+
 template <typename ServerState>
 static bool serveRequest(ServerState& state, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
@@ -353,6 +380,10 @@
         result = awaitIo([&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
     // Before the body is read, since the parser then adds the trailers, which are no headers (RFC 9110, section 6.5.1).
     HttpHeaders headers = result.ec ? HttpHeaders() : headersOf(parser.get());
+    if (std::string_view rule = brokenFramingRule(parser.get().version(), headers); !rule.empty()) {
+        refuseRequest(state, stream, InvalidInputError("transfer-encoding", headers["transfer-encoding"], std::string(rule)));
+        return false;
+    }
     HttpRequest request;
     if (!result.ec)
         request = { std::string(parser.get().method_string()), std::string(parser.get().target()), std::move(headers), {} };
