Let no request end the process by its method or a defect

Cause: Beast's prepare_payload() throws std::invalid_argument for TRACE with a body, and the connection's fiber caught basilpoint::Error only.

Change: HttpServer answers 500 to a request whose handler throws anything else, reports it through a hook that gateways and keepers log, and goes on. The forwarder ends an attempt in all accounts before. TRACE with content and CONNECT cannot be passed on as they were sent and are a 400. HEAD, which a test over all methods showed: the client awaited a body that does not come, and the server sent one.

--- a/include/basilpoint/Net/Errors.h
+++ b/include/basilpoint/Net/Errors.h
@@ -68,4 +68,13 @@
 /// Converts \p error to a problem document (RFC 9457) with the extra members `executed` and `retryAfter`.
 HttpResponse toProblem(const Error& error);
 
+/// A defect of this program has ended the request, which may have run.
+class InternalError final : public Error {
+public:
+    InternalError()
+        : Error({ "internal-error", 500, Executed::Unknown }, {})
+    {
+    }
+};
+
 } // namespace basilpoint
--- a/include/basilpoint/Net/HttpClient.h
+++ b/include/basilpoint/Net/HttpClient.h
@@ -92,7 +92,7 @@
     std::unique_ptr<Connection> takeIdle(const Endpoint&, const std::string& group);
     void keepIdle(std::unique_ptr<Connection>, const Endpoint&, const std::string& group);
     void send(Connection&, const Endpoint&, const HttpRequest&, const HttpCallOptions&);
-    HttpResponse readResponse(Connection&, const Endpoint&, const ChunkHandler&, const HttpCallOptions&, bool& isStale);
+    HttpResponse readResponse(Connection&, const Endpoint&, bool isHead, const ChunkHandler&, const HttpCallOptions&, bool& isStale);
 
     std::unique_ptr<State> m_state;
 };
--- a/include/basilpoint/Net/HttpServer.h
+++ b/include/basilpoint/Net/HttpServer.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace basilpoint {
 
@@ -66,6 +67,10 @@
     /// Makes bodies of requests be read only if they fit into \p budget, which must outlive the server's connections.
     void setMemory(MemoryBudget& budget, NoMemoryHandler);
 
+    /// Called with what a handler has thrown that is no Error. Its caller gets the status 500, or a broken stream.
+    using FaultHandler = std::function<void(const HttpRequest&, std::string_view what)>;
+    void onFault(FaultHandler);
+
     /// Stops accepting and closes idle connections; active requests continue.
     void stop();
 
--- a/lib/Gateway/Forwarder.cpp
+++ b/lib/Gateway/Forwarder.cpp
@@ -429,6 +429,10 @@
     } catch (const ConnectionLostError& error) {
         attempt.reason = error.what();
         call.isCallerGone = true;
+    } catch (const std::exception& error) {
+        // A defect; the attempt still has to be ended in all accounts.
+        attempt.reason = error.what();
+        m_metrics.count("attempts_failed_by_defects_total");
     }
     if (attempt.writer.started() && end == ForwardEnd::MayHaveRun)
         end = ForwardEnd::BrokenOff;
--- a/lib/Gateway/Gateway.cpp
+++ b/lib/Gateway/Gateway.cpp
@@ -524,6 +524,12 @@
                 m_notices.raise({ ownCutOff() }, cutOffNoticeLifetime);
         }
     });
+    auto logFault = [this](const HttpRequest& request, std::string_view what) {
+        m_metrics.count("requests_failed_by_defects_total");
+        m_log.write(LogLine("request-failed-by-defect").field("method", request.method).field("path", request.path()).field("reason", what));
+    };
+    m_peers.onFault(logFault);
+    m_callers.onFault(logFault);
     m_peers.setMemory(m_memory);
     m_callers.setMemory(m_memory, [this](const HttpRequest& head) { return m_calls.refuseForMemory(head); });
     m_callers.start();
--- a/lib/Gateway/Keeper.cpp
+++ b/lib/Gateway/Keeper.cpp
@@ -182,6 +182,10 @@
 {
     m_log.write(LogLine("start").field("role", "keeper"));
     m_peers.setMemory(m_memory);
+    m_peers.onFault([this](const HttpRequest& request, std::string_view what) {
+        m_metrics.count("requests_failed_by_defects_total");
+        m_log.write(LogLine("request-failed-by-defect").field("path", request.path()).field("reason", what));
+    });
     m_peers.start();
     // Keepers that are no members of the view, or not complete yet, commit for no one.
     if (m_journal) {
--- a/lib/Gateway/PeerServer.h
+++ b/lib/Gateway/PeerServer.h
@@ -22,6 +22,8 @@
     /// Makes calls be read only if they fit into \p budget.
     void setMemory(MemoryBudget& budget);
     void start() { m_server.start(); }
+    /// As HttpServer::onFault().
+    void onFault(HttpServer::FaultHandler handler) { m_server.onFault(std::move(handler)); }
     /// Makes other daemons close their connections, but continues to accept calls.
     void announceClose() { m_server.announceClose(); }
     /// Stops accepting calls.
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -99,7 +99,10 @@
         message.set(name, value);
     message.keep_alive(true);
     message.body() = { body.data(), body.size() };
-    message.prepare_payload();
+    // Methods that define what a body means have a length also without one (RFC 9110, section 8.6).
+    bool expectsBody = message.method() == http::verb::post || message.method() == http::verb::put || message.method() == http::verb::patch;
+    if (expectsBody || !body.empty())
+        message.content_length(body.size());
     return message;
 }
 
@@ -305,12 +308,14 @@
     return response.status >= 200 && response.status < 300;
 }
 
-HttpResponse HttpClient::readResponse(Connection& connection, const Endpoint& endpoint, const ChunkHandler& onChunk, const HttpCallOptions& options, bool& isStale)
+// The answer to HEAD has no body, whatever length it names.
+HttpResponse HttpClient::readResponse(Connection& connection, const Endpoint& endpoint, bool isHead, const ChunkHandler& onChunk, const HttpCallOptions& options, bool& isStale)
 {
     std::size_t discardedBytes = 0;
     for (unsigned discarded = 0; discarded <= maxDiscardedAnswers; ++discarded) {
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(options.maxBodyBytes);
+        parser.skip(isHead);
         auto header = awaitIo([&](auto handler) { http::async_read_header(connection.stream, connection.buffer, parser, std::move(handler)); });
         if (header.ec) {
             isStale = !parser.got_some();
@@ -385,7 +390,7 @@
         isStale = true;
         send(*connection, endpoint, request, options);
         isStale = false;
-        HttpResponse response = readResponse(*connection, endpoint, onChunk, options, isStale);
+        HttpResponse response = readResponse(*connection, endpoint, request.method == "HEAD", onChunk, options, isStale);
         if (connection->idleUntil != TimePoint::min())
             keepIdle(std::move(connection), endpoint, options.group);
         return response;
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -69,6 +69,7 @@
     /// Null if bodies are not limited together.
     MemoryBudget* memory = nullptr;
     NoMemoryHandler onNoMemory;
+    FaultHandler onFault;
     bool closeAnnounced = false;
     bool stopped = false;
 };
@@ -91,11 +92,13 @@
 
     class StreamWriter final : public ResponseWriter {
     public:
-        StreamWriter(beast::tcp_stream& stream, unsigned version, bool keepAlive, Milliseconds timeout)
+        /// \param isHead whether the answer has no body, since the method is HEAD.
+        StreamWriter(beast::tcp_stream& stream, unsigned version, bool keepAlive, Milliseconds timeout, bool isHead = false)
             : m_stream(stream)
             , m_timeout(timeout)
             , m_version(version)
             , m_keepAlive(keepAlive)
+            , m_isHead(isHead)
         {
         }
 
@@ -103,6 +106,8 @@
         {
             assert(!m_started && "one response per request");
             m_started = true;
+            if (m_isHead)
+                return writeHead(response.status, response.headers, false);
             http::response<http::string_body> message(static_cast<http::status>(response.status), m_version);
             setHeaders(message, response.headers);
             message.body() = response.body;
@@ -117,19 +122,13 @@
             assert(!m_started && "one response per request");
             m_started = true;
             m_streaming = true;
-            http::response<http::empty_body> message(static_cast<http::status>(status), m_version);
-            setHeaders(message, headers);
-            message.chunked(true);
-            http::response_serializer<http::empty_body> serializer(message);
-            m_stream.expires_after(m_timeout);
-            auto result = awaitIo([&](auto handler) { http::async_write_header(m_stream, serializer, std::move(handler)); });
-            check(result.ec);
+            writeHead(status, headers, !m_isHead);
         }
 
         void write(std::string_view chunk) override
         {
             assert(m_streaming && "write() requires begin()");
-            if (chunk.empty())
+            if (chunk.empty() || m_isHead)
                 return;
             writeAll(fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk));
         }
@@ -138,7 +137,8 @@
         {
             assert(m_streaming && "end() requires begin()");
             m_streaming = false;
-            writeAll("0\r\n\r\n");
+            if (!m_isHead)
+                writeAll("0\r\n\r\n");
         }
 
         void notifyOnDisconnect(const std::function<void()>& onDisconnect) override
@@ -175,6 +175,17 @@
             message.keep_alive(m_keepAlive);
         }
 
+        void writeHead(int status, const HttpHeaders& headers, bool isChunked)
+        {
+            http::response<http::empty_body> message(static_cast<http::status>(status), m_version);
+            setHeaders(message, headers);
+            message.chunked(isChunked);
+            http::response_serializer<http::empty_body> serializer(message);
+            m_stream.expires_after(m_timeout);
+            auto result = awaitIo([&](auto handler) { http::async_write_header(m_stream, serializer, std::move(handler)); });
+            check(result.ec);
+        }
+
         void writeAll(const std::string& buf)
         {
             m_stream.expires_after(m_timeout);
@@ -195,6 +206,7 @@
         Milliseconds m_timeout;
         unsigned m_version;
         bool m_keepAlive;
+        bool m_isHead;
         bool m_started = false;
         bool m_streaming = false;
         bool m_connectionLost = false;
@@ -216,16 +228,24 @@
     return headers;
 }
 
-static void handleRequest(const HttpServer::Handler& handler, const HttpRequest& request, StreamWriter& writer)
+// An exception must not leave the connection's fiber, which would end the process and with it all other requests.
+static void handleRequest(const HttpServer::Handler& handler, const HttpServer::FaultHandler& onFault, const HttpRequest& request, StreamWriter& writer)
 {
+    // A stream that has begun is closed without its final chunk, which shows the caller that it is incomplete.
+    auto fail = [&](const Error& error) {
+        if (!writer.started())
+            writer.send(toProblem(error));
+    };
     try {
         handler(request, writer);
     } catch (const ConnectionLostError&) {
         return;
     } catch (const Error& error) {
-        // A stream that has begun is closed without its final chunk, which shows the caller that it is incomplete.
-        if (!writer.started())
-            writer.send(toProblem(error));
+        fail(error);
+    } catch (const std::exception& error) {
+        if (onFault)
+            onFault(request, error.what());
+        fail(InternalError());
     }
 }
 
@@ -244,6 +264,26 @@
     return version < 11 ? "HTTP/1.0 has no transfer codings" : std::string_view();
 }
 
+// As above, for methods that cannot be passed on as they were sent (RFC 9110, sections 9.3.6 and 9.3.8).
+template <typename Parser>
+static std::string_view brokenMethodRule(const Parser& parser)
+{
+    bool hasBody = parser.chunked() || parser.content_length().value_or(0) > 0;
+    if (parser.get().method() == http::verb::trace && hasBody)
+        return "TRACE has no content";
+    return parser.get().method() == http::verb::connect ? "there are no tunnels" : std::string_view();
+}
+
+template <typename Parser>
+static std::optional<InvalidInputError> refusalOf(const Parser& parser, const HttpHeaders& headers)
+{
+    if (std::string_view rule = brokenFramingRule(parser.get().version(), headers); !rule.empty())
+        return InvalidInputError("transfer-encoding", headers.at("transfer-encoding"), std::string(rule));
+    if (std::string_view rule = brokenMethodRule(parser); !rule.empty())
+        return InvalidInputError("method", std::string(parser.get().method_string()), std::string(rule));
+    return std::nullopt;
+}
+
 // Sends a problem document if the request violates a limit or the protocol; other read errors mean that the connection
 // is lost.
 static void rejectMalformedRequest(beast::tcp_stream& stream, boost::system::error_code ec, const HttpLimits& limits)
@@ -347,7 +387,7 @@
 static bool refuseBody(ServerState& state, beast::tcp_stream& stream, unsigned version, const HttpRequest& head)
 {
     StreamWriter writer(stream, version, false, state.limits.writeTimeout);
-    handleRequest([&](const HttpRequest& request, ResponseWriter& refusal) { refusal.send(state.onNoMemory(request)); }, head, writer);
+    handleRequest([&](const HttpRequest& request, ResponseWriter& refusal) { refusal.send(state.onNoMemory(request)); }, state.onFault, head, writer);
     return false;
 }
 
@@ -380,8 +420,8 @@
         result = awaitIo([&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
     // Before the body is read, since the parser then adds the trailers, which are no headers (RFC 9110, section 6.5.1).
     HttpHeaders headers = result.ec ? HttpHeaders() : headersOf(parser.get());
-    if (std::string_view rule = brokenFramingRule(parser.get().version(), headers); !rule.empty()) {
-        refuseRequest(state, stream, InvalidInputError("transfer-encoding", headers["transfer-encoding"], std::string(rule)));
+    if (auto refusal = result.ec ? std::nullopt : refusalOf(parser, headers)) {
+        refuseRequest(state, stream, *refusal);
         return false;
     }
     HttpRequest request;
@@ -400,11 +440,11 @@
         return false;
     }
     auto message = parser.release();
-    StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped && !state.closeAnnounced, state.limits.writeTimeout);
+    StreamWriter writer(stream, message.version(), message.keep_alive() && !state.stopped && !state.closeAnnounced, state.limits.writeTimeout, request.method == "HEAD");
     request.body = std::move(message.body());
     request.readFor = std::chrono::steady_clock::now() - firstBytesAt;
     try {
-        handleRequest(state.handler, request, writer);
+        handleRequest(state.handler, state.onFault, request, writer);
     } catch (const ConnectionLostError&) {
         writer.endWatch();
         return false;
@@ -477,6 +517,11 @@
     m_state->onNoMemory = std::move(handler);
 }
 
+void HttpServer::onFault(FaultHandler handler)
+{
+    m_state->onFault = std::move(handler);
+}
+
 void HttpServer::stop()
 {
     if (m_state->stopped)
