--- a/include/basilpoint/Journal/RecordLog.h
+++ b/include/basilpoint/Journal/RecordLog.h
@@ -57,7 +57,7 @@
     /// Gives the records of a snapshot one after the other, and nothing after the last. Called on the log's thread.
     using RecordSource = std::function<std::optional<std::string>()>;
 
-    /// As above, for a snapshot of about \p bytes that is not held as a whole.
+    /// As above, for a snapshot of at most about \p bytes that is not held as a whole.
     void compact(RecordSource snapshot, std::uint64_t bytes, Done done);
 
     /// Bytes in all segments, to decide when to compact.
--- a/include/basilpoint/Turns/TurnJournal.h
+++ b/include/basilpoint/Turns/TurnJournal.h
@@ -2,8 +2,10 @@
 
 #include "basilpoint/Turns/AccountChange.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace basilpoint {
@@ -93,8 +95,11 @@
     /// Approximate size of the entries on disk.
     std::uint64_t bytes() const { return m_bytes; }
 
-    /// Operations that recreate the journal.
-    std::vector<JournalOperation> snapshot() const;
+    /// Gives operations one after the other, and nothing after the last.
+    using OperationSource = std::function<std::optional<JournalOperation>()>;
+
+    /// Operations that recreate the journal as it is now. Refers to the entries, and may be called on another thread.
+    OperationSource snapshot() const;
 
 private:
     void append(JournalEntry);
--- a/lib/Gateway/DurableTurnJournal.cpp
+++ b/lib/Gateway/DurableTurnJournal.cpp
@@ -75,39 +75,22 @@
         compact();
 }
 
-// Refers to the entries, which are encoded one at a time when the log asks for them. The log drops what was queued before the
-// snapshot, also what the journal does not contain yet, so the snapshot ends with that.
+// The log drops what was queued before the snapshot, also what the journal does not contain yet, so the snapshot ends with
+// that. Operations are encoded one at a time, when the log asks for them.
 RecordLog::RecordSource DurableTurnJournal::snapshot() const
 {
-    struct Source {
-        std::deque<JournalOperation> first;
-        std::deque<SharedEntry> entries;
-        std::deque<std::pair<Operations, std::size_t>> pending;
-    };
-    auto source = std::make_shared<Source>();
-    if (!m_journal.view().empty())
-        source->first.push_back({ JournalOperation::Kind::View, m_journal.view() });
-    if (m_journal.isSynchronized())
-        source->first.push_back({ JournalOperation::Kind::Synchronized });
-    for (const auto& [name, entry] : m_journal.entries())
-        source->entries.push_back(entry);
+    auto pending = std::make_shared<std::deque<std::pair<Operations, std::size_t>>>();
     for (const Write& write : m_pending)
         for (std::size_t n = 0; n < write.operations->size(); ++n)
-            source->pending.emplace_back(write.operations, n);
-    return [source]() -> std::optional<std::string> {
-        std::optional<std::string> record;
-        if (!source->first.empty()) {
-            record = encodeOperation(source->first.front());
-            source->first.pop_front();
-        } else if (!source->entries.empty()) {
-            record = encodeOperation({ JournalOperation::Kind::Append, encodeEntry(*source->entries.front()) });
-            source->entries.pop_front();
-        } else if (!source->pending.empty()) {
-            const auto& [operations, n] = source->pending.front();
-            record = encodeOperation(operations->at(n));
-            source->pending.pop_front();
-        }
-        return record;
+            pending->emplace_back(write.operations, n);
+    return [nextOfJournal = m_journal.snapshot(), pending]() -> std::optional<std::string> {
+        if (auto operation = nextOfJournal())
+            return encodeOperation(*operation);
+        if (pending->empty())
+            return std::nullopt;
+        auto [operations, n] = std::move(pending->front());
+        pending->pop_front();
+        return encodeOperation(operations->at(n));
     };
 }
 
@@ -116,7 +99,8 @@
     if (m_isCompacting)
         return;
     m_isCompacting = true;
-    m_log.compact(snapshot(), m_journal.bytes(), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
+    // All that the snapshot contains is in the log, or about to be.
+    m_log.compact(snapshot(), m_log.bytes(), [this, isAlive = std::weak_ptr(m_lifetime)](const std::exception_ptr& failure) {
         m_post([this, isAlive, failure] {
             if (isAlive.expired())
                 return;
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -21,9 +21,10 @@
 // Limit for the query of outstanding grants, which is made before each turn of a program that may have some.
 static constexpr Milliseconds grantsTimeout { 150 };
 static constexpr Milliseconds journalTimeout { 400 };
-// Limit of an attempt to have keepers keep a turn, of which some may answer and others hang, and the pause after it.
+// Limit of an attempt to have keepers keep a turn, of which some may answer and others hang. The pause after it doubles.
 static constexpr Milliseconds keepTimeout { 1'000 };
-static constexpr Milliseconds keepRetryInterval { 50 };
+static constexpr Milliseconds minKeepPause { 50 };
+static constexpr Milliseconds maxKeepPause { 400 };
 // How long a daemon waits for a journaled turn to be stored; after a longer outage the keepers store it.
 static constexpr std::chrono::minutes maxOutage { 10 };
 // Attempts to read from the store before the turn is refused.
@@ -497,13 +498,13 @@
 // Keepers that stop, or that are not complete yet, refuse entries for a moment.
 bool TurnController::appendUntilKept(const std::vector<JournalEntry>& entries, const LedgerWriter::SharedOutcome& stored, TimePoint deadline)
 {
-    for (;;) {
+    for (Milliseconds pause = minKeepPause;; pause = std::min(2 * pause, maxKeepPause)) {
         if (m_journal.append(entries, std::min(deadline, m_clock.now() + keepTimeout)))
             return true;
-        if (*stored || m_clock.now() + keepRetryInterval >= deadline)
+        if (*stored || m_clock.now() + pause >= deadline)
             return false;
         m_metrics.count("turns_journal_retries_total");
-        sleepFiber(keepRetryInterval);
+        sleepFiber(pause);
     }
 }
 
--- a/lib/Journal/SegmentLog.h
+++ b/lib/Journal/SegmentLog.h
@@ -44,7 +44,7 @@
     /// Gives the records of a snapshot one after the other, and nothing after the last.
     using RecordSource = std::function<std::optional<std::string>()>;
 
-    /// Replaces all segments by one that contains the records of \p snapshot, of about \p bytes together.
+    /// Replaces all segments by one that contains the records of \p snapshot, of at most about \p bytes together.
     /// \throws JournalFullError if there is too little space, in which case nothing is changed; JournalWriteError.
     void compact(const RecordSource& snapshot, std::uint64_t bytes);
     void compact(const std::vector<std::string>& snapshot);
--- a/lib/Turns/TurnJournal.cpp
+++ b/lib/Turns/TurnJournal.cpp
@@ -5,6 +5,7 @@
 #include "basilpoint/Turns/SplitTurn.h"
 
 #include <algorithm>
+#include <deque>
 
 namespace basilpoint {
 
@@ -254,16 +255,30 @@
     return entries;
 }
 
-std::vector<JournalOperation> TurnJournal::snapshot() const
+TurnJournal::OperationSource TurnJournal::snapshot() const
 {
-    std::vector<JournalOperation> operations;
+    struct Rest {
+        std::deque<JournalOperation> marks;
+        std::deque<SharedEntry> entries;
+    };
+    auto rest = std::make_shared<Rest>();
     if (!m_view.empty())
-        operations.push_back({ JournalOperation::Kind::View, m_view });
+        rest->marks.push_back({ JournalOperation::Kind::View, m_view });
     if (m_isSynchronized)
-        operations.push_back({ JournalOperation::Kind::Synchronized });
+        rest->marks.push_back({ JournalOperation::Kind::Synchronized });
     for (const auto& [name, entry] : m_entries)
-        operations.push_back({ JournalOperation::Kind::Append, encodeEntry(*entry) });
-    return operations;
+        rest->entries.push_back(entry);
+    return [rest]() -> std::optional<JournalOperation> {
+        std::optional<JournalOperation> next;
+        if (!rest->marks.empty()) {
+            next = std::move(rest->marks.front());
+            rest->marks.pop_front();
+        } else if (!rest->entries.empty()) {
+            next = JournalOperation { JournalOperation::Kind::Append, encodeEntry(*rest->entries.front()) };
+            rest->entries.pop_front();
+        }
+        return next;
+    };
 }
 
 } // namespace basilpoint
--- a/unittests/Turns/TurnJournalTest.cpp
+++ b/unittests/Turns/TurnJournalTest.cpp
@@ -67,8 +67,9 @@
     journal.apply({ JournalOperation::Kind::Synchronized });
     append(journal, turnEntry("1", 1));
     TurnJournal replayed;
-    for (const JournalOperation& it : journal.snapshot())
-        replayed.apply(decodeOperation(encodeOperation(it)));
+    auto next = journal.snapshot();
+    while (auto it = next())
+        replayed.apply(decodeOperation(encodeOperation(*it)));
     BOOST_TEST(replayed.isSynchronized());
     BOOST_TEST((replayed.all() == journal.all()));
 }
