--- a/unittests/Platform/SoakTest.cpp
+++ b/unittests/Platform/SoakTest.cpp
@@ -314,7 +314,8 @@
             // Before its main function begins, a process cannot decide what a signal does.
             if (!process->running() || !Deployment::awaitBegin(*process))
                 continue;
-            switch (m_isPlanned ? draw(2) * 4 : draw(6)) {
+            // Of these, planned work has stops (0) and signals to reload (4) only.
+            switch (m_isPlanned ? 4 * draw(2) : draw(6)) {
             case 0:
             case 1:
                 process->signal(SIGTERM);
