Leave in an account what was granted from its reserve when that is closed

What could be seen: in a fleet of more than 20 gateways a program could get more than one turn's tokens beyond its budget after an outage of the store.

Cause: a turn that needs the tokens set aside for grants has the keepers close the reserve, and the account's reserve was set to 0. The turn itself left room for outstanding grants; reservations of other daemons and later ones took the same tokens again.

Change: closing lowers the reserve to what has been granted from it and is not charged yet. Grants that are charged lower it, as before.

The new case of TurnLedgerTest fails before. turnThatNeedsTheReserveAsksForItsClosing expected 0 of the reserve with 10 tokens still granted from it; it now expects these 10.

The model of the test counts a grant in full until it ends, as the keepers do, and plays turns that reserve tokens beside a grant; with such a turn let go on before its reservation is stored, the property fails too.

--- a/lib/Turns/AccountChange.cpp
+++ b/lib/Turns/AccountChange.cpp
@@ -18,10 +18,10 @@
 {
     ProgramAccount limited = account;
     limited.budget = std::min(account.budget, change.budget);
-    // A daemon that did not know the account may have taken it for a new one. Only closing changes the reserve of others.
+    // A daemon that did not know the account may have taken it for a new one. Closing the reserve leaves what was granted from it.
     bool isNew = account.spent == 0 && account.holds.empty();
-    if (change.grantReserve && (isNew || *change.grantReserve == 0))
-        limited.grantReserve = *change.grantReserve;
+    if (change.grantReserve)
+        limited.grantReserve = isNew ? *change.grantReserve : std::min(limited.grantReserve, *change.grantReserve);
     if (limited.remaining() < change.maxTokens + change.outstanding)
         return false;
     account.budget = limited.budget;
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -215,8 +215,11 @@
     std::optional<TokenCount> reserve;
     if (isNew && knowledge.reservesForGrants)
         reserve = reserveFor(account.budget);
-    if (knowledge.isReserveClosed)
-        reserve = 0;
+    // What has been granted from the reserve stays set aside in the account, also from other daemons' reservations.
+    if (knowledge.isReserveClosed) {
+        reserve = std::min(reserve.value_or(account.grantReserve), reserved);
+        reserved -= *reserve;
+    }
     account.grantReserve = reserve.value_or(account.grantReserve);
     TokenCount remaining = account.remaining();
     for (const Change& it : program.changes)
@@ -229,7 +232,7 @@
         bool isFresh = knowledge.isProgramFresh || knowledge.isBudgetFresh;
         if (!isFresh && !isRecentlySeen)
             return TurnNeedsProgram { request.program, false, true };
-        if (isFresh && account.grantReserve > 0)
+        if (isFresh && account.grantReserve > 0 && !knowledge.isReserveClosed)
             return TurnNeedsReserve {};
         if (isFresh)
             program.seenSpentAt = now;
--- a/unittests/Gateway/BudgetFuzzTest.cpp
+++ b/unittests/Gateway/BudgetFuzzTest.cpp
@@ -24,6 +24,8 @@
     /// Step of its grant; 0 for none.
     std::uint64_t grant = 0;
     TokenCount granted = 0;
+    /// Whether its reservation has been denied.
+    bool isDenied = false;
 };
 
 /// Daemons with separate ledgers and one store, which loses some responses and executes some writes late. While the
@@ -53,34 +55,8 @@
 
     void begin(int n)
     {
-        TurnLedger& ledger = *m_ledgers[n];
         TurnRequest request { ProgramId("p"), CallId("t" + std::to_string(m_nextTurn++)), m_last, budget, maxTokens, {}, m_keepsTurns };
-        TurnKnowledge knowledge;
-        knowledge.mayReserve = !m_isStoreDown;
-        knowledge.holdsAhead = m_nextTurn % 3 == 0;
-        knowledge.outstanding = m_isLarge ? 0 : outstandingTokens(m_grants);
-        knowledge.reservesForGrants = m_isLarge;
-        TurnDecision decision = ledger.begin(request, knowledge, m_now);
-        if (std::holds_alternative<TurnNeedsProgram>(decision)) {
-            if (m_isStoreDown)
-                return;
-            ledger.recordsRead(request.program, m_store.recordsWithPrefix(TurnLedger::programPrefix(request.program)));
-            knowledge.isProgramRead = knowledge.isProgramFresh = true;
-            decision = ledger.begin(request, knowledge, m_now);
-        }
-        if (std::holds_alternative<TurnNeedsReserve>(decision)) {
-            appendGrantEntry(AccountChange::Kind::ReserveClosed, n, ledger.allocateGrantSteps(), 0, 0);
-            ++m_closings;
-            knowledge.isReserveClosed = true;
-            knowledge.outstanding = outstandingTokens(m_grants);
-            decision = ledger.begin(request, knowledge, m_now);
-        }
-        auto* spent = std::get_if<TurnBudgetSpent>(&decision);
-        if (spent && spent->isCertain && !spent->holders.empty()) {
-            knowledge.mayReserve = false;
-            decision = ledger.begin(request, knowledge, m_now);
-        }
-        auto* admitted = std::get_if<TurnAdmitted>(&decision);
+        auto admitted = admit(n, request);
         if (!admitted)
             return;
         RC_ASSERT(admitted->history == m_history[m_last]);
@@ -89,6 +65,29 @@
             takeGrant(n, m_running[n].back());
     }
 
+    /// A turn that has used up its grant is admitted again, to reserve its tokens.
+    void reserveDespiteGrant(int n)
+    {
+        auto it = std::find_if(m_running[n].begin(), m_running[n].end(), [](const RunningTurn& turn) { return turn.grant != 0 && !turn.isReserved && (!turn.reservation || turn.isDenied); });
+        if (m_isStoreDown || it == m_running[n].end())
+            return;
+        TurnRequest request = it->request;
+        request.previous = CallId();
+        auto admitted = admit(n, request);
+        if (!admitted)
+            return;
+        TurnEnd end;
+        end.reservation = admitted->needsGrant ? admitted->reservation : it->reservation;
+        end.neededGrant = admitted->needsGrant || it->needsGrant;
+        m_ledgers[n]->end(request, 0, std::nullopt, end);
+        if (admitted->needsGrant)
+            return;
+        it->needsGrant = false;
+        it->isDenied = false;
+        it->reservation = admitted->reservation;
+        it->isReserved = !admitted->reservation;
+    }
+
     void writeDeferred(int n) { m_ledgers[n]->writeDeferred(TimePoint::max()); }
 
     void toggleStore() { m_isStoreDown = !m_isStoreDown; }
@@ -191,7 +190,7 @@
             return;
         }
         if (turn.grant != 0) {
-            used = std::min(used, turn.granted);
+            used = std::min(used, turn.isReserved ? maxTokens : turn.granted);
             appendGrantEntry(AccountChange::Kind::GrantEnd, n, turn.grant, 1, used);
         }
         m_handedOut += used;
@@ -213,6 +212,38 @@
     }
 
 private:
+    std::optional<TurnAdmitted> admit(int n, const TurnRequest& request)
+    {
+        TurnLedger& ledger = *m_ledgers[n];
+        TurnKnowledge knowledge;
+        knowledge.mayReserve = !m_isStoreDown;
+        knowledge.holdsAhead = m_nextTurn % 3 == 0;
+        knowledge.outstanding = m_isLarge ? 0 : outstandingTokens(m_grants);
+        knowledge.reservesForGrants = m_isLarge;
+        TurnDecision decision = ledger.begin(request, knowledge, m_now);
+        if (std::holds_alternative<TurnNeedsProgram>(decision)) {
+            if (m_isStoreDown)
+                return std::nullopt;
+            ledger.recordsRead(request.program, m_store.recordsWithPrefix(TurnLedger::programPrefix(request.program)));
+            knowledge.isProgramRead = knowledge.isProgramFresh = true;
+            decision = ledger.begin(request, knowledge, m_now);
+        }
+        if (std::holds_alternative<TurnNeedsReserve>(decision)) {
+            appendGrantEntry(AccountChange::Kind::ReserveClosed, n, ledger.allocateGrantSteps(), 0, 0);
+            ++m_closings;
+            knowledge.isReserveClosed = true;
+            knowledge.outstanding = outstandingTokens(m_grants);
+            decision = ledger.begin(request, knowledge, m_now);
+        }
+        auto* spent = std::get_if<TurnBudgetSpent>(&decision);
+        if (spent && spent->isCertain && !spent->holders.empty()) {
+            knowledge.mayReserve = false;
+            decision = ledger.begin(request, knowledge, m_now);
+        }
+        auto* admitted = std::get_if<TurnAdmitted>(&decision);
+        return admitted ? std::optional(*admitted) : std::nullopt;
+    }
+
     static KeyTransaction transactionOf(const LedgerBatch& batch)
     {
         KeyTransaction transaction;
@@ -254,7 +285,8 @@
         m_hadOutage = true;
         turn.grant = m_ledgers[n]->allocateGrantSteps();
         turn.granted = std::min(maxTokens, allowance - before);
-        appendGrantEntry(AccountChange::Kind::Grant, n, turn.grant, 0, turn.granted);
+        // Others count it in full until it ends.
+        appendGrantEntry(AccountChange::Kind::Grant, n, turn.grant, 0, maxTokens);
     }
 
     TokenCount reservedAllowance(int n, const RunningTurn& turn) const
@@ -289,8 +321,10 @@
     void takeOutcomes(int n)
     {
         for (auto [id, outcome] : m_ledgers[n]->takeOutcomes()) {
-            for (RunningTurn& it : m_running[n])
+            for (RunningTurn& it : m_running[n]) {
                 it.isReserved = it.isReserved || (it.reservation == id && outcome == ChangeOutcome::Stored);
+                it.isDenied = it.isDenied || (it.reservation == id && outcome == ChangeOutcome::Denied);
+            }
             if (auto grant = m_underGrant[n].find(id); grant != m_underGrant[n].end())
                 appendGrantEntry(AccountChange::Kind::GrantStored, n, grant->second, 2, 0);
             auto record = m_unstored[n].find(id);
@@ -366,4 +400,38 @@
     }
 }
 
+static void playShortOutages(bool isLarge, bool keepsTurns)
+{
+    constexpr std::size_t stepCount = 100;
+    Fleet fleet(isLarge, keepsTurns);
+    auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(stepCount, rc::gen::tuple(rc::gen::inRange(0, 24), rc::gen::inRange(0, daemons), rc::gen::inRange(0, 100)));
+    for (auto [kind, n, draw] : steps) {
+        if (kind < 6)
+            fleet.begin(n);
+        else if (kind < 12)
+            fleet.write(n, draw < 10 ? Fleet::WriteResult::Lost : Fleet::WriteResult::Answered);
+        else if (kind < 15)
+            fleet.end(n, draw % 2 == 0 ? maxTokens : static_cast<TokenCount>(draw) % (maxTokens + 1), draw % 4 != 0);
+        else if (kind == 15)
+            fleet.executeLate();
+        else if (kind < 18)
+            fleet.toggleStore();
+        else if (kind == 18)
+            fleet.upload();
+        else
+            fleet.reserveDespiteGrant(n);
+    }
+}
+
+// As above, for many short outages in which turns use up their grants.
+RC_BOOST_PROP(budgetOfLargeFleetIsNotExceededByTurnsThatReserveMoreThanTheirGrants, ())
+{
+    playShortOutages(true, *rc::gen::arbitrary<bool>());
+}
+
+RC_BOOST_PROP(budgetOfSmallFleetIsNotExceededByTurnsThatReserveMoreThanTheirGrants, ())
+{
+    playShortOutages(false, *rc::gen::arbitrary<bool>());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Turns/TurnLedgerTest.cpp
+++ b/unittests/Turns/TurnLedgerTest.cpp
@@ -783,8 +783,32 @@
     auto decision = a.begin(second, large, now);
     BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(decision));
     flush(a, store);
-    BOOST_TEST(account().grantReserve == 0U);
+    BOOST_TEST(account().grantReserve == 10U);
     BOOST_TEST(account().held() == maxTokens);
 }
 
+// Guards against budgets that are exceeded since reservations of others use what was granted from a reserve before its closing.
+BOOST_AUTO_TEST_CASE(reservationsAfterTheClosingOfTheReserveLeaveWhatWasGranted)
+{
+    TurnKnowledge large;
+    large.reservesForGrants = true;
+    auto first = request("1", "", "p", 4 * maxTokens);
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(a.begin(first, large, now)));
+    flush(a, store);
+    TurnKnowledge closing = large;
+    closing.isBudgetFresh = true;
+    closing.isReserveClosed = true;
+    // Two grants are outstanding, of which one may exceed the budget.
+    closing.outstanding = 2 * maxTokens;
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(a.begin(request("2", "", "p", 4 * maxTokens), closing, now)));
+    flush(a, store);
+    BOOST_TEST(account().grantReserve == maxTokens);
+    TurnKnowledge fresh = large;
+    fresh.isBudgetFresh = true;
+    BOOST_REQUIRE(std::holds_alternative<TurnAdmitted>(a.begin(request("3", "", "p", 4 * maxTokens), fresh, now)));
+    flush(a, store);
+    BOOST_TEST(!std::holds_alternative<TurnAdmitted>(a.begin(request("4", "", "p", 4 * maxTokens), fresh, now)));
+    BOOST_TEST(account().held() == 3 * maxTokens);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
