--- a/lib/Gateway/DurableTurnJournal.cpp
+++ b/lib/Gateway/DurableTurnJournal.cpp
@@ -46,6 +46,7 @@
 void DurableTurnJournal::enqueue(std::vector<JournalOperation> operations, Done done)
 {
     std::vector<std::string> records;
+    records.reserve(operations.size());
     for (const JournalOperation& it : operations)
         records.push_back(encodeOperation(it));
     m_pending.push_back({ std::make_shared<const std::vector<JournalOperation>>(std::move(operations)), std::move(done) });
