--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -184,6 +184,15 @@
 
 constexpr Milliseconds longerThanFallbackDelay { 400 };
 
+void probe(StoreClient& store)
+{
+    try {
+        store.probe("x");
+    } catch (const KeyValueUnavailableError&) {
+        return;
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TurnControllerTest)
@@ -277,12 +286,9 @@
         bool hasReturned = false;
         bool isProbing = true;
         spawnFiber([&] {
-            for (; !hasReturned; pause(Milliseconds(20))) {
-                try {
-                    daemon.storeClient.probe("x");
-                } catch (const KeyValueUnavailableError&) {
-                    continue;
-                }
+            while (!hasReturned) {
+                probe(daemon.storeClient);
+                pause(Milliseconds(20));
             }
             isProbing = false;
         });
