--- a/unittests/Gateway/BudgetFuzzTest.cpp
+++ b/unittests/Gateway/BudgetFuzzTest.cpp
@@ -73,7 +73,8 @@
             return;
         TurnRequest request = it->request;
         request.previous = CallId();
-        auto admitted = admit(n, request);
+        // The keepers count its own grant in full until it ends.
+        auto admitted = admit(n, request, maxTokens - it->granted);
         if (!admitted)
             return;
         TurnEnd end;
@@ -212,13 +213,14 @@
     }
 
 private:
-    std::optional<TurnAdmitted> admit(int n, const TurnRequest& request)
+    /// \param moreOutstanding tokens that the keepers count beyond the grants of the model.
+    std::optional<TurnAdmitted> admit(int n, const TurnRequest& request, TokenCount moreOutstanding = 0)
     {
         TurnLedger& ledger = *m_ledgers[n];
         TurnKnowledge knowledge;
         knowledge.mayReserve = !m_isStoreDown;
         knowledge.holdsAhead = m_nextTurn % 3 == 0;
-        knowledge.outstanding = m_isLarge ? 0 : outstandingTokens(m_grants);
+        knowledge.outstanding = m_isLarge ? 0 : outstandingTokens(m_grants) + moreOutstanding;
         knowledge.reservesForGrants = m_isLarge;
         TurnDecision decision = ledger.begin(request, knowledge, m_now);
         if (std::holds_alternative<TurnNeedsProgram>(decision)) {
@@ -232,7 +234,7 @@
             appendGrantEntry(AccountChange::Kind::ReserveClosed, n, ledger.allocateGrantSteps(), 0, 0);
             ++m_closings;
             knowledge.isReserveClosed = true;
-            knowledge.outstanding = outstandingTokens(m_grants);
+            knowledge.outstanding = outstandingTokens(m_grants) + moreOutstanding;
             decision = ledger.begin(request, knowledge, m_now);
         }
         auto* spent = std::get_if<TurnBudgetSpent>(&decision);
@@ -285,8 +287,7 @@
         m_hadOutage = true;
         turn.grant = m_ledgers[n]->allocateGrantSteps();
         turn.granted = std::min(maxTokens, allowance - before);
-        // Others count it in full until it ends.
-        appendGrantEntry(AccountChange::Kind::Grant, n, turn.grant, 0, maxTokens);
+        appendGrantEntry(AccountChange::Kind::Grant, n, turn.grant, 0, turn.granted);
     }
 
     TokenCount reservedAllowance(int n, const RunningTurn& turn) const
