--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -21,6 +21,9 @@
 // Limit for the query of outstanding grants, which is made before each turn of a program that may have some.
 static constexpr Milliseconds grantsTimeout { 150 };
 static constexpr Milliseconds journalTimeout { 400 };
+// Limit of an attempt to have keepers keep a turn, of which some may answer and others hang, and the pause after it.
+static constexpr Milliseconds keepTimeout { 1'000 };
+static constexpr Milliseconds keepRetryInterval { 50 };
 // How long a daemon waits for a journaled turn to be stored; after a longer outage the keepers store it.
 static constexpr std::chrono::minutes maxOutage { 10 };
 // Attempts to read from the store before the turn is refused.
@@ -469,12 +472,12 @@
     return std::max(asked.maxTokens, remaining - std::min(remaining, known.unconfirmedTokens));
 }
 
-// Tokens beyond a grant require that the reservation has been stored in the meantime.
-bool TurnController::mayHandOut(const Turn& turn, TokenCount tokens) const
+// Tokens beyond a grant require that the reservation is stored, which may happen later.
+bool TurnController::awaitTokens(const ForwardedCall& call, const Turn& turn, TokenCount tokens)
 {
     if (!turn.grant || turn.handedOut + tokens <= turn.granted)
         return true;
-    return turn.reserved && *turn.reserved == ChangeOutcome::Stored;
+    return turn.reserved && m_writer.await(turn.reserved, call.deadline, [&] { return call.isOver(); }) == ChangeOutcome::Stored;
 }
 
 bool TurnController::record(ForwardedCall& call, Turn& turn, const TargetId& target)
@@ -491,6 +494,19 @@
     return keepOnKeepers(call, turn, change, stored);
 }
 
+// Keepers that stop, or that are not complete yet, refuse entries for a moment.
+bool TurnController::appendUntilKept(const std::vector<JournalEntry>& entries, const LedgerWriter::SharedOutcome& stored, TimePoint deadline)
+{
+    for (;;) {
+        if (m_journal.append(entries, std::min(deadline, m_clock.now() + keepTimeout)))
+            return true;
+        if (*stored || m_clock.now() + keepRetryInterval >= deadline)
+            return false;
+        m_metrics.count("turns_journal_retries_total");
+        sleepFiber(keepRetryInterval);
+    }
+}
+
 // Used while the store is slow or unreachable. The turn is recorded once the store or enough keepers have it.
 bool TurnController::keepOnKeepers(ForwardedCall& call, Turn& turn, ChangeId change, const LedgerWriter::SharedOutcome& stored)
 {
@@ -508,7 +524,7 @@
         entries.push_back(TurnJournalClient::grantEnd(*std::exchange(turn.grant, std::nullopt), turn.handedOut));
     spawnFiber([this, entries, stored, isKept, deadline] {
         const JournalEntry& entry = entries.front();
-        *isKept = m_journal.append(entries, deadline);
+        *isKept = appendUntilKept(entries, stored, deadline);
         m_metrics.count(*isKept ? "turns_journaled_total{kept=\"yes\"}" : "turns_journaled_total{kept=\"no\"}");
         m_log.write(LogLine("turn-journaled").field("turn", entry.changes.back().record->turn.text()).field("program", entry.program.text()).field("step", entry.step()).field("kept", *isKept));
         m_writer.wakeWaiters();
@@ -563,7 +579,7 @@
         // The last event may have fewer tokens than the others.
         if (turn.request.maxTokens > 0 && turn.handedOut >= turn.request.maxTokens)
             return turn.stop(call, "turn-too-long");
-        if (!mayHandOut(turn, tokens))
+        if (!awaitTokens(call, turn, tokens))
             return turn.stop(call, "grant-used-up");
         turn.handedOut += tokens;
         if (turn.request.isKept)
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -60,6 +60,8 @@
     std::optional<ProgramId> readOrigin(const CallId& turn);
     std::optional<Refusal> findOnKeepers(const ForwardedCall&, const TurnRequest&, const CallId& missing, TurnKnowledge&);
     std::optional<Refusal> recheckOrigin(const CallId& missing, bool isPrevious, TurnKnowledge&);
+    /// \returns whether keepers keep the entries, before the deadline and before the store has them.
+    bool appendUntilKept(const std::vector<JournalEntry>&, const LedgerWriter::SharedOutcome& stored, TimePoint deadline);
     bool keepOnKeepers(ForwardedCall&, Turn&, ChangeId, const LedgerWriter::SharedOutcome&);
     /// Ends a turn that is not kept.
     void settle(Turn&);
@@ -72,7 +74,8 @@
     TurnEnd endOf(const Turn&) const;
     bool reservesForGrants() const;
     std::optional<TokenCount> outstandingOf(const ForwardedCall&, const TurnRequest&);
-    bool mayHandOut(const Turn&, TokenCount) const;
+    /// Suspends until the tokens may be handed out. \returns whether they may.
+    bool awaitTokens(const ForwardedCall&, const Turn&, TokenCount);
     void countEnd(std::string_view outcome, std::chrono::nanoseconds waited);
     StreamHooks hooksFor(ForwardedCall&, Turn&);
     std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -1,4 +1,7 @@
 #include "TurnController.h"
+#include "KeeperCodec.h"
+#include "PeerCall.h"
+#include "PeerServer.h"
 
 #include "../Net/TestRuntime.h"
 
@@ -198,6 +201,35 @@
     });
 }
 
+// Guards against whole answers that are cut, since keepers refused the turn for a moment while the store was slow.
+BOOST_AUTO_TEST_CASE(turnIsKeptByKeepersThatRefusedItAtFirst)
+{
+    testRuntime().run([] {
+        auto& daemon = *new Daemon;
+        auto& keeper = *new PeerServer(testRuntime().io(), { "127.0.0.1", 0 });
+        TimePoint end = daemon.clock.now() + Milliseconds(600);
+        int refusals = 0;
+        keeper.on(peerpaths::journalAppend, [&](const std::string&) {
+            if (daemon.clock.now() < end) {
+                ++refusals;
+                throw KeyValueUnavailableError("not ready");
+            }
+            return encodeAnswer({ std::nullopt, false, "kept" });
+        });
+        keeper.on(peerpaths::journalDrop, [](const std::string&) { return std::string("dropped"); });
+        keeper.start();
+        daemon.journal.setView({ 1, { { "k", {}, keeper.endpoint(), true } } });
+        RecordingWriter response;
+        auto refusal = daemon.serve(response, Milliseconds(3'000));
+        BOOST_TEST(refusals > 0);
+        BOOST_TEST(!refusal.has_value());
+        BOOST_TEST(response.isEnded);
+        BOOST_TEST(daemon.store.commits == 0);
+        keeper.stop();
+        daemon.stop();
+    });
+}
+
 BOOST_AUTO_TEST_CASE(answerOfTurnThatIsNotStoredNorKeptBreaksOffAtTheDeadline)
 {
     testRuntime().run([] {
--- a/unittests/Platform/FakePlatform.cpp
+++ b/unittests/Platform/FakePlatform.cpp
@@ -135,6 +135,8 @@
     if (isDown)
         throw ConnectionLostError("outage");
     std::string_view path = request.path();
+    if (path != "/-/kv-watch" && latency.count() > 0)
+        pause(latency);
     if (path == "/-/kv-range")
         return range(parameter(request, "prefix"), writer, view);
     if (path == "/-/kv-watch")
--- a/unittests/Platform/FakePlatform.h
+++ b/unittests/Platform/FakePlatform.h
@@ -36,6 +36,9 @@
     /// While set, all calls fail with a lost connection.
     bool isDown = false;
 
+    /// Time that reads and transactions take.
+    std::chrono::milliseconds latency { 0 };
+
     /// Bytes of the largest value that the store takes.
     static constexpr std::size_t maxValueBytes = 1024 * 1024;
     /// Calls refused for a value.
