--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <charconv>
+#include <fmt/format.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -27,6 +28,10 @@
 static constexpr std::size_t maxUnparsedBytes = 64 * 1024;
 // Answers of other requests and interim answers that one call discards.
 static constexpr unsigned maxDiscardedAnswers = 16;
+static constexpr int firstStatus = 100;
+static constexpr int statusSwitchingProtocols = 101;
+static constexpr int firstFinalStatus = 200;
+static constexpr int lastStatus = 599;
 // An idle connection is not reused in the last part of the target's keep-alive timeout, so that a request does not race
 // with the target's close.
 static constexpr Milliseconds idleMargin { 500 };
@@ -283,10 +288,15 @@
     return std::chrono::steady_clock::now() + limit - std::min(idleMargin, limit / 2);
 }
 
+// Any three digits pass the parser. 101 would end the protocol, which no request asks for (RFC 9110, section 15).
+static bool hasValidStatus(const HttpResponse& response)
+{
+    return response.status >= firstStatus && response.status <= lastStatus && response.status != statusSwitchingProtocols;
+}
+
 // An interim answer (1xx) is followed by the answer itself.
 static bool isInterim(const HttpResponse& response)
 {
-    static constexpr int firstFinalStatus = 200;
     return response.status < firstFinalStatus;
 }
 
@@ -307,6 +317,8 @@
             throw TargetError(endpoint, Executed::Unknown, header.ec.message(), failureOf(header.ec));
         }
         HttpResponse response { static_cast<int>(parser.get().result_int()), lowerCaseHeaders(parser.get()), {}, parser.need_eof(), connection.connectedAt };
+        if (!hasValidStatus(response))
+            throw TargetError(endpoint, Executed::Unknown, fmt::format("status {:03} is none of the protocol", response.status), TargetFailure::InvalidResponse);
         bool matches = !isInterim(response) && (!options.matchesRequest || options.matchesRequest(response));
         if (matches && options.onHeader)
             options.onHeader(response);
--- a/unittests/Net/HttpClientTest.cpp
+++ b/unittests/Net/HttpClientTest.cpp
@@ -1,3 +1,4 @@
+#include "RawSocket.h"
 #include "TestRuntime.h"
 
 #include "basilpoint/Net/HttpClient.h"
@@ -59,6 +60,31 @@
 
 BOOST_AUTO_TEST_SUITE(HttpClientTest)
 
+// Guards against answers that are awaited or passed on, although their status is none of the protocol.
+BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneOfTheProtocolFailsTheCallAtOnce)
+{
+    static constexpr Milliseconds limit { 3'000 };
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    testRuntime().run([&] {
+        for (const char* status : { "000", "001", "099", "101", "600", "999" })
+            for (const char* rest : { "Content-Length: 4\r\n\r\ndone", "Content-Length: 0\r\n\r\n", "\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n" })
+                for (const char* before : { "", "HTTP/1.1 103 Early Hints\r\n\r\n" }) {
+                    RawServer server(RawServer::After::KeepOpen);
+                    server.answerWith([&](const std::string&) { return before + ("HTTP/1.1 " + std::string(status)) + " Odd\r\n" + rest + whole; });
+                    HttpClient client(testRuntime().io());
+                    HttpCallOptions options;
+                    TimePoint start = std::chrono::steady_clock::now();
+                    options.deadline = start + limit;
+                    bool hasAnswer = false;
+                    options.onHeader = [&](const HttpResponse&) { hasAnswer = true; };
+                    BOOST_CHECK_EXCEPTION(client.call(server.endpoint(), { "GET", "/", {}, {} }, options), TargetError, [](const TargetError& error) { return error.failure() == TargetFailure::InvalidResponse && error.executed() == Executed::Unknown; });
+                    BOOST_TEST(!hasAnswer, status << " " << rest);
+                    BOOST_TEST((std::chrono::steady_clock::now() - start < limit / 2), status << " " << rest);
+                    BOOST_TEST(!client.hasIdle(server.endpoint(), {}));
+                }
+    });
+}
+
 BOOST_AUTO_TEST_CASE(lackOfDescriptorsIsNotTakenForAFailureOfTheTarget)
 {
     testRuntime().run([] {
--- a/unittests/Platform/FaultyAnswerTest.cpp
+++ b/unittests/Platform/FaultyAnswerTest.cpp
@@ -194,4 +194,32 @@
     });
 }
 
+// Guards against callers who wait in vain for a second answer, or get a status that is none of the protocol.
+BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneOfTheProtocolFailsTheCallAtOnce)
+{
+    std::string status;
+    RawTarget* raw = nullptr;
+    auto handler = [&](const std::string& call, unsigned, unsigned) {
+        raw->runs.insert(call);
+        return status.empty() ? Reply { answerTo(call) } : Reply { "HTTP/1.1 " + status + answerTo(call).substr(std::string("HTTP/1.1 200").size()) };
+    };
+    withTarget(handler, [&](Deployment& deployment, RawTarget& target) {
+        raw = &target;
+        auto call = [&](const char* path, const std::string& id) { return deployment.statusAt(deployment.instances["a"].callers, "POST", path, { { "x-basilpoint-request-id", id } }, "input " + id); };
+        for (const char* it : { "000", "101", "600", "999" })
+            for (const char* path : { "/work/x", "/pay/x" }) {
+                std::string id = it + std::string(path);
+                status.clear();
+                // Leaves a connection that is used again.
+                BOOST_TEST(call(path, "before-" + id) == 200);
+                status = it;
+                auto start = std::chrono::steady_clock::now();
+                BOOST_TEST(call(path, id) == 502);
+                BOOST_TEST((std::chrono::steady_clock::now() - start < std::chrono::milliseconds(700)), id);
+                if (std::string_view(path).starts_with("/pay"))
+                    BOOST_TEST(target.runs.count(id) == 1U);
+            }
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
