--- a/include/basilpoint/Turns/TurnLedger.h
+++ b/include/basilpoint/Turns/TurnLedger.h
@@ -247,6 +247,9 @@
     /// Tokens of the program's account, as known here, that are neither spent nor held.
     TokenCount remainingOf(const ProgramId&, TokenCount budget) const;
 
+    /// As \ref remainingOf, with the tokens that are reserved for grants.
+    TokenCount unusedOf(const ProgramId&, TokenCount budget) const;
+
     /// Takes turns of the program that keepers keep until they are stored.
     void adopt(const ProgramId&, const std::vector<TurnRecord>&);
 
--- a/lib/Gateway/TurnController.cpp
+++ b/lib/Gateway/TurnController.cpp
@@ -25,6 +25,9 @@
 static constexpr Milliseconds keepTimeout { 1'000 };
 static constexpr Milliseconds minKeepPause { 50 };
 static constexpr Milliseconds maxKeepPause { 400 };
+// Pause after an attempt to reserve the tokens of a turn that has used up its grant; doubles.
+static constexpr Milliseconds minReservePause { 100 };
+static constexpr Milliseconds maxReservePause { 400 };
 // How long a daemon waits for a journaled turn to be stored; after a longer outage the keepers store it.
 static constexpr std::chrono::minutes maxOutage { 10 };
 // Attempts to read from the store before the turn is refused.
@@ -61,6 +64,8 @@
     /// Set if the turn runs under a grant.
     std::optional<TurnJournalClient::GrantRequest> grant;
     TokenCount granted = 0;
+    /// Whether the account holds all tokens of the turn, so that a grant does not limit it.
+    bool isHeld = false;
     /// Cause for which a hook stopped the stream; empty if none did.
     std::string_view stoppedBy;
 
@@ -448,7 +453,7 @@
     const TurnRequest& asked = turn.request;
     // A grant that may be too small to complete the turn is taken during outages only.
     TokenCount minGrant = m_store.isFailing() ? asked.maxTokens / minGrantDivisor : asked.maxTokens;
-    TurnJournalClient::GrantRequest request { asked.program, m_ledger.self(), m_ledger.allocateGrantSteps(), asked.maxTokens, minGrant, asked.keepUntil };
+    TurnJournalClient::GrantRequest request { asked.program, m_ledger.self(), m_ledger.allocateGrantSteps(), asked.maxTokens, minGrant, asked.keepUntil, m_ledger.unusedOf(asked.program, asked.budget) };
     TokenCount allowance = 0;
     auto tokens = m_journal.grant(request, std::min(call.deadline, m_clock.now() + journalTimeout), [&] { return allowance = allowanceOf(asked); });
     m_log.write(LogLine("grant").field("request", call.attributes.call.text()).field("program", request.program.text()).field("allowance", allowance).field("tokens", tokens.value_or(0)));
@@ -473,12 +478,56 @@
     return std::max(asked.maxTokens, remaining - std::min(remaining, known.unconfirmedTokens));
 }
 
-// Tokens beyond a grant require that the reservation is stored, which may happen later.
-bool TurnController::awaitTokens(const ForwardedCall& call, const Turn& turn, TokenCount tokens)
+// Tokens beyond a grant require a reservation. It may be under way already, or may be made once the store is available again.
+bool TurnController::awaitTokens(const ForwardedCall& call, Turn& turn, TokenCount tokens)
 {
-    if (!turn.grant || turn.handedOut + tokens <= turn.granted)
+    if (!turn.grant || turn.isHeld || turn.handedOut + tokens <= turn.granted)
         return true;
-    return turn.reserved && m_writer.await(turn.reserved, call.deadline, [&] { return call.isOver(); }) == ChangeOutcome::Stored;
+    m_metrics.count("grants_used_up_total");
+    awaitReservation(call, turn);
+    m_log.write(LogLine("grant-used-up").field("request", call.attributes.call.text()).field("program", turn.request.program.text()).field("granted", turn.granted).field("handedOut", turn.handedOut).field("held", turn.isHeld).field("timeLeftMs", std::chrono::duration_cast<Milliseconds>(call.deadline - m_clock.now())));
+    return turn.isHeld;
+}
+
+// A reservation that is denied may succeed later: turns that ran under earlier grants are charged once the store is back,
+// and until then their grants are withheld from the program as well as their holds.
+void TurnController::awaitReservation(const ForwardedCall& call, Turn& turn)
+{
+    for (Milliseconds pause = minReservePause; !call.isOver() && m_clock.now() < call.deadline; pause = std::min(2 * pause, maxReservePause)) {
+        if (!turn.reserved && !m_store.isFailing())
+            reserveDespiteGrant(call, turn);
+        if (auto reserved = std::exchange(turn.reserved, nullptr))
+            turn.isHeld = m_writer.await(reserved, call.deadline, [&] { return call.isOver(); }) == ChangeOutcome::Stored;
+        if (turn.isHeld)
+            return;
+        sleepFiber(std::min(pause, std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(call.deadline - m_clock.now()))));
+    }
+}
+
+// Admits the turn again, now that accounts can be changed. The grant stays, since its tokens are charged with the turn.
+void TurnController::reserveDespiteGrant(const ForwardedCall& call, Turn& turn)
+{
+    Turn again;
+    again.request = turn.request;
+    // Its history is known.
+    again.request.previous = CallId();
+    auto decision = admit(call, again);
+    auto* admitted = std::get_if<TurnAdmitted>(&decision);
+    if (!admitted)
+        return;
+    again.admitted = std::move(*admitted);
+    // The store may have failed meanwhile.
+    bool isReplaced = !again.admitted.needsGrant;
+    TurnEnd end = endOf(isReplaced ? turn : again);
+    end.grant = 0;
+    m_ledger.end(turn.request, 0, std::nullopt, end);
+    if (!isReplaced)
+        return;
+    turn.isHeld = !again.admitted.reservation;
+    if (again.admitted.reservation)
+        turn.reserved = m_writer.expect(*again.admitted.reservation);
+    turn.admitted = std::move(again.admitted);
+    m_writer.startWrites();
 }
 
 bool TurnController::record(ForwardedCall& call, Turn& turn, const TargetId& target)
--- a/lib/Gateway/TurnController.h
+++ b/lib/Gateway/TurnController.h
@@ -75,7 +75,11 @@
     bool reservesForGrants() const;
     std::optional<TokenCount> outstandingOf(const ForwardedCall&, const TurnRequest&);
     /// Suspends until the tokens may be handed out. \returns whether they may.
-    bool awaitTokens(const ForwardedCall&, const Turn&, TokenCount);
+    bool awaitTokens(const ForwardedCall&, Turn&, TokenCount);
+    /// Suspends until the tokens of a turn that runs under a grant are reserved as well, or until its time is over.
+    void awaitReservation(const ForwardedCall&, Turn&);
+    /// Tries to reserve the tokens of such a turn.
+    void reserveDespiteGrant(const ForwardedCall&, Turn&);
     void countEnd(std::string_view outcome, std::chrono::nanoseconds waited);
     StreamHooks hooksFor(ForwardedCall&, Turn&);
     std::optional<Refusal> forward(ForwardedCall&, Turn&, ResponseWriter&);
--- a/lib/Gateway/TurnJournalClient.cpp
+++ b/lib/Gateway/TurnJournalClient.cpp
@@ -262,7 +262,9 @@
     if (grants) {
         TokenCount others = grantedTokens(*grants) - request.maxTokens;
         TokenCount tokens = std::min(request.maxTokens, allowance - std::min(allowance, others));
-        if (tokens >= request.minTokens)
+        // Without that room the turn could not reserve the rest later, and its answer would be broken off.
+        bool hasRoom = request.unused >= others + request.maxTokens;
+        if (tokens >= (hasRoom ? request.minTokens : request.maxTokens))
             return tokens;
     }
     // Without a quorum some keepers may have the grant too, whose tokens would be withheld from the program.
--- a/lib/Gateway/TurnJournalClient.h
+++ b/lib/Gateway/TurnJournalClient.h
@@ -38,13 +38,15 @@
         /// Minimum number of tokens; a smaller grant is not taken.
         TokenCount minTokens = 0;
         WallTimePoint keepUntil;
+        /// Tokens of the program's budget that are neither spent nor held, as far as known.
+        TokenCount unused = ProgramAccount::unlimited;
     };
 
     /// Returns the maximum total tokens of all grants of the program at present.
     using AllowanceHook = std::function<TokenCount()>;
 
     /// Takes a grant of what remains of the allowance, in one round of calls. \returns its tokens; empty if too few remain
-    /// or too few keepers answer.
+    /// or too few keepers answer. They are fewer than the turn may need only if the budget has room for all of these.
     std::optional<TokenCount> grant(const GrantRequest&, TimePoint deadline, const AllowanceHook&);
 
     /// Lets no further grants be taken from the reserve of the program's account. \returns the granted tokens that the account
--- a/lib/Turns/TurnLedger.cpp
+++ b/lib/Turns/TurnLedger.cpp
@@ -187,9 +187,7 @@
     const ProgramAccount& account = it->second.account;
     if (now - it->second.accountAt > maxReserveAge)
         return request.maxTokens;
-    TokenCount used = account.spent + account.held();
-    TokenCount budget = std::min(account.budget, request.budget);
-    return request.maxTokens + std::min(account.grantReserve, budget - std::min(budget, used));
+    return request.maxTokens + std::min(account.grantReserve, unusedOf(request.program, request.budget));
 }
 
 TurnDecision TurnLedger::reserve(Program& program, const TurnRequest& request, const TurnKnowledge& knowledge, TurnAdmitted admitted, TimePoint now)
@@ -467,6 +465,15 @@
     return account.remaining();
 }
 
+TokenCount TurnLedger::unusedOf(const ProgramId& id, TokenCount budget) const
+{
+    auto program = m_programs.find(id);
+    ProgramAccount account = program == m_programs.end() ? ProgramAccount {} : program->second.account;
+    account.budget = std::min(account.budget, budget);
+    account.grantReserve = 0;
+    return account.remaining();
+}
+
 std::vector<StoredRecord> TurnLedger::recordsOf(const ProgramId& id, const Program& program) const
 {
     std::vector<StoredRecord> records;
--- a/unittests/Gateway/TurnControllerTest.cpp
+++ b/unittests/Gateway/TurnControllerTest.cpp
@@ -23,10 +23,15 @@
         m_released.notifyAll();
     }
 
-    std::optional<KeyValue> get(const std::string&) override { return std::nullopt; }
+    std::optional<KeyValue> get(const std::string&) override
+    {
+        requireAvailable();
+        return std::nullopt;
+    }
 
     KeyTransactionResult commit(const KeyTransaction&, Milliseconds) override
     {
+        requireAvailable();
         while (!m_isReleased)
             m_released.wait();
         ++commits;
@@ -37,8 +42,15 @@
     KeySnapshot snapshot(const std::string&, ReadMode, Milliseconds) override { return { {}, m_revision }; }
 
     int commits = 0;
+    bool isDown = false;
 
 private:
+    void requireAvailable() const
+    {
+        if (isDown)
+            throw KeyValueUnavailableError("down");
+    }
+
     bool m_isReleased = false;
     FiberSignal m_released;
     std::int64_t m_revision = 1;
@@ -123,13 +135,14 @@
     }
 
     /// Serves the turn "t1".
-    std::optional<TurnController::Refusal> serve(ResponseWriter& response, Milliseconds timeLeft, TokenCount maxTokens = 0)
+    std::optional<TurnController::Refusal> serve(ResponseWriter& response, Milliseconds timeLeft, TokenCount maxTokens = 0, std::optional<TokenCount> budget = std::nullopt)
     {
         HttpRequest request { "POST", "/stream/x", { { "host", "h.example" } }, "in" };
         CallAttributes attributes;
         attributes.call = CallId("t1");
         attributes.program = ProgramId("p");
         attributes.maxTokens = maxTokens;
+        attributes.budget = budget;
         ForwardedCall call { request, attributes, table, *table->match("h.example", "/stream/x"), clock.now(), clock.now() + timeLeft };
         return controller.serve(call, response);
     }
@@ -230,6 +243,77 @@
     });
 }
 
+// Guards against answers that are cut with time left, since the store failed for a moment and their grant was too small.
+BOOST_AUTO_TEST_CASE(turnThatUsesUpItsGrantGoesOnOnceTheStoreIsBack)
+{
+    testRuntime().run([] {
+        constexpr TokenCount maxTokens = 20;
+        constexpr TokenCount budget = 100;
+        constexpr TokenCount grantedToOthers = 10;
+        constexpr int events = 15;
+        auto& daemon = *new Daemon([](ResponseWriter& writer) {
+            writer.begin(200, { { "content-type", "text/event-stream" }, { callHeader, "t1" } });
+            for (int n = 0; n < events; ++n)
+                writer.write("data: one\n\n");
+            writer.end();
+        });
+        daemon.store.release();
+        daemon.store.isDown = true;
+        AccountChange granted;
+        granted.kind = AccountChange::Kind::Grant;
+        granted.step = 1;
+        granted.maxTokens = grantedToOthers;
+        std::vector<JournalEntry> grants { { ProgramId("p"), DaemonLifetime("other~1"), { granted } } };
+        auto& keeper = *new PeerServer(testRuntime().io(), { "127.0.0.1", 0 });
+        keeper.on(peerpaths::journalGrant, [&](const std::string& body) {
+            for (JournalEntry& it : decodeEntries(decodeRequest(body).body))
+                grants.push_back(std::move(it));
+            return encodeAnswer({ std::nullopt, false, encodeEntries(grants) });
+        });
+        keeper.on(peerpaths::journalGrants, [&](const std::string&) { return encodeAnswer({ std::nullopt, false, encodeEntries(grants) }); });
+        keeper.on(peerpaths::journalAppend, [&](const std::string&) { return encodeAnswer({ std::nullopt, false, "kept" }); });
+        keeper.start();
+        daemon.journal.setView({ 1, { { "k", {}, keeper.endpoint(), true } } });
+        bool hasReturned = false;
+        bool isProbing = true;
+        spawnFiber([&] {
+            for (; !hasReturned; pause(Milliseconds(20))) {
+                try {
+                    daemon.storeClient.probe("x");
+                } catch (const KeyValueUnavailableError&) {
+                    continue;
+                }
+            }
+            isProbing = false;
+        });
+        BOOST_TEST(waitUntil([&] { return daemon.storeClient.isFailing(); }));
+        RecordingWriter response;
+        std::optional<TurnController::Refusal> refusal;
+        TimePoint start = daemon.clock.now();
+        spawnFiber([&] {
+            refusal = daemon.serve(response, Milliseconds(4'000), maxTokens, budget);
+            hasReturned = true;
+        });
+        BOOST_TEST(waitUntil([&] { return !response.body.empty() || hasReturned; }));
+        pause(Milliseconds(300));
+        BOOST_TEST(!response.isEnded);
+        BOOST_TEST(!hasReturned);
+        // The account has the other daemon's tokens now.
+        grants.erase(grants.begin());
+        daemon.store.isDown = false;
+        BOOST_TEST(waitUntil([&] { return hasReturned && !isProbing; }));
+        BOOST_TEST((daemon.clock.now() - start < Milliseconds(3'000)));
+        BOOST_TEST(!refusal.has_value());
+        BOOST_TEST(response.isEnded);
+        std::string whole;
+        for (int n = 0; n < events; ++n)
+            whole += "data: one\n\n";
+        BOOST_TEST(response.body == whole);
+        keeper.stop();
+        daemon.stop();
+    });
+}
+
 BOOST_AUTO_TEST_CASE(answerOfTurnThatIsNotStoredNorKeptBreaksOffAtTheDeadline)
 {
     testRuntime().run([] {
--- a/unittests/Platform/Deployment.cpp
+++ b/unittests/Platform/Deployment.cpp
@@ -79,7 +79,7 @@
     }
     std::ofstream settings(folder / (name + ".conf"));
     settings << "node=" << name << "\nzone=" << zone << "\nip=127.0.0.1\nprovider.addr=" << (storeAddresses.contains(name) ? storeAddresses[name] : store.endpoint()).text() << "\nportRange=" << instance.peers << "," << instance.peers
-             << "\nlimits.maxFds=" << descriptors << "\nlimits.memoryMb=" << memoryMegabytes << "\nbounds.graceS=6\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
+             << "\nlimits.maxFds=" << descriptors << "\nlimits.memoryMb=" << memoryMegabytes << "\nbounds.graceS=" << graceSeconds << "\ntolerate.machines=" << tolerated << "\nbootstrap=" << (instance.starts++ == 0 ? "true" : "false") << "\nserves=" << (isGateway ? "front" : "store") << "\n";
     if (isGateway)
         settings << "listen.front=127.0.0.1:" << instance.callers << "\nlisten.ready=127.0.0.1:" << instance.readiness << "\n";
     else
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -89,6 +89,8 @@
     unsigned descriptors = 4'096;
     /// Memory that processes may use, as their settings say.
     unsigned memoryMegabytes = 64;
+    /// Time between the signal to stop a process and its kill, as their settings say.
+    unsigned graceSeconds = 6;
     /// Longest reservation at the engines, as the configuration says; with 0 they take none.
     int longestReservation = 0;
     /// Whether the configuration says that broken streams may be continued.
--- a/unittests/Platform/Soak.cpp
+++ b/unittests/Platform/Soak.cpp
@@ -23,8 +23,13 @@
 using Time = std::chrono::steady_clock::time_point;
 
 constexpr auto duration = 14s;
-constexpr auto callLimit = 4s;
-constexpr std::chrono::milliseconds callDeadline = 2s;
+constexpr std::chrono::milliseconds usualCallDeadline = 2s;
+// Gateways that are many wait longer for the store.
+constexpr std::chrono::milliseconds callDeadlineWithMany = 4s;
+// Time for a stop that callers' deadlines fit into.
+constexpr unsigned graceSecondsWithMany = 8;
+// How long a client waits beyond its deadline.
+constexpr auto lateness = 2s;
 // Time within which a configuration is in force at all gateways that reach the store.
 constexpr auto configurationLimit = 2s;
 constexpr std::uint64_t tokensPerEvent = 10;
@@ -34,6 +39,11 @@
 constexpr std::size_t maxStoreLatency = 1'500;
 // Few enough for the connections of all clients to exceed it.
 constexpr unsigned scarceDescriptors = 96;
+constexpr unsigned usualGateways = 3;
+constexpr unsigned gatewaysOfPlannedWork = 6;
+constexpr unsigned manyGateways = 24;
+// Of gateways; each stops one at a time.
+constexpr unsigned disturbersOfMany = 8;
 
 constexpr const char* keyHeader = "x-api-key";
 constexpr const char* organisationHeader = "x-basilpoint-tenant";
@@ -48,11 +58,17 @@
         , m_seed(soakSeed)
         , m_isScarce(soakIsScarce)
         , m_hasCuts(disturbances == Disturbances::FaultsAndCuts)
-        , m_isPlanned(disturbances == Disturbances::PlannedWork)
+        , m_hasMany(disturbances == Disturbances::PlannedWorkOnManyGateways)
+        , m_isPlanned(disturbances == Disturbances::PlannedWork || m_hasMany)
+        , m_callDeadline(m_hasMany ? callDeadlineWithMany : usualCallDeadline)
         , m_random(soakSeed)
     {
-        if (m_isPlanned)
-            m_gateways = { "a", "b", "c", "d", "e", "f" };
+        for (unsigned n = 0; n < (m_hasMany ? manyGateways : m_isPlanned ? gatewaysOfPlannedWork
+                                                                         : usualGateways);
+             ++n)
+            m_gateways.emplace_back(1, static_cast<char>('a' + n));
+        if (m_hasMany)
+            m_deployment.graceSeconds = graceSecondsWithMany;
         if (m_hasCuts)
             for (const std::string& it : m_gateways)
                 m_deployment.linkTargets(it);
@@ -80,8 +96,8 @@
         unsigned clients = m_isScarce || m_isPlanned ? 60 : 16;
         for (unsigned n = 0; n < clients; ++n)
             start([this, n] { n % 3 == 0 ? runProgram(n) : runTools(n); });
-        start([this] { disturbGateways(); });
-        start([this] { disturbGateways(); });
+        for (unsigned n = 0; n < (m_hasMany ? disturbersOfMany : 2); ++n)
+            start([this] { disturbGateways(); });
         start([this] { m_hasCuts ? disturbPaths() : disturbKeepers(); });
         start([this] { disturbStore(); });
         if (!m_isPlanned)
@@ -164,14 +180,14 @@
         Time start = std::chrono::steady_clock::now();
         HttpCallOptions options;
         options.resendOnStale = false;
-        options.readTimeout = callLimit;
-        options.deadline = start + callLimit;
+        options.readTimeout = m_callDeadline + lateness;
+        options.deadline = start + m_callDeadline + lateness;
         headers["host"] = "h.example";
         headers["x-basilpoint-request-id"] = id;
         std::string organisation = organisationOf(id);
         headers[keyHeader] = lastingKeyOf(organisation);
         headers[organisationHeader] = "forged";
-        headers["x-basilpoint-deadline-ms"] = std::to_string(callDeadline.count());
+        headers["x-basilpoint-deadline-ms"] = std::to_string(m_callDeadline.count());
         bool mayRepeat = path.find("/pay/") == std::string::npos && path.find("/stream/") == std::string::npos;
         m_sent[id] = { gateway, body, mayRepeat, false, organisation };
         Result result;
@@ -186,7 +202,7 @@
         static const std::set<int> promises { 400, 401, 402, 404, 408, 421, 429, 503 };
         m_sent[id].isPromisedNotRun = promises.contains(result.status);
         // Only a kill, a freeze, the target or the deadline may end a call that a target has got.
-        bool isInTime = std::chrono::steady_clock::now() - start < callDeadline - 100ms;
+        bool isInTime = std::chrono::steady_clock::now() - start < m_callDeadline - 100ms;
         if (result.isCut && isInTime && hasRun(id) && m_disturbedAt[gateway] < start && m_targetsDisturbedAt < start)
             violation(fmt::format("call {} through {} was cut off after a target had got it: {}", id, gateway, loggedEnd(gateway, id)));
         m_served += result.status == 200 ? 1 : 0;
@@ -295,7 +311,7 @@
             }
     }
 
-    // Two of these run at once, so that signals to one process follow each other at any distance.
+    // Several of these run at once, so that signals to one process follow each other at any distance.
     void disturbGateways()
     {
         while (!m_isOver) {
@@ -516,8 +532,8 @@
     {
         HttpCallOptions options;
         options.resendOnStale = false;
-        options.deadline = std::chrono::steady_clock::now() + callLimit;
-        HttpHeaders headers { { "host", "h.example" }, { "x-basilpoint-request-id", fmt::format("visit-{}-{}", m_version, gateway) }, { "x-basilpoint-deadline-ms", std::to_string(callDeadline.count()) }, { keyHeader, visitorKey } };
+        options.deadline = std::chrono::steady_clock::now() + m_callDeadline + lateness;
+        HttpHeaders headers { { "host", "h.example" }, { "x-basilpoint-request-id", fmt::format("visit-{}-{}", m_version, gateway) }, { "x-basilpoint-deadline-ms", std::to_string(m_callDeadline.count()) }, { keyHeader, visitorKey } };
         m_sent[headers["x-basilpoint-request-id"]] = { gateway, "visit", true, false, "visitor" };
         try {
             int status = connection.call({ "127.0.0.1", static_cast<std::uint16_t>(m_deployment.instances[gateway].callers) }, { "POST", "/work/x", headers, "visit" }, options).status;
@@ -543,8 +559,10 @@
     RandomEngine::result_type m_seed;
     bool m_isScarce;
     bool m_hasCuts;
+    bool m_hasMany;
     bool m_isPlanned;
-    std::vector<std::string> m_gateways { "a", "b", "c" };
+    std::chrono::milliseconds m_callDeadline;
+    std::vector<std::string> m_gateways;
     RandomEngine m_random;
     int m_version = 3;
     /// Whether the configuration has the organisation that comes and goes.
--- a/unittests/Platform/Soak.h
+++ b/unittests/Platform/Soak.h
@@ -13,6 +13,8 @@
     FaultsAndCuts,
     /// Stops, signals and changes of the configuration only, beside a store that is slow at times.
     PlannedWork,
+    /// As above, with so many gateways that they ask the keepers only where the store takes long.
+    PlannedWorkOnManyGateways,
 };
 
 /// Disturbs a new deployment for 14 s a seed, and reports each broken promise to callers as an error of the test.
